--- /dev/null
+++ b/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load driver, experiments, tables, plots and JSON reports
--- /dev/null
+++ b/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! Command-line client for operators
--- /dev/null
+++ b/core/src/consensus/mod.rs
@@ -0,0 +1,5 @@
+//! Replicated log of the control replicas.
+
+mod message;
+
+pub use message::Message;
--- /dev/null
+++ b/core/src/lib.rs
@@ -0,0 +1,21 @@
+//! Decision logic of primrosepin.
+//!
+//! The crate holds pure reducers: [`serving`] decides for an entry VM and [`consensus`] for a control
+//! replica. A reducer takes the time and an [`event`](serving::event) and appends effects as data; it
+//! reads no clock, socket, file or random source, so that any history can be replayed from its
+//! events and a seed.
+
+pub mod consensus;
+pub mod inventory;
+pub mod ledger;
+pub mod membership;
+pub mod message;
+pub mod organisation;
+pub mod registry;
+pub mod request;
+pub mod service;
+pub mod serving;
+pub mod target;
+pub mod time;
+pub mod vm;
+pub mod zone;
--- /dev/null
+++ b/core/src/registry.rs
@@ -0,0 +1,113 @@
+//! The replicated state machine of control: configuration, ledger, order issuers.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::inventory::Inventory;
+use crate::ledger;
+
+/// The configuration in force.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Config {
+    /// Grows by one with each accepted change.
+    pub version: u64,
+    /// Inventory and rules.
+    pub inventory: Inventory,
+    /// Zones that operators took out.
+    pub zones_out: Vec<Arc<str>>,
+    /// Targets that operators took out.
+    pub targets_out: Vec<Arc<str>>,
+}
+
+/// A command for the replicated log.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Command {
+    /// Replaces the inventory.
+    Apply {
+        /// Identifies the operator's call; a resend gets the first outcome.
+        id: Arc<str>,
+        /// Version that the operator edited.
+        base: u64,
+        /// New inventory.
+        inventory: Inventory,
+    },
+    /// Takes a zone or target out, or brings it back.
+    SetOut {
+        /// Identifies the operator's call.
+        id: Arc<str>,
+        /// What is taken out or brought back.
+        subject: Subject,
+        /// Whether it is out.
+        out: bool,
+    },
+    /// A ledger call, with the leader's wall-clock time in milliseconds.
+    Ledger {
+        /// Wall-clock time at the leader.
+        now_ms: u64,
+        /// The call.
+        call: ledger::Call,
+    },
+    /// Issues an order to a target.
+    Issue {
+        /// Identifies the operator's call.
+        id: Arc<str>,
+        /// Wall-clock time at the leader.
+        now_ms: u64,
+        /// Target name.
+        target: Arc<str>,
+        /// Process that will send the order.
+        issuer: crate::vm::Instance,
+        /// Whether the order draws on the weight store.
+        loads: bool,
+        /// Lease of the issuer, milliseconds.
+        lease_ms: u64,
+    },
+    /// Ends an order and gives its weight-store permit back.
+    Complete {
+        /// Call id of the order.
+        id: Arc<str>,
+    },
+}
+
+/// Subject of [`Command::SetOut`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Subject {
+    /// A zone, by name.
+    Zone(Arc<str>),
+    /// A target, by name.
+    Target(Arc<str>),
+}
+
+/// Result of a command.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The change is accepted under this version.
+    Accepted {
+        /// New configuration version.
+        version: u64,
+    },
+    /// Another change came first.
+    Conflict {
+        /// Version in force.
+        version: u64,
+    },
+    /// The change names an unknown zone.
+    Unknown,
+    /// Answer of the ledger.
+    Ledger(ledger::Answer),
+    /// The order may be sent with this fencing number after the wait.
+    Issued {
+        /// Fencing number, higher than all earlier ones of the target.
+        fencing: u64,
+        /// Time to wait before sending to a target that does not check fencing, milliseconds.
+        wait_ms: u64,
+    },
+    /// Another issuer holds the target, or no weight-store permit is free.
+    Busy {
+        /// Time after which a new try may succeed, milliseconds.
+        retry_after_ms: u64,
+    },
+    /// The order is complete.
+    Completed,
+}
--- /dev/null
+++ b/core/src/service.rs
@@ -0,0 +1,5 @@
+//! Services: groups of targets that answer the same calls.
+
+/// Dense id of a service within one configuration version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Id(pub u16);
--- /dev/null
+++ b/core/src/serving/mod.rs
@@ -0,0 +1,4 @@
+//! The reducer of an entry VM.
+
+pub mod effect;
+pub mod event;
--- /dev/null
+++ b/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Entry process: callers' HTTP, relay to targets, announcements and health
--- /dev/null
+++ b/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Synced log, snapshots and recovery
--- /dev/null
+++ b/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs and metrics of the primrosepin processes
--- /dev/null
+++ b/tests/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fault matrix, stateful fuzzing and process tests
