Add stand-in engine and plain service

Tests and measurements need targets whose own records show what ran, and which fail the way engines fail. The engine model prefills in chunks by priority, decodes all running streams in each step, limits KV memory and falls over when a cold start is overrun.

awc reports a chunked body that breaks off as complete (PlStream returns None on end of input), so tests look for the end mark of the stream.

--- /dev/null
+++ b/standin/src/engine/http.rs
@@ -0,0 +1,501 @@
+//! HTTP side of the engine.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::body::{BodyStream, BoxBody, MessageBody};
+use actix_http::header::{self, HeaderValue};
+use actix_http::{Method, Request, Response, StatusCode};
+use awc::Client;
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use super::cache;
+use super::model::{Arrival, Order, Refusal};
+use super::stream::{Form, Reader, events, usage_json};
+use super::{Fault, Shared, now_us};
+use crate::answer;
+use crate::fault::Pending;
+use crate::respond::{body, error, header, json, with};
+
+/// Tokens generated if the request has no limit.
+const MAX_TOKENS_DEFAULT: u64 = 128;
+
+/// Event that the faults on single events affect.
+const FAULTY_EVENT: u64 = 3;
+
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum Text {
+    One(String),
+    Parts(Vec<Part>),
+}
+
+#[derive(Debug, Deserialize)]
+struct Part {
+    #[serde(default)]
+    text: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct Message {
+    content: Option<Text>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Body {
+    model: Option<String>,
+    #[serde(default)]
+    messages: Vec<Message>,
+    prompt: Option<String>,
+    prompt_tokens: Option<u64>,
+    max_tokens: Option<u64>,
+    max_completion_tokens: Option<u64>,
+    #[serde(default)]
+    stream: bool,
+    user: Option<String>,
+}
+
+impl Body {
+    /// Returns the parts of the prompt text in order.
+    fn text(&self) -> Vec<&str> {
+        let mut parts: Vec<&str> = self.prompt.as_deref().into_iter().collect();
+        for message in &self.messages {
+            match &message.content {
+                Some(Text::One(text)) => parts.push(text),
+                Some(Text::Parts(texts)) => parts.extend(texts.iter().map(|part| &*part.text)),
+                None => {}
+            }
+        }
+        parts
+    }
+}
+
+type Answer = Pin<Box<dyn Future<Output = Response<BoxBody>>>>;
+
+/// Returns the handler of the engine's requests.
+pub(crate) fn handler(shared: Arc<Shared>) -> impl Fn(Request) -> Answer + Clone + 'static {
+    move |request| Box::pin(route(Arc::clone(&shared), request))
+}
+
+async fn route(shared: Arc<Shared>, mut request: Request) -> Response<BoxBody> {
+    let path = request.path().to_owned();
+    match (request.method(), path.as_str()) {
+        (&Method::GET, "/healthz") => json(StatusCode::OK, &json!({ "ok": true })),
+        (&Method::GET, "/v1/requests") => json(StatusCode::OK, &shared.model().requests(now_us())),
+        (&Method::GET, "/v1/records") => json(StatusCode::OK, &shared.model().records),
+        (&Method::GET, "/v1/status") => json(StatusCode::OK, &shared.model().status()),
+        (&Method::GET, "/v1/orders") => json(StatusCode::OK, &shared.model().orders()),
+        (&Method::GET, "/v1/cache/events") => cache_events(&shared, &request),
+        (&Method::GET, "/v1/cache") => {
+            let (next, blocks) = shared.model().cache.all();
+            json(StatusCode::OK, &json!({ "next": next, "blocks": blocks }))
+        }
+        (&Method::DELETE, path) => match path.strip_prefix("/v1/reservations/") {
+            Some(id) => {
+                let held = shared.model().unreserve(id);
+                json(StatusCode::OK, &json!({ "released": held }))
+            }
+            None => error(StatusCode::NOT_FOUND, "no such path"),
+        },
+        (&Method::POST, path) => {
+            let Some(bytes) = body(&mut request).await else {
+                return error(StatusCode::BAD_REQUEST, "the body could not be read");
+            };
+            match path {
+                "/v1/chat/completions" => generate(shared, &request, &bytes, true).await,
+                "/v1/completions" => generate(shared, &request, &bytes, false).await,
+                path => {
+                    let Ok(value) = serde_json::from_slice::<Value>(&bytes) else {
+                        return error(StatusCode::BAD_REQUEST, "the body is not JSON");
+                    };
+                    command(&shared, path, &value)
+                }
+            }
+        }
+        _ => error(StatusCode::NOT_FOUND, "no such path"),
+    }
+}
+
+fn command(shared: &Arc<Shared>, path: &str, value: &Value) -> Response<BoxBody> {
+    let now_us = now_us();
+    let attempt = value["attempt"].as_str().unwrap_or_default();
+    match path {
+        "/v1/cancel" => {
+            let held = shared.model().cancel(attempt, now_us);
+            shared.wake.notify_one();
+            json(StatusCode::OK, &json!({ "released": held }))
+        }
+        "/v1/resume" => resume(shared, attempt, value),
+        "/v1/reservations" => {
+            let (Some(id), Some(tokens)) =
+                (value["reservation"].as_str(), value["tokens"].as_u64())
+            else {
+                return error(StatusCode::BAD_REQUEST, "expected reservation and tokens");
+            };
+            let owner = value["owner"].as_str().map(ToOwned::to_owned);
+            let lease_ms = value["lease_ms"].as_u64().unwrap_or(0);
+            if shared.model().reserve(id, owner, tokens, lease_ms, now_us) {
+                json(StatusCode::OK, &json!({ "reservation": id }))
+            } else {
+                busy("not enough free memory")
+            }
+        }
+        "/v1/orders" => match serde_json::from_value::<Order>(value.clone()) {
+            Ok(order) => {
+                let done = shared.model().order(&order, now_us);
+                shared.announce();
+                match done {
+                    Ok(()) => json(StatusCode::OK, &json!({ "order": order.order })),
+                    Err(highest) => json(
+                        StatusCode::CONFLICT,
+                        &json!({ "error": { "message": "old fencing number" }, "fencing": highest }),
+                    ),
+                }
+            }
+            Err(fault) => error(StatusCode::BAD_REQUEST, &fault.to_string()),
+        },
+        "/v1/faults" => match serde_json::from_value::<Fault>(value.clone()) {
+            Ok(fault) => {
+                shared.fault(&fault);
+                json(StatusCode::OK, &fault)
+            }
+            Err(fault) => error(StatusCode::BAD_REQUEST, &fault.to_string()),
+        },
+        path => {
+            let part = path.strip_prefix("/v1/reservations/");
+            let Some(id) = part.and_then(|rest| rest.strip_suffix("/use")) else {
+                return error(StatusCode::NOT_FOUND, "no such path");
+            };
+            match shared.model().use_part(id, attempt, now_us) {
+                Some(tokens) => json(StatusCode::OK, &json!({ "tokens": tokens })),
+                None => error(StatusCode::NOT_FOUND, "no such reservation"),
+            }
+        }
+    }
+}
+
+fn cache_events(shared: &Shared, request: &Request) -> Response<BoxBody> {
+    let query = request.uri().query().unwrap_or_default();
+    let from = query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix("from="))
+        .and_then(|from| from.parse().ok())
+        .unwrap_or(0);
+    let model = shared.model();
+    let before_us = now_us().saturating_sub(model.settings.cache_lag_ms * 1000);
+    let events = model.cache.events(from, before_us);
+    let next = events.last().map_or(from, |event| event.n + 1);
+    json(
+        StatusCode::OK,
+        &json!({ "incarnation": model.incarnation, "events": events, "next": next }),
+    )
+}
+
+/// Builds the refusal that proves that the request was not run.
+fn busy(message: &str) -> Response<BoxBody> {
+    with(
+        error(StatusCode::SERVICE_UNAVAILABLE, message),
+        "x-primrosepin-ran",
+        "0",
+    )
+}
+
+fn refuse(refusal: Refusal) -> Response<BoxBody> {
+    match refusal {
+        Refusal::Busy => busy("busy"),
+        Refusal::TooLarge => with(
+            error(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "the prompt exceeds the memory",
+            ),
+            "x-primrosepin-ran",
+            "0",
+        ),
+        Refusal::Duplicate => error(StatusCode::CONFLICT, "the attempt is already held"),
+        Refusal::NoModel => with(
+            error(StatusCode::NOT_FOUND, "the model is not loaded"),
+            "x-primrosepin-ran",
+            "0",
+        ),
+    }
+}
+
+async fn generate(
+    shared: Arc<Shared>,
+    request: &Request,
+    bytes: &[u8],
+    chat: bool,
+) -> Response<BoxBody> {
+    let parsed = match serde_json::from_slice::<Body>(bytes) {
+        Ok(parsed) => parsed,
+        Err(fault) => return error(StatusCode::BAD_REQUEST, &fault.to_string()),
+    };
+    let text = parsed.text();
+    let text_bytes = text.iter().map(|part| part.len()).sum();
+    let attempt =
+        header(request, "x-primrosepin-attempt").unwrap_or_else(|| format!("local-{:x}", now_us()));
+    let number = |name| header(request, name).and_then(|value| value.parse().ok());
+    let key = answer::key(parsed.user.as_deref(), bytes);
+    let mut arrival = Arrival {
+        attempt: attempt.clone(),
+        owner: header(request, "x-primrosepin-owner"),
+        request: header(request, "x-primrosepin-request"),
+        idempotency_key: header(request, "idempotency-key"),
+        user: parsed.user.clone(),
+        key,
+        priority: number("x-primrosepin-priority").unwrap_or(0).min(7) as u8,
+        model: parsed.model.clone(),
+        prompt_tokens: parsed
+            .prompt_tokens
+            .unwrap_or(bytes.len() as u64 / 4)
+            .max(1),
+        max_tokens: parsed
+            .max_tokens
+            .or(parsed.max_completion_tokens)
+            .unwrap_or(MAX_TOKENS_DEFAULT)
+            .max(1),
+        text_bytes,
+        blocks: cache::blocks(text),
+        lease_ms: number("x-primrosepin-lease-ms").unwrap_or(0),
+        parts: None,
+    };
+    let (refusal, late_ms) = {
+        let mut model = shared.model();
+        let (proof, run, mut count) = model.pending.refuse;
+        let refusal = Pending::take(&mut count).then_some((proof, run));
+        model.pending.refuse.2 = count;
+        let (by_ms, mut count) = model.pending.late;
+        let late_ms = if Pending::take(&mut count) { by_ms } else { 0 };
+        model.pending.late.1 = count;
+        (refusal, late_ms)
+    };
+    match refusal {
+        Some((true, _)) => {
+            shared.model().count_refusal();
+            return busy("refused on request");
+        }
+        Some((false, run)) => {
+            if run {
+                // The run itself is what the fault asks for; a refusal changes nothing.
+                let _ = shared.model().arrive(arrival, now_us());
+                shared.wake.notify_one();
+            } else {
+                shared.model().count_refusal();
+            }
+            return error(StatusCode::SERVICE_UNAVAILABLE, "refused without proof");
+        }
+        None => {}
+    }
+    let mut remote = Vec::new();
+    if let Some(parts) = header(request, "x-primrosepin-parts") {
+        match take_parts(&shared, &attempt, &parts).await {
+            Ok((own, tokens, others)) if tokens >= arrival.prompt_tokens => {
+                arrival.parts = Some((own, tokens));
+                remote = others;
+            }
+            Ok(_) => return busy("the parts are too small for the prompt"),
+            Err(message) => return busy(&message),
+        }
+    }
+    let lease_ms = arrival.lease_ms;
+    let named_model = arrival.model.clone().unwrap_or_default();
+    let reader = {
+        let mut model = shared.model();
+        if let Err(refusal) = model.arrive(arrival, now_us()) {
+            return refuse(refusal);
+        }
+        model.attach(&attempt, 0, now_us()).unwrap_or(0)
+    };
+    shared.wake.notify_one();
+    if !remote.is_empty() {
+        actix_rt::spawn(keep_parts(
+            Arc::clone(&shared),
+            attempt.clone(),
+            remote,
+            lease_ms,
+        ));
+    }
+    let reader = Reader {
+        shared: Arc::clone(&shared),
+        attempt: attempt.clone(),
+        number: reader,
+    };
+    if late_ms > 0 {
+        actix_rt::time::sleep(Duration::from_millis(late_ms)).await;
+    }
+    let form = form(&shared, &attempt, key, chat, &named_model);
+    if parsed.stream {
+        return stream(reader, form, 0);
+    }
+    whole(reader, form).await
+}
+
+/// Decides what of an answer is faulty.
+fn form(shared: &Shared, attempt: &str, key: u64, chat: bool, model: &str) -> Form {
+    let mut held = shared.model();
+    let crossed = Pending::take(&mut held.pending.cross).then(|| {
+        held.other(attempt)
+            .unwrap_or_else(|| (format!("stale-{attempt}"), !key))
+    });
+    let (named, key) = crossed.unwrap_or_else(|| (attempt.to_owned(), key));
+    let pending = &mut held.pending;
+    let (after, mut count) = pending.cut;
+    let cut_after = Pending::take(&mut count).then_some(after);
+    pending.cut.1 = count;
+    Form {
+        attempt: attempt.to_owned(),
+        named,
+        key,
+        chat,
+        model: Value::from(model).to_string(),
+        cut_after,
+        leave_out: Pending::take(&mut pending.drop_event).then_some(FAULTY_EVENT),
+        twice: Pending::take(&mut pending.duplicate_event).then_some(FAULTY_EVENT),
+    }
+}
+
+fn stream(reader: Reader, form: Form, from: u64) -> Response<BoxBody> {
+    let named = form.named.clone();
+    let body = BodyStream::new(Box::pin(events(reader, form, from))).boxed();
+    let mut response = Response::new(StatusCode::OK).set_body(body);
+    response.headers_mut().insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("text/event-stream"),
+    );
+    with(response, "x-primrosepin-attempt", &named)
+}
+
+/// Waits for the whole answer and sends it as one JSON object.
+async fn whole(reader: Reader, form: Form) -> Response<BoxBody> {
+    loop {
+        let notified = {
+            let mut model = reader.shared.model();
+            let usage = model.usage(&form.attempt);
+            let attempt = model.read(&form.attempt, reader.number);
+            let (Some((prompt, cached, generated)), Some(attempt)) = (usage, attempt) else {
+                return error(
+                    StatusCode::BAD_GATEWAY,
+                    "the engine no longer holds the attempt",
+                );
+            };
+            let available = attempt.available();
+            if available > generated {
+                model.took(&form.attempt, reader.number, available, now_us());
+                drop(model);
+                let text = answer::text(form.key, generated);
+                let mut choice = json!({ "index": 0, "finish_reason": "stop" });
+                if form.chat {
+                    choice["message"] = json!({ "role": "assistant", "content": text });
+                } else {
+                    choice["text"] = Value::from(text);
+                }
+                let object = if form.chat {
+                    "chat.completion"
+                } else {
+                    "text_completion"
+                };
+                let answer = json!({
+                    "id": form.named, "object": object, "choices": [choice],
+                    "usage": usage_json(prompt, cached, generated),
+                });
+                return with(
+                    json(StatusCode::OK, &answer),
+                    "x-primrosepin-attempt",
+                    &form.named,
+                );
+            }
+            Arc::clone(&attempt.notify).notified_owned()
+        };
+        notified.await;
+    }
+}
+
+fn resume(shared: &Arc<Shared>, attempt: &str, value: &Value) -> Response<BoxBody> {
+    let from = value["from"].as_u64().unwrap_or(0);
+    let (reader, key, model) = {
+        let mut model = shared.model();
+        let Some(reader) = model.attach(attempt, from, now_us()) else {
+            return error(StatusCode::NOT_FOUND, "the attempt is not held");
+        };
+        let (key, name) = model.text_of(attempt).unwrap_or_default();
+        (reader, key, name)
+    };
+    let reader = Reader {
+        shared: Arc::clone(shared),
+        attempt: attempt.to_owned(),
+        number: reader,
+    };
+    let chat = value["chat"].as_bool().unwrap_or(true);
+    stream(reader, form(shared, attempt, key, chat, &model), from)
+}
+
+/// Claims the parts of a spanning prompt: own reservation, tokens of all, and the other parts.
+async fn take_parts(
+    shared: &Shared,
+    attempt: &str,
+    parts: &str,
+) -> Result<(Option<String>, u64, Vec<String>), String> {
+    let client = Client::builder().timeout(Duration::from_secs(2)).finish();
+    let (mut own, mut tokens, mut others) = (None, 0, Vec::new());
+    for part in parts.split(',') {
+        let Some((address, id)) = part.trim().split_once('=') else {
+            return Err(format!("malformed part {part:?}"));
+        };
+        let address: SocketAddr = address
+            .parse()
+            .map_err(|_error| format!("malformed address in part {part:?}"))?;
+        if address == shared.address {
+            let held = shared.model().use_part(id, attempt, now_us());
+            tokens += held.ok_or_else(|| format!("reservation {id} is not held"))?;
+            own = Some(id.to_owned());
+            continue;
+        }
+        let url = format!("http://{address}/v1/reservations/{id}");
+        let mut answer = client
+            .post(format!("{url}/use"))
+            .send_json(&json!({ "attempt": attempt }))
+            .await
+            .map_err(|error| format!("part {part:?}: {error}"))?;
+        let value: Value = answer
+            .json()
+            .await
+            .map_err(|error| format!("part {part:?}: {error}"))?;
+        tokens += value["tokens"]
+            .as_u64()
+            .ok_or_else(|| format!("reservation {id} is not held at {address}"))?;
+        others.push(url);
+    }
+    Ok((own, tokens, others))
+}
+
+/// Renews the other parts while the attempt is held, and releases them afterwards.
+async fn keep_parts(shared: Arc<Shared>, attempt: String, parts: Vec<String>, lease_ms: u64) {
+    let client = Client::builder().timeout(Duration::from_secs(2)).finish();
+    let every_ms = if lease_ms == 0 {
+        500
+    } else {
+        (lease_ms / 3).clamp(100, 500)
+    };
+    let mut renewed_us = now_us();
+    while shared.model().holds(&attempt) {
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+        if now_us().saturating_sub(renewed_us) < every_ms * 1000 {
+            continue;
+        }
+        renewed_us = now_us();
+        for url in &parts {
+            let body = json!({ "attempt": attempt });
+            if let Err(fault) = client.post(format!("{url}/use")).send_json(&body).await {
+                log::debug!("part {url} not renewed: {fault}");
+            }
+        }
+    }
+    for url in &parts {
+        if let Err(fault) = client.delete(url).send().await {
+            log::debug!("part {url} not released: {fault}");
+        }
+    }
+}
