--- /dev/null
+++ b/core/src/serving/cost.rs
@@ -0,0 +1,60 @@
+//! Cost of a request: prefill and decode work and KV memory.
+
+use std::time::Duration;
+
+use crate::inventory::Rules;
+use crate::request::{Arrival, Class};
+
+/// Longest uncached prompts of the classes `short`, `medium` and `long`, tokens.
+const CLASS_LIMITS_TOKENS: [u64; 3] = [4_000, 32_000, 128_000];
+
+/// Work and memory that a request needs on one target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Cost {
+    /// Prompt tokens to prefill, without the cached prefix.
+    pub prefill_tokens: u64,
+    /// Expected number of generated tokens.
+    pub decode_tokens: u64,
+    /// KV memory at the end of the longest possible answer, tokens.
+    pub kv_tokens: u64,
+}
+
+impl Cost {
+    /// Creates the cost of an arrival of which `cached` prompt tokens need no prefill.
+    pub fn new(arrival: &Arrival, cached: u64, decode_tokens: u64) -> Self {
+        Self {
+            prefill_tokens: arrival.prompt_tokens.saturating_sub(cached),
+            decode_tokens: decode_tokens.min(arrival.max_tokens),
+            kv_tokens: arrival.prompt_tokens.saturating_add(arrival.max_tokens),
+        }
+    }
+}
+
+/// Returns the class of a prompt with this many uncached tokens.
+pub const fn class(tokens: u64) -> Class {
+    if tokens <= CLASS_LIMITS_TOKENS[0] {
+        Class::Short
+    } else if tokens <= CLASS_LIMITS_TOKENS[1] {
+        Class::Medium
+    } else if tokens <= CLASS_LIMITS_TOKENS[2] {
+        Class::Long
+    } else {
+        Class::Huge
+    }
+}
+
+/// Returns the engine priority of a class, 0 highest.
+pub const fn priority(class: Class) -> u8 {
+    2 * class as u8
+}
+
+/// Returns the time limit of an arrival: the rules' limit by prompt length, or the caller's if shorter.
+pub fn deadline(arrival: &Arrival, rules: &Rules) -> Duration {
+    let rule = rules
+        .deadlines
+        .iter()
+        .find(|entry| arrival.prompt_tokens <= entry.prompt_tokens_max)
+        .or(rules.deadlines.last());
+    let limit = Duration::from_millis(rule.map_or(600_000, |entry| entry.ms));
+    arrival.deadline.map_or(limit, |asked| asked.min(limit))
+}
--- /dev/null
+++ b/core/tests/common/mod.rs
@@ -0,0 +1,237 @@
+//! Helpers that feed event sequences to a serving reducer.
+#![allow(
+    dead_code,
+    missing_docs,
+    reason = "each test file uses a part of the helpers"
+)]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use primrosepin_core::inventory::{Inventory, Kind, Organisation, Rules, Service, Zone};
+use primrosepin_core::registry::Config;
+use primrosepin_core::request::{Arrival, Attempt, End, Id, Outcome, Reason};
+use primrosepin_core::serving::effect::{Dispatch, Effect};
+use primrosepin_core::serving::event::Event;
+use primrosepin_core::serving::{Policy, Reducer, Settings};
+use primrosepin_core::target::{Announcement, Budget, Load, Model, State};
+use primrosepin_core::time::Instant;
+use primrosepin_core::vm;
+
+pub const WHOLE: End = End::Whole {
+    prompt_tokens: 0,
+    cached_tokens: 0,
+    generated_tokens: 10,
+};
+
+pub fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+pub fn instance(name: &str) -> vm::Instance {
+    vm::Instance {
+        name: name.into(),
+        incarnation: vm::Incarnation(1),
+    }
+}
+
+pub fn settings(name: &str, port: u16) -> Settings {
+    Settings {
+        vm: instance(name),
+        address: vm::Address {
+            peers: address(port),
+            callers: Some(address(port + 1000)),
+        },
+        zone: "a".into(),
+        seeds: Vec::new(),
+        other_zones: Vec::new(),
+        control: Vec::new(),
+        policy: Policy::Length,
+    }
+}
+
+pub fn config(version: u64, entries: &[&str]) -> Config {
+    let zone = |name: &str, entries: &[&str]| Zone {
+        name: name.into(),
+        region: "r".into(),
+        entries: entries.iter().map(|&entry| entry.into()).collect(),
+    };
+    let service = |name: &str, kind, models: &[&str]| Service {
+        name: name.into(),
+        kind,
+        models: models.iter().map(|&model| model.into()).collect(),
+        paths: Vec::new(),
+        announce_keys_sha256: Vec::new(),
+    };
+    let organisation = |name: &str, share| Organisation {
+        name: name.into(),
+        keys_sha256: Vec::new(),
+        share,
+        max_running: 64,
+    };
+    Config {
+        version,
+        inventory: Inventory {
+            zones: vec![zone("a", entries), zone("b", &["other"])],
+            services: vec![
+                service("lm", Kind::Engine, &["m"]),
+                service("orders", Kind::Plain, &[]),
+            ],
+            organisations: vec![organisation("blue", 1), organisation("red", 1)],
+            rules: Rules::default(),
+        },
+        zones_out: Vec::new(),
+        targets_out: Vec::new(),
+    }
+}
+
+pub fn engine(name: &str, port: u16) -> Announcement {
+    Announcement {
+        name: name.into(),
+        zone: "a".into(),
+        service: "lm".into(),
+        kind: Kind::Engine,
+        address: address(port),
+        incarnation: 1,
+        seq: 1,
+        state: State::Warm,
+        models: vec![Model {
+            name: "m".into(),
+            version: "1".into(),
+        }],
+        cold_budget: Budget {
+            requests: 1,
+            tokens: 8_000,
+        },
+        max_running: 8,
+        kv_tokens: 400_000,
+        prefill_tokens_per_s: 20_000,
+        decode_tokens_per_s: 50,
+        spans: false,
+        checks_fencing: false,
+        load: Load::default(),
+    }
+}
+
+pub fn plain(name: &str, port: u16) -> Announcement {
+    Announcement {
+        service: "orders".into(),
+        kind: Kind::Plain,
+        models: Vec::new(),
+        kv_tokens: 0,
+        prefill_tokens_per_s: 0,
+        decode_tokens_per_s: 0,
+        ..engine(name, port)
+    }
+}
+
+pub fn prompt(id: u128, tokens: u64) -> Arrival {
+    Arrival {
+        id: Id(id),
+        organisation: "blue".into(),
+        service: "lm".into(),
+        model: Some("m".into()),
+        prompt_tokens: tokens,
+        max_tokens: 100,
+        prefix: smallvec::SmallVec::new(),
+        at_most_once: false,
+        repeatable: true,
+        key: None,
+        deadline: None,
+        handed_over: false,
+    }
+}
+
+pub fn call(id: u128) -> Arrival {
+    Arrival {
+        service: "orders".into(),
+        model: None,
+        max_tokens: 0,
+        ..prompt(id, 0)
+    }
+}
+
+/// One reducer with its clock and everything it asked for.
+pub struct Host {
+    pub reducer: Reducer,
+    pub now: Instant,
+    pub log: Vec<Effect>,
+}
+
+impl Host {
+    pub fn new(settings: Settings) -> Self {
+        let now = Instant::from_micros(1_000_000);
+        Self {
+            reducer: Reducer::new(settings, 7, now),
+            now,
+            log: Vec::new(),
+        }
+    }
+
+    /// A configured VM that is alone in its zone.
+    pub fn alone() -> Self {
+        let mut host = Self::new(settings("e1", 1));
+        host.apply(Event::Configured(Arc::new(config(1, &["e1"]))));
+        host
+    }
+
+    pub fn apply(&mut self, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.reducer.apply(self.now, event, &mut effects);
+        self.log.extend(effects.iter().cloned());
+        effects
+    }
+
+    /// Lets time pass in ticks of 20 ms.
+    pub fn pass(&mut self, ms: u64) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for _ in 0..ms / 20 {
+            self.now = self.now + Duration::from_millis(20);
+            effects.extend(self.apply(Event::Tick));
+        }
+        effects
+    }
+
+    pub fn announce(&mut self, announcement: Announcement) -> Vec<Effect> {
+        self.apply(Event::Announced(announcement))
+    }
+
+    pub fn arrive(&mut self, arrival: Arrival) -> Vec<Effect> {
+        self.apply(Event::Arrived(Box::new(arrival)))
+    }
+
+    pub fn end(&mut self, attempt: Attempt, end: End) -> Vec<Effect> {
+        self.apply(Event::Ended { attempt, end })
+    }
+}
+
+pub fn dispatches(effects: &[Effect]) -> Vec<Dispatch> {
+    effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Dispatch(dispatch) => Some(dispatch.clone()),
+            _ => None,
+        })
+        .collect()
+}
+
+pub fn dispatched(effects: &[Effect]) -> Dispatch {
+    let found = dispatches(effects);
+    assert_eq!(found.len(), 1, "one dispatch expected in {effects:?}");
+    found[0].clone()
+}
+
+pub fn refusal(effects: &[Effect]) -> Option<(Outcome, Reason)> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Respond(refusal) => Some((refusal.outcome, refusal.reason)),
+        _ => None,
+    })
+}
+
+pub fn attempt(id: u128, number: u16) -> Attempt {
+    Attempt {
+        request: Id(id),
+        number,
+    }
+}
--- /dev/null
+++ b/core/tests/serving_path.rs
@@ -0,0 +1,92 @@
+//! The path of a request from arrival to final outcome.
+
+mod common;
+
+use common::*;
+use primrosepin_core::request::{Id, Outcome, Reason};
+use primrosepin_core::serving::effect::{Effect, Notice};
+use primrosepin_core::serving::event::Event;
+
+/// Guards against a VM that the balancer uses before it has a configuration.
+#[test]
+fn ready_only_with_configuration() {
+    let mut host = Host::new(settings("e1", 1));
+    assert!(!host.pass(100).contains(&Effect::Ready(true)));
+    let effects = host.apply(Event::Configured(std::sync::Arc::new(config(1, &["e1"]))));
+    assert!(effects.contains(&Effect::Ready(true)));
+    assert!(host.apply(Event::Drain).contains(&Effect::Ready(false)));
+}
+
+/// Guards against answers that are lost or given twice.
+#[test]
+fn whole_answer_completes() {
+    let mut host = Host::alone();
+    host.announce(engine("t1", 101));
+    host.announce(plain("o1", 102));
+    let first = dispatched(&host.arrive(prompt(1, 1_000)));
+    assert_eq!(first.target.as_ref(), "t1");
+    assert_eq!(first.priority, 0);
+    assert_eq!(dispatched(&host.arrive(call(2))).target.as_ref(), "o1");
+    let effects = host.end(first.attempt, WHOLE);
+    assert!(effects.contains(&Effect::Complete(Id(1))));
+    assert!(
+        !host
+            .end(first.attempt, WHOLE)
+            .contains(&Effect::Complete(Id(1)))
+    );
+}
+
+/// Guards against engine memory that leaks when the caller disconnects, and against a late answer
+/// that revives the request.
+#[test]
+fn caller_gone_cancels() {
+    let mut host = Host::alone();
+    host.announce(engine("t1", 101));
+    let sent = dispatched(&host.arrive(prompt(1, 1_000)));
+    let cancel = Effect::Cancel {
+        address: address(101),
+        attempt: sent.attempt,
+    };
+    let effects = host.apply(Event::CallerGone(Id(1)));
+    assert!(effects.contains(&Effect::Abort(sent.attempt)));
+    assert!(effects.contains(&cancel));
+    let late = host.apply(Event::Started(sent.attempt));
+    assert!(late.contains(&cancel));
+}
+
+/// Guards against requests that never end.
+#[test]
+fn deadline_by_class() {
+    let mut host = Host::alone();
+    host.announce(engine("t1", 101));
+    let sent = dispatched(&host.arrive(prompt(1, 1_000)));
+    assert_eq!(refusal(&host.pass(29_900)), None);
+    let effects = host.pass(200);
+    let expected = (Outcome::Unknown, Reason::DeadlineExceeded);
+    assert_eq!(refusal(&effects), Some(expected));
+    assert!(effects.contains(&Effect::Abort(sent.attempt)));
+}
+
+/// Guards against work for targets that stopped announcing, and against stale announcements that
+/// revive a target or change its state.
+#[test]
+fn announcements() {
+    let mut host = Host::alone();
+    let mut second = engine("t1", 101);
+    second.seq = 5;
+    second.incarnation = 2;
+    host.announce(second);
+    host.announce(engine("t1", 101));
+    assert_eq!(host.reducer.counters().stale_announcements, 1);
+    let mut other = engine("t1", 109);
+    other.seq = 9;
+    other.incarnation = 2;
+    let effects = host.announce(other);
+    let conflict = Effect::Notice(Notice::TargetConflict("t1".into()));
+    assert!(effects.contains(&conflict));
+    assert_eq!(host.reducer.targets()[0].announcement.address, address(101));
+    let effects = host.pass(3_100);
+    assert!(effects.contains(&Effect::Notice(Notice::TargetLost("t1".into()))));
+    let effects = host.arrive(prompt(1, 1_000));
+    assert!(dispatches(&effects).is_empty());
+}
