Add authenticated message transport over QUIC

Cause: processes need one authenticated way to exchange frames. Conclusion: entry and control can use the endpoint.

--- /dev/null
+++ b/transport/src/endpoint.rs
@@ -0,0 +1,309 @@
+//! The endpoint of a process.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::time::Duration;
+
+use eyre::{Context, ensure};
+use primrosepin_core::message::Message;
+use primrosepin_core::vm::Instance;
+use primrosepin_wire::{Frame, MAX_FRAME_BYTES};
+use quinn::VarInt;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use crate::identity::Subject;
+use crate::incoming::{Incoming, Reply};
+use crate::link::Link;
+use crate::{Faults, Identity, Settings};
+
+/// Time without any packet after which a connection is closed. A peer counts as gone after 3 s, so a
+/// silent connection must be replaced before that.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Interval of QUIC keep-alive packets; several fit into the idle timeout.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time to deliver a one-way message before its connection is replaced.
+const SEND_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Messages that wait for one address; further ones are dropped, as on a lossy network.
+const SEND_QUEUE_MESSAGES: usize = 1_024;
+
+/// Messages that wait for the process; senders are slowed down when it is full.
+const RECEIVE_QUEUE_MESSAGES: usize = 4_096;
+
+/// Streams that a peer may have open on one connection.
+const MAX_STREAMS: u32 = 1_024;
+
+/// Sends and receives messages. Clones share the socket and the connections.
+#[derive(Debug, Clone)]
+pub struct Endpoint {
+    quic: quinn::Endpoint,
+    instance: Instance,
+    client: Arc<RwLock<quinn::ClientConfig>>,
+    links: Arc<Mutex<HashMap<SocketAddr, Peer>>>,
+    faults: Faults,
+}
+
+#[derive(Debug, Clone)]
+struct Peer {
+    link: Arc<Link>,
+    queue: mpsc::Sender<Message>,
+}
+
+impl Endpoint {
+    /// Binds the socket and starts to receive. Must run inside a `tokio` or `actix-rt` runtime.
+    pub fn start(settings: Settings) -> eyre::Result<(Self, mpsc::Receiver<Incoming>)> {
+        let mut server = settings.identity.server_config()?;
+        server.transport_config(transport_config()?);
+        let quic = quinn::Endpoint::server(server, settings.bind)
+            .wrap_err_with(|| format!("cannot bind {}", settings.bind))?;
+        let (sender, receiver) = mpsc::channel(RECEIVE_QUEUE_MESSAGES);
+        let endpoint = Self {
+            quic,
+            instance: settings.instance,
+            client: Arc::new(RwLock::new(client_config(&settings.identity)?)),
+            links: Arc::default(),
+            faults: Faults::default(),
+        };
+        tokio::spawn(endpoint.clone().accept(sender));
+        Ok((endpoint, receiver))
+    }
+
+    /// Returns the bound address.
+    pub fn local_address(&self) -> eyre::Result<SocketAddr> {
+        Ok(self.quic.local_addr()?)
+    }
+
+    /// Returns the fault injection of this endpoint.
+    pub fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
+    /// Uses another identity for new connections; open connections stay.
+    pub fn rotate(&self, identity: &Identity) -> eyre::Result<()> {
+        let mut server = identity.server_config()?;
+        server.transport_config(transport_config()?);
+        let client = client_config(identity)?;
+        self.quic.set_server_config(Some(server));
+        *self.client.write().unwrap_or_else(PoisonError::into_inner) = client;
+        Ok(())
+    }
+
+    /// Sends a message without waiting. The message is dropped if too many wait for the address.
+    pub fn send(&self, to: SocketAddr, message: Message) {
+        if self.faults.blocks(to) {
+            return;
+        }
+        if self.peer(to).queue.try_send(message).is_err() {
+            log::debug!("send queue of {to} is full, a message is dropped");
+        }
+    }
+
+    /// Sends a message and waits for the answer. After an error the message may have arrived or not.
+    pub async fn call(
+        &self,
+        to: SocketAddr,
+        message: Message,
+        within: Duration,
+    ) -> eyre::Result<Message> {
+        ensure!(!self.faults.blocks(to), "{to} is unreachable");
+        let link = self.peer(to).link;
+        let exchange = async {
+            let connection = link.connection(&self.quic).await?;
+            let answer = self.exchange(&connection, message).await;
+            if answer.is_err() {
+                link.discard(&connection).await;
+            }
+            answer
+        };
+        let answer = timeout(within, exchange)
+            .await
+            .wrap_err("call timed out")??;
+        ensure!(!self.faults.blocks(to), "{to} is unreachable");
+        Ok(answer)
+    }
+
+    /// Closes all connections and waits until the peers are told.
+    pub async fn close(&self) {
+        self.links
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clear();
+        self.quic.close(VarInt::from_u32(0), b"shutdown");
+        self.quic.wait_idle().await;
+    }
+
+    async fn exchange(
+        &self,
+        connection: &quinn::Connection,
+        message: Message,
+    ) -> eyre::Result<Message> {
+        let bytes = Frame::new(self.instance.clone(), message).encode()?;
+        let (mut sending, mut receiving) = connection.open_bi().await?;
+        sending.write_all(&bytes).await?;
+        sending.finish()?;
+        let answer = receiving.read_to_end(MAX_FRAME_BYTES).await?;
+        Ok(Frame::decode(&answer)?.message)
+    }
+
+    fn peer(&self, to: SocketAddr) -> Peer {
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        let peer = links.entry(to).or_insert_with(|| {
+            let link = Arc::new(Link::new(to, Arc::clone(&self.client)));
+            let (queue, messages) = mpsc::channel(SEND_QUEUE_MESSAGES);
+            tokio::spawn(deliver(
+                self.quic.clone(),
+                Arc::clone(&link),
+                self.instance.clone(),
+                messages,
+            ));
+            Peer { link, queue }
+        });
+        peer.clone()
+    }
+
+    async fn accept(self, sender: mpsc::Sender<Incoming>) {
+        while let Some(attempt) = self.quic.accept().await {
+            let endpoint = self.clone();
+            let sender = sender.clone();
+            tokio::spawn(async move {
+                let Ok(connection) = attempt.await else {
+                    return;
+                };
+                let subject = match Subject::of(&connection) {
+                    Ok(subject) => subject,
+                    Err(error) => {
+                        log::warn!(
+                            "connection from {} refused: {error}",
+                            connection.remote_address()
+                        );
+                        connection.close(VarInt::from_u32(1), b"certificate");
+                        return;
+                    }
+                };
+                endpoint.serve(connection, subject, sender).await;
+            });
+        }
+    }
+
+    async fn serve(
+        self,
+        connection: quinn::Connection,
+        subject: Subject,
+        sender: mpsc::Sender<Incoming>,
+    ) {
+        loop {
+            let (reply, stream) = tokio::select! {
+                stream = connection.accept_uni() => match stream {
+                    Ok(stream) => (None, stream),
+                    Err(_) => return,
+                },
+                streams = connection.accept_bi() => match streams {
+                    Ok((sending, receiving)) => (Some(sending), receiving),
+                    Err(_) => return,
+                },
+            };
+            let reply = reply.map(|stream| Reply {
+                instance: self.instance.clone(),
+                stream,
+            });
+            let receive = receive(
+                connection.clone(),
+                subject.clone(),
+                stream,
+                reply,
+                self.faults.clone(),
+                sender.clone(),
+            );
+            tokio::spawn(receive);
+        }
+    }
+}
+
+/// Reads one message and passes it on.
+async fn receive(
+    connection: quinn::Connection,
+    subject: Subject,
+    mut stream: quinn::RecvStream,
+    reply: Option<Reply>,
+    faults: Faults,
+    sender: mpsc::Sender<Incoming>,
+) {
+    let address = connection.remote_address();
+    let Ok(bytes) = stream.read_to_end(MAX_FRAME_BYTES).await else {
+        return;
+    };
+    if faults.blocks(address) {
+        return;
+    }
+    let frame = match Frame::decode(&bytes) {
+        Ok(frame) if *frame.from.name == *subject.vm => frame,
+        Ok(frame) => {
+            log::warn!(
+                "{address} with the certificate of {} sent as {}",
+                subject.vm,
+                frame.from.name
+            );
+            return;
+        }
+        Err(error) => {
+            log::warn!("message from {address} refused: {error}");
+            return;
+        }
+    };
+    let incoming = Incoming {
+        from: frame.from,
+        role: subject.role,
+        address,
+        message: frame.message,
+        reply,
+    };
+    // Fails only while the process shuts down.
+    let _ = sender.send(incoming).await;
+}
+
+/// Delivers one-way messages to one address until the queue is closed.
+async fn deliver(
+    quic: quinn::Endpoint,
+    link: Arc<Link>,
+    instance: Instance,
+    mut messages: mpsc::Receiver<Message>,
+) {
+    while let Some(message) = messages.recv().await {
+        let Ok(bytes) = Frame::new(instance.clone(), message).encode() else {
+            continue;
+        };
+        let Ok(connection) = link.connection(&quic).await else {
+            // Messages that waited for the failed attempt are outdated.
+            while messages.try_recv().is_ok() {}
+            continue;
+        };
+        let write = async {
+            let mut stream = connection.open_uni().await?;
+            stream.write_all(&bytes).await?;
+            stream.finish()?;
+            eyre::Ok(())
+        };
+        if !matches!(timeout(SEND_TIMEOUT, write).await, Ok(Ok(()))) {
+            link.discard(&connection).await;
+        }
+    }
+}
+
+fn client_config(identity: &Identity) -> eyre::Result<quinn::ClientConfig> {
+    let mut client = identity.client_config()?;
+    client.transport_config(transport_config()?);
+    Ok(client)
+}
+
+fn transport_config() -> eyre::Result<Arc<quinn::TransportConfig>> {
+    let mut transport = quinn::TransportConfig::default();
+    transport.max_idle_timeout(Some(IDLE_TIMEOUT.try_into()?));
+    transport.keep_alive_interval(Some(KEEP_ALIVE_INTERVAL));
+    transport.max_concurrent_uni_streams(VarInt::from_u32(MAX_STREAMS));
+    transport.max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS));
+    Ok(Arc::new(transport))
+}
