--- /dev/null
+++ b/entry/src/attempt.rs
@@ -0,0 +1,561 @@
+//! One attempt: the request to a target, the check of its answer and the way to the caller.
+//!
+//! `awc` never sends a request again by itself: it takes an idle connection or opens one, writes once
+//! and reports the failure. Redirects are switched off, since following one would send the body
+//! twice. Idle connections are used for repeatable requests to engines only, where the attempt id in
+//! the answer reveals bytes left over from an earlier one.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use actix_http::body::{BodySize, MessageBody};
+use actix_rt::net::{ActixStream, Ready, TcpStream};
+use actix_rt::time::timeout;
+use actix_service::fn_service;
+use actix_tls::connect::{ConnectError as TcpError, ConnectInfo, Connection as TcpConnection};
+use awc::error::{ConnectError, PayloadError, SendRequestError};
+use awc::http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, TRANSFER_ENCODING};
+use awc::http::{Method, Uri};
+use awc::{Client, ClientRequest};
+use bytes::{Bytes, BytesMut};
+use futures_util::{Stream, StreamExt};
+use primrosepin_core::request::{Attempt, End, Outcome};
+use primrosepin_core::serving::effect::Dispatch;
+use primrosepin_core::serving::event::Event;
+use serde::de::IgnoredAny;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+use crate::node::{Call, CallKind, Node, attempt_id};
+use crate::outlet::Head;
+use crate::reply;
+use crate::sse::{Fault, Piece, Reader, Usage};
+
+/// Time to open a connection within a zone, where a round trip takes a few milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Piece in which a body is written, so that a large body is not copied into one write buffer.
+const WRITE_BYTES: usize = 64 * 1024;
+
+/// Largest whole answer that is held for checking.
+const ANSWER_BYTES_MAX: usize = 64 * 1024 * 1024;
+
+/// Time to read the end of a body after the end marker.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Interval of progress events of one attempt; one for each token would load the reducer.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(100);
+
+/// A connection to a target, with what it saw.
+#[derive(Debug)]
+struct Socket {
+    stream: TcpStream,
+    seen: Rc<Seen>,
+}
+
+/// What happened on one connection.
+#[derive(Debug, Default)]
+pub(crate) struct Seen {
+    /// Bytes written to the socket.
+    pub(crate) written: Cell<u64>,
+    /// Whether the target closed its side. `awc` does not tell a body that was cut at a chunk
+    /// boundary from a whole one.
+    end: Cell<bool>,
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let poll = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if poll.is_ready() && buffer.filled().len() == before {
+            self.seen.end.set(true);
+        }
+        poll
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let poll = Pin::new(&mut self.stream).poll_write(context, bytes);
+        if let Poll::Ready(Ok(count)) = poll {
+            let written = &self.seen.written;
+            written.set(written.get() + count as u64);
+        }
+        poll
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
+impl ActixStream for Socket {
+    fn poll_read_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_read_ready(&self.stream, context)
+    }
+
+    fn poll_write_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_write_ready(&self.stream, context)
+    }
+}
+
+/// Creates a client whose connections report to `seen`.
+pub(crate) fn client(seen: &Rc<Seen>) -> Client {
+    let seen = Rc::clone(seen);
+    let connect = Rc::new(fn_service(move |info: ConnectInfo<Uri>| {
+        let seen = Rc::clone(&seen);
+        async move {
+            let address = authority(info.request()).ok_or(TcpError::Unresolved)?;
+            let stream = TcpStream::connect(address).await.map_err(TcpError::Io)?;
+            stream.set_nodelay(true).map_err(TcpError::Io)?;
+            let socket = Socket { stream, seen };
+            Ok(TcpConnection::new(info.request().clone(), socket))
+        }
+    }));
+    let connector = awc::Connector::new()
+        .connector(connect)
+        .timeout(CONNECT_TIMEOUT)
+        .limit(0);
+    awc::ClientBuilder::new()
+        .connector(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .no_default_headers()
+        .finish()
+}
+
+fn authority(uri: &Uri) -> Option<SocketAddr> {
+    uri.authority()?.as_str().parse().ok()
+}
+
+/// Creates the client with idle connections.
+pub(crate) fn shared_client() -> Client {
+    client(&Rc::default())
+}
+
+/// Body that is written in pieces of the shared bytes.
+pub(crate) struct Pieces(pub(crate) Bytes);
+
+impl MessageBody for Pieces {
+    type Error = std::convert::Infallible;
+
+    fn size(&self) -> BodySize {
+        BodySize::Sized(self.0.len() as u64)
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        if self.0.is_empty() {
+            return Poll::Ready(None);
+        }
+        let length = self.0.len().min(WRITE_BYTES);
+        Poll::Ready(Some(Ok(self.0.split_to(length))))
+    }
+}
+
+/// A whole answer that waits for the reducer's decision.
+#[derive(Debug, Clone)]
+pub(crate) struct Answer {
+    pub(crate) head: Head,
+    pub(crate) body: Bytes,
+}
+
+/// How a stage of an attempt fails.
+type Failure = End;
+
+/// Runs an attempt and reports its end.
+pub(crate) async fn run(node: Rc<Node>, shared: Client, dispatch: Dispatch) {
+    let attempt = dispatch.attempt;
+    let end = match node.call(attempt.request) {
+        Some(call) => send(&node, &shared, &call, &dispatch).await,
+        None => End::NotRun { busy: false },
+    };
+    node.report(Event::Ended { attempt, end });
+}
+
+async fn send(node: &Rc<Node>, shared: &Client, call: &Rc<Call>, dispatch: &Dispatch) -> End {
+    let exclusive = dispatch.fresh_connection || call.at_most_once || call.kind == CallKind::Plain;
+    let seen = Rc::new(Seen::default());
+    let own;
+    let client = if exclusive {
+        own = client(&seen);
+        &own
+    } else {
+        shared
+    };
+    let owner = dispatch
+        .resume
+        .map_or(dispatch.attempt, |(attempt, _)| attempt);
+    let id = attempt_id(owner);
+    let request = request(client, call, dispatch, &id);
+    let request = if exclusive {
+        request.force_close()
+    } else {
+        request
+    };
+    let body = if dispatch.resume.is_some() {
+        let resume = serde_json::json!({ "attempt": id, "from": call.delivered.get() });
+        Bytes::from(resume.to_string())
+    } else {
+        call.bytes()
+    };
+    // A part that reached the caller by an earlier attempt makes every failure a broken answer.
+    let lost = || {
+        if call.started.get() {
+            End::Broken
+        } else {
+            End::Lost
+        }
+    };
+    let response = match request.send_body(Pieces(body)).await {
+        Ok(response) => response,
+        Err(error) => {
+            log::debug!("attempt {id} at {}: {error}", dispatch.address);
+            let unwritten = not_connected(&error) || exclusive && seen.written.get() == 0;
+            return if unwritten && !call.started.get() {
+                End::NotRun { busy: false }
+            } else {
+                lost()
+            };
+        }
+    };
+    let status = response.status().as_u16();
+    let headers = response.headers();
+    if status == 503
+        && headers
+            .get(reply::RAN)
+            .is_some_and(|ran| ran.as_bytes() == b"0")
+    {
+        return if call.started.get() {
+            End::Broken
+        } else {
+            End::NotRun { busy: true }
+        };
+    }
+    if call.kind != CallKind::Plain {
+        let owned = headers
+            .get(reply::ATTEMPT)
+            .is_some_and(|echo| echo.as_bytes() == id.as_bytes());
+        if !owned || status >= 500 {
+            return lost();
+        }
+    }
+    node.report(Event::Started(dispatch.attempt));
+    let is_stream = headers
+        .get(CONTENT_TYPE)
+        .is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"));
+    let result = if call.kind == CallKind::Stream && status == 200 {
+        if !is_stream {
+            return lost();
+        }
+        let reader = Reader::of_attempt(id, call.delivered.get());
+        stream(node, call, dispatch.attempt, response, reader).await
+    } else if call.started.get() {
+        Err(End::Broken)
+    } else {
+        whole(call, response, &seen, exclusive).await
+    };
+    result.unwrap_or_else(|failure| failure)
+}
+
+/// Builds the request to the target.
+fn request(client: &Client, call: &Call, dispatch: &Dispatch, id: &str) -> ClientRequest {
+    let address = dispatch.address;
+    let mut request = if dispatch.resume.is_some() {
+        client.post(format!("http://{address}/v1/resume"))
+    } else {
+        client.request(
+            call.method.clone(),
+            format!("http://{address}{}", call.path),
+        )
+    };
+    for (name, value) in &call.headers {
+        request = request.append_header((name.clone(), value.clone()));
+    }
+    request = request
+        .insert_header((reply::ATTEMPT, id))
+        .insert_header((reply::PRIORITY, dispatch.priority.to_string()))
+        .insert_header((reply::LEASE_MS, dispatch.lease_ms.to_string()));
+    if !dispatch.parts.is_empty() {
+        let parts: Vec<String> = dispatch
+            .parts
+            .iter()
+            .map(|(address, _)| format!("{address}={}", attempt_id(dispatch.attempt)))
+            .collect();
+        request = request.insert_header((reply::PARTS, parts.join(",")));
+    }
+    request
+}
+
+/// Returns whether an error proves that no connection was opened, so that nothing was written.
+pub(crate) fn not_connected(error: &SendRequestError) -> bool {
+    match error {
+        // `Disconnected` is also reported for a connection that ends before the response.
+        SendRequestError::Connect(error) => !matches!(error, ConnectError::Disconnected),
+        SendRequestError::Url(_) | SendRequestError::TunnelNotSupported => true,
+        _ => false,
+    }
+}
+
+type Response = awc::ClientResponse<actix_http::Payload>;
+
+/// Passes a stream on. Returns how the attempt ended.
+pub(crate) async fn stream<S>(
+    node: &Rc<Node>,
+    call: &Rc<Call>,
+    attempt: Attempt,
+    mut response: S,
+    mut reader: Reader,
+) -> Result<End, Failure>
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin + 'static,
+{
+    let broken = || {
+        if call.started.get() {
+            End::Broken
+        } else {
+            End::Lost
+        }
+    };
+    let mut progress = Progress::new(node, attempt);
+    while !reader.is_done() {
+        let Some(Ok(bytes)) = response.next().await else {
+            progress.flush();
+            return Err(broken());
+        };
+        let piece = match reader.read(bytes) {
+            Ok(piece) => piece,
+            Err(fault) => {
+                progress.flush();
+                log::warn!(
+                    "attempt {}: {} stream",
+                    attempt_id(attempt),
+                    match fault {
+                        Fault::Crossed => "crossed",
+                        Fault::Malformed => "malformed",
+                    }
+                );
+                return Err(broken());
+            }
+        };
+        deliver(call, &piece);
+        progress.add(piece.count);
+        if call.outlet.is_full() {
+            progress.wait(call.outlet.drained()).await;
+        }
+    }
+    progress.flush();
+    if reader
+        .outcome()
+        .is_some_and(|outcome| !is_answered(outcome))
+    {
+        return Err(broken());
+    }
+    let usage = Usage::read(reader.last());
+    actix_rt::spawn(timeout(DRAIN_TIMEOUT, drain(response, reader)));
+    Ok(End::Whole {
+        prompt_tokens: usage.prompt,
+        cached_tokens: usage.cached,
+        generated_tokens: usage.generated.max(u64::from(call.delivered.get())),
+    })
+}
+
+/// Returns whether the outcome event of another zone's entry VM reports a whole answer.
+fn is_answered(outcome: &[u8]) -> bool {
+    #[derive(serde::Deserialize)]
+    struct Event {
+        outcome: Outcome,
+    }
+    serde_json::from_slice::<Event>(outcome).is_ok_and(|event| event.outcome == Outcome::Answered)
+}
+
+/// Reads the end of a body after the end marker, so that the connection can be used again. A
+/// connection with more data is closed.
+async fn drain<S>(mut response: S, mut reader: Reader)
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+{
+    while let Some(Ok(bytes)) = response.next().await {
+        if reader.read(bytes).is_err() {
+            return;
+        }
+    }
+}
+
+fn deliver(call: &Call, piece: &Piece) {
+    if piece.events.is_empty() {
+        return;
+    }
+    if !call.started.replace(true) {
+        call.body.take();
+        call.outlet.start(Head {
+            status: 200,
+            content_type: "text/event-stream".into(),
+            headers: Vec::new(),
+        });
+    }
+    call.delivered.set(call.delivered.get() + piece.count);
+    if call.at_most_once {
+        call.capture(&piece.events);
+    }
+    call.outlet.push(piece.events.clone());
+}
+
+/// Reads and checks a whole answer and leaves it in the call.
+pub(crate) async fn whole(
+    call: &Rc<Call>,
+    mut response: Response,
+    seen: &Seen,
+    exclusive: bool,
+) -> Result<End, Failure> {
+    let bodiless = call.method == Method::HEAD || matches!(response.status().as_u16(), 204 | 304);
+    let framed = is_framed(response.headers());
+    let length = content_length(response.headers());
+    let mut body = BytesMut::with_capacity(length.unwrap_or(0).min(ANSWER_BYTES_MAX));
+    while let Some(bytes) = response.next().await {
+        let Ok(bytes) = bytes else {
+            return Err(End::Lost);
+        };
+        if body.len() + bytes.len() > ANSWER_BYTES_MAX {
+            return Err(End::Lost);
+        }
+        body.extend_from_slice(&bytes);
+    }
+    let cut = exclusive && seen.end.get();
+    let whole = framed && !cut && length.is_none_or(|length| length == body.len());
+    if !whole && !bodiless {
+        return Err(End::Lost);
+    }
+    let body = body.freeze();
+    if call.kind != CallKind::Plain && serde_json::from_slice::<IgnoredAny>(&body).is_err() {
+        return Err(End::Lost);
+    }
+    let usage = Usage::read(&body);
+    let answer = Answer {
+        head: head(&response),
+        body,
+    };
+    *call.answer.borrow_mut() = Some(answer);
+    Ok(End::Whole {
+        prompt_tokens: usage.prompt,
+        cached_tokens: usage.cached,
+        generated_tokens: usage.generated,
+    })
+}
+
+/// Returns the head that the caller sees of a whole answer.
+fn head(response: &Response) -> Head {
+    let mut content_type = String::from("application/octet-stream");
+    let mut headers = Vec::new();
+    for (name, value) in response.headers() {
+        if *name == CONTENT_TYPE {
+            content_type = String::from_utf8_lossy(value.as_bytes()).into_owned();
+        } else if is_end_to_end(name.as_str()) {
+            headers.push((name.as_str().to_owned(), value.as_bytes().to_vec()));
+        }
+    }
+    Head {
+        status: response.status().as_u16(),
+        content_type,
+        headers,
+    }
+}
+
+/// Returns whether a header is passed on between the two connections.
+pub(crate) fn is_end_to_end(name: &str) -> bool {
+    const HOP_BY_HOP: [&str; 10] = [
+        "connection",
+        "content-length",
+        "date",
+        "host",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    ];
+    !HOP_BY_HOP.contains(&name) && !name.starts_with("x-primrosepin-")
+}
+
+/// Returns whether the end of the body is marked by its length or its last chunk.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
+fn content_length(headers: &HeaderMap) -> Option<usize> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
+/// Reports progress of an attempt at intervals.
+struct Progress<'a> {
+    node: &'a Node,
+    attempt: Attempt,
+    tokens: u32,
+    reported: Option<Instant>,
+}
+
+impl<'a> Progress<'a> {
+    fn new(node: &'a Node, attempt: Attempt) -> Self {
+        Self {
+            node,
+            attempt,
+            tokens: 0,
+            reported: None,
+        }
+    }
+
+    fn add(&mut self, tokens: u32) {
+        self.tokens += tokens;
+        let due = self
+            .reported
+            .is_none_or(|reported| reported.elapsed() >= PROGRESS_INTERVAL);
+        if due && self.tokens > 0 {
+            self.report();
+        }
+    }
+
+    fn flush(&mut self) {
+        if self.tokens > 0 {
+            self.report();
+        }
+    }
+
+    fn report(&mut self) {
+        self.reported = Some(Instant::now());
+        self.node.report(Event::Progress {
+            attempt: self.attempt,
+            tokens: std::mem::take(&mut self.tokens),
+        });
+    }
+
+    /// Waits for the caller and reports meanwhile, since a slow caller is no sign of a silent target.
+    async fn wait<F>(&mut self, taken: F)
+    where
+        F: Future<Output = ()>,
+    {
+        let mut taken = std::pin::pin!(taken);
+        while timeout(PROGRESS_INTERVAL, taken.as_mut()).await.is_err() {
+            self.report();
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/callers.rs
@@ -0,0 +1,440 @@
+//! Callers' requests: authentication, limits, routing, answers.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use actix_http::body::{BodySize, BoxBody, MessageBody};
+use actix_http::header::{AUTHORIZATION, CACHE_CONTROL, CONTENT_LENGTH, CONTENT_TYPE};
+use actix_http::{HttpMessage, Payload, Request, Response, StatusCode};
+use actix_rt::time::timeout;
+use awc::http::header::{HeaderMap, HeaderName, HeaderValue};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use primrosepin_core::request::{Arrival, Id, Outcome};
+use primrosepin_core::serving::event::Event;
+use smallvec::SmallVec;
+
+use crate::attempt::is_end_to_end;
+use crate::inforce::InForce;
+use crate::listen::{Active, Connection};
+use crate::node::{Body, Call, CallKind, Head, Node, Phase, Reservation};
+use crate::outlet::{Final, Next};
+use crate::reply::{self, Rejection};
+use crate::scan::Scan;
+
+/// Largest request head, bytes.
+const HEAD_BYTES_MAX: usize = 32 * 1024;
+
+/// Body size from which parsing moves to another thread: 256 KiB take about 0.5 ms, which would
+/// hold up the tokens of all streams.
+const BLOCKING_BYTES: usize = 256 * 1024;
+
+/// Retry hint while bodies fill the memory that is set aside for them.
+const BUFFER_RETRY_MS: u64 = 1_000;
+
+/// Retry hint before the first configuration.
+const UNCONFIGURED_RETRY_MS: u64 = 1_000;
+
+/// Longest idempotency key, bytes.
+const KEY_BYTES_MAX: usize = 255;
+
+/// Serves one request of a caller.
+pub(crate) async fn serve(node: Rc<Node>, mut request: Request) -> Response<BoxBody> {
+    let connection = request.conn_data::<Rc<Connection>>().cloned();
+    let active = connection.as_ref().map(Connection::enter);
+    match request.path() {
+        "/healthz" => return health(true),
+        "/readyz" => {
+            return health(node.ready.get() && *node.phase.borrow() == Phase::Serving);
+        }
+        _ => {}
+    }
+    let id = node.request_id();
+    let (call, arrival) = match accept(&node, id, &mut request).await {
+        Ok(accepted) => accepted,
+        Err(rejection) => {
+            node.reject(&rejection);
+            return rejection.response(&node, id);
+        }
+    };
+    drop(request);
+    let call = Rc::new(call);
+    node.calls.borrow_mut().insert(id, Rc::clone(&call));
+    let caller = Caller {
+        node: Rc::clone(&node),
+        call,
+        _active: active,
+    };
+    node.report(Event::Arrived(Box::new(arrival)));
+    let closed = async {
+        match &connection {
+            Some(connection) => connection.closed().await,
+            None => std::future::pending().await,
+        }
+    };
+    // An HTTP/2 connection does not drop the futures of its requests when it closes.
+    let begun = tokio::select! {
+        begun = caller.call.outlet.begun() => begun,
+        () = closed => return Response::new(StatusCode::BAD_GATEWAY),
+    };
+    match begun {
+        Ok(head) => {
+            let mut response = Response::new(reply::status_code(head.status));
+            let headers = response.headers_mut();
+            if let Ok(value) = HeaderValue::from_str(&head.content_type) {
+                headers.insert(CONTENT_TYPE, value);
+            }
+            headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+            reply::finish_head(&node, id, &mut response);
+            response.set_body(BoxBody::new(Streaming(caller)))
+        }
+        Err(end) => caller.whole(end),
+    }
+}
+
+fn health(well: bool) -> Response<BoxBody> {
+    let (status, text) = if well {
+        (StatusCode::OK, "ok\n")
+    } else {
+        (StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+    };
+    Response::with_body(status, BoxBody::new(text))
+}
+
+/// Checks a request and reads its body.
+async fn accept(
+    node: &Rc<Node>,
+    id: Id,
+    request: &mut Request,
+) -> Result<(Call, Arrival), Rejection> {
+    let head_bytes: usize = request
+        .headers()
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + 4)
+        .sum::<usize>()
+        + request.uri().to_string().len();
+    if head_bytes > HEAD_BYTES_MAX {
+        return Err(Rejection::new(
+            431,
+            "headers_too_large",
+            format!(
+                "the request head has {head_bytes} bytes, at most {HEAD_BYTES_MAX} are accepted"
+            ),
+        ));
+    }
+    let Some(in_force) = node.in_force() else {
+        return Err(
+            Rejection::new(503, "not_ready", "the process has no configuration yet")
+                .with_retry_after_ms(UNCONFIGURED_RETRY_MS),
+        );
+    };
+    let organisation = bearer(request.headers())
+        .and_then(|key| in_force.organisation(key))
+        .ok_or_else(|| Rejection::new(401, "unknown_key", "the API key is missing or unknown"))?;
+    let deadline = deadline(request.headers())?;
+    let key = idempotency_key(request.headers())?;
+    let path = request.path().to_owned();
+    let is_generation = matches!(&*path, "/v1/chat/completions" | "/v1/completions");
+    let plain = if is_generation {
+        None
+    } else {
+        Some(in_force.plain(&path).ok_or_else(|| {
+            Rejection::new(
+                404,
+                "unknown_path",
+                format!("no service answers for {path}"),
+            )
+        })?)
+    };
+    if is_generation && request.method() != awc::http::Method::POST {
+        return Err(Rejection::new(405, "method_not_allowed", "expected POST"));
+    }
+    let body = read_body(node, request).await?;
+    let method = request.method().clone();
+    let (kind, scan, service, model) = match plain {
+        Some(service) => (CallKind::Plain, None, service, None),
+        None => {
+            let scan = scan(&body.bytes).await?;
+            let (service, model) = in_force.model(&scan.model).ok_or_else(|| {
+                Rejection::new(
+                    404,
+                    "unknown_model",
+                    format!("no service has the model {:?}", scan.model),
+                )
+            })?;
+            let kind = if scan.stream {
+                CallKind::Stream
+            } else {
+                CallKind::Whole
+            };
+            (kind, Some(scan), service, Some(model))
+        }
+    };
+    let at_most_once = is_at_most_once(&in_force, &service, request);
+    let repeatable = kind != CallKind::Plain || method.is_safe();
+    let arrival = Arrival {
+        id,
+        organisation,
+        service,
+        model,
+        prompt_tokens: scan.as_ref().map_or(0, |scan| scan.prompt_tokens),
+        max_tokens: scan.as_ref().map_or(0, |scan| scan.max_tokens),
+        prefix: scan.map_or_else(SmallVec::new, |scan| scan.prefix),
+        at_most_once,
+        repeatable,
+        key: key.clone(),
+        deadline,
+        handed_over: request.headers().contains_key(reply::HOP),
+    };
+    let call = Call::new(Head {
+        id,
+        method,
+        path: request
+            .uri()
+            .path_and_query()
+            .map_or_else(|| path.clone(), |path| path.as_str().to_owned()),
+        kind,
+        at_most_once,
+        headers: headers(kind, request.headers()),
+        authorization: request.headers().get(AUTHORIZATION).cloned(),
+        deadline,
+        key,
+        body,
+    });
+    Ok((call, arrival))
+}
+
+/// Returns the key of an `Authorization: Bearer` header.
+pub(crate) fn bearer(headers: &HeaderMap) -> Option<&str> {
+    let value = headers.get(AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, key) = value.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
+}
+
+fn deadline(headers: &HeaderMap) -> Result<Option<Duration>, Rejection> {
+    let Some(value) = headers.get(reply::DEADLINE_MS) else {
+        return Ok(None);
+    };
+    match value.to_str().ok().and_then(|ms| ms.parse::<u64>().ok()) {
+        Some(ms) if ms > 0 => Ok(Some(Duration::from_millis(ms))),
+        _ => Err(Rejection::new(
+            400,
+            "bad_deadline",
+            "expected a number of milliseconds in x-primrosepin-deadline-ms",
+        )),
+    }
+}
+
+fn idempotency_key(headers: &HeaderMap) -> Result<Option<Arc<str>>, Rejection> {
+    let Some(value) = headers.get(reply::IDEMPOTENCY_KEY) else {
+        return Ok(None);
+    };
+    match value.to_str() {
+        Ok(key) if (1..=KEY_BYTES_MAX).contains(&key.len()) => Ok(Some(key.into())),
+        _ => Err(Rejection::new(
+            400,
+            "bad_idempotency_key",
+            format!("expected 1 to {KEY_BYTES_MAX} visible characters in idempotency-key"),
+        )),
+    }
+}
+
+fn is_at_most_once(in_force: &InForce, service: &str, request: &Request) -> bool {
+    let headers = request.headers();
+    in_force.at_most_once(service, request.method().as_str(), request.path(), |name| {
+        headers.contains_key(name)
+    })
+}
+
+/// Returns the headers that a target gets. The caller's key stays here.
+fn headers(kind: CallKind, headers: &HeaderMap) -> Vec<(HeaderName, HeaderValue)> {
+    headers
+        .iter()
+        .filter(|(name, _)| match kind {
+            CallKind::Stream | CallKind::Whole => **name == CONTENT_TYPE,
+            CallKind::Plain => **name != AUTHORIZATION && is_end_to_end(name.as_str()),
+        })
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
+
+/// Reads a body within the limits of size, time and memory.
+async fn read_body(node: &Rc<Node>, request: &mut Request) -> Result<Body, Rejection> {
+    let limits = *node.limits();
+    let length = request
+        .headers()
+        .get(CONTENT_LENGTH)
+        .and_then(|length| length.to_str().ok()?.parse::<usize>().ok())
+        .unwrap_or(0);
+    let mut reservation = Reservation::new(node);
+    let too_large = || {
+        Rejection::new(
+            413,
+            "body_too_large",
+            format!("at most {} bytes are accepted", limits.body_bytes),
+        )
+    };
+    let full = || {
+        Rejection::new(
+            503,
+            "entry_busy",
+            "request bodies fill the memory of this process",
+        )
+        .with_retry_after_ms(BUFFER_RETRY_MS)
+    };
+    if length > limits.body_bytes {
+        return Err(too_large());
+    }
+    if !reservation.grow(length) {
+        return Err(full());
+    }
+    let mut payload: Payload = request.take_payload();
+    let read = async {
+        let mut body = BytesMut::with_capacity(length);
+        while let Some(piece) = payload.next().await {
+            let piece = piece.map_err(|error| {
+                Rejection::new(400, "bad_body", format!("the body cannot be read: {error}"))
+            })?;
+            if body.len() + piece.len() > limits.body_bytes {
+                return Err(too_large());
+            }
+            if !reservation.grow(body.len() + piece.len()) {
+                return Err(full());
+            }
+            body.extend_from_slice(&piece);
+        }
+        Ok(body.freeze())
+    };
+    let body_timeout = Duration::from_millis(limits.body_timeout_ms);
+    match timeout(body_timeout, read).await {
+        Ok(body) => Ok(Body::new(body?, reservation)),
+        Err(_) => Err(Rejection::new(
+            408,
+            "body_timeout",
+            format!(
+                "the body did not arrive within {} ms",
+                limits.body_timeout_ms
+            ),
+        )),
+    }
+}
+
+async fn scan(bytes: &Bytes) -> Result<Scan, Rejection> {
+    let scan = if bytes.len() < BLOCKING_BYTES {
+        Scan::read(bytes)
+    } else {
+        let bytes = bytes.clone();
+        match tokio::task::spawn_blocking(move || Scan::read(&bytes)).await {
+            Ok(scan) => scan,
+            Err(error) => Err(error.to_string()),
+        }
+    };
+    scan.map_err(|error| Rejection::new(400, "bad_body", error))
+}
+
+/// A caller that waits for an answer. Dropping it before the end reports that the caller is gone.
+struct Caller {
+    node: Rc<Node>,
+    call: Rc<Call>,
+    _active: Option<Active>,
+}
+
+impl Caller {
+    /// Builds a response that is sent at one time.
+    fn whole(self, end: Final) -> Response<BoxBody> {
+        let (node, id) = (&self.node, self.call.id);
+        match end {
+            Final::Refused(refusal) => reply::refused(node, &refusal),
+            Final::Replayed(outcome, recorded) => {
+                let mut body = recorded.body;
+                if recorded.content_type.starts_with("text/event-stream") {
+                    body.extend_from_slice(&reply::outcome_event(id, outcome, None));
+                }
+                let content_type = &recorded.content_type;
+                reply::whole(node, id, recorded.status, outcome, content_type, body)
+            }
+            Final::Answered => {
+                let Some(answer) = self.call.answer.take() else {
+                    // A stream that is complete before its first event has no content.
+                    let body = reply::outcome_event(id, Outcome::Answered, None);
+                    return reply::whole(
+                        node,
+                        id,
+                        200,
+                        Outcome::Answered,
+                        "text/event-stream",
+                        body,
+                    );
+                };
+                let head = answer.head;
+                let mut response = reply::whole(
+                    node,
+                    id,
+                    head.status,
+                    Outcome::Answered,
+                    &head.content_type,
+                    answer.body,
+                );
+                for (name, value) in &head.headers {
+                    if let (Ok(name), Ok(value)) = (
+                        HeaderName::try_from(name.as_str()),
+                        HeaderValue::from_bytes(value),
+                    ) {
+                        response.headers_mut().append(name, value);
+                    }
+                }
+                response
+            }
+        }
+    }
+}
+
+impl Drop for Caller {
+    fn drop(&mut self) {
+        if !self.call.outlet.is_finished() {
+            self.node.report(Event::CallerGone(self.call.id));
+        }
+        self.call.left.notify_waiters();
+        self.node.calls.borrow_mut().remove(&self.call.id);
+    }
+}
+
+/// Body of a streamed answer.
+struct Streaming(Caller);
+
+impl MessageBody for Streaming {
+    type Error = Infallible;
+
+    fn size(&self) -> BodySize {
+        BodySize::Stream
+    }
+
+    fn poll_next(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Infallible>>> {
+        let call = &self.0.call;
+        if call.ended.get() {
+            return Poll::Ready(None);
+        }
+        call.outlet.poll_next(context).map(|next| {
+            Some(Ok(match next {
+                Next::Data(bytes) => bytes,
+                Next::End(end) => {
+                    call.ended.set(true);
+                    match end {
+                        Final::Refused(refusal) => {
+                            reply::outcome_event(call.id, refusal.outcome, Some(refusal.reason))
+                        }
+                        Final::Answered => reply::outcome_event(call.id, Outcome::Answered, None),
+                        Final::Replayed(outcome, _) => reply::outcome_event(call.id, outcome, None),
+                    }
+                }
+            }))
+        })
+    }
+}
--- /dev/null
+++ b/entry/src/driver.rs
@@ -0,0 +1,172 @@
+//! The task that owns the reducer.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::task::JoinHandle;
+use actix_rt::time::{MissedTickBehavior, interval};
+use awc::Client;
+use primrosepin_core::ledger::Call;
+use primrosepin_core::request::{Attempt, Outcome};
+use primrosepin_core::serving::Reducer;
+use primrosepin_core::serving::effect::{Effect, Notice};
+use primrosepin_core::serving::event::Event;
+use tokio::sync::mpsc;
+
+use crate::node::Node;
+use crate::outlet::Final;
+use crate::{attempt, engine, handover, ledger};
+
+/// Longest time between two events for the reducer.
+const TICK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Events that are taken from the queue at one time.
+const BATCH_EVENTS: usize = 256;
+
+/// Owns the reducer, applies events and carries out effects.
+pub(crate) struct Driver {
+    node: Rc<Node>,
+    reducer: Reducer,
+    client: Client,
+    attempts: HashMap<Attempt, JoinHandle<()>>,
+}
+
+impl Driver {
+    pub(crate) fn new(node: Rc<Node>, reducer: Reducer) -> Self {
+        Self {
+            node,
+            reducer,
+            client: attempt::shared_client(),
+            attempts: HashMap::new(),
+        }
+    }
+
+    /// Runs until all senders of events are gone.
+    pub(crate) async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Event>) {
+        let mut ticks = interval(TICK_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut events = Vec::with_capacity(BATCH_EVENTS);
+        let mut effects = Vec::new();
+        loop {
+            tokio::select! {
+                count = inbox.recv_many(&mut events, BATCH_EVENTS) => if count == 0 {
+                    return;
+                },
+                _ = ticks.tick() => events.push(Event::Tick),
+            }
+            for event in events.drain(..) {
+                if let Event::Ended { attempt, .. } = &event {
+                    self.attempts.remove(attempt);
+                }
+                self.reducer.apply(self.node.now(), event, &mut effects);
+                for effect in effects.drain(..) {
+                    self.carry_out(effect);
+                }
+            }
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        let node = &self.node;
+        match effect {
+            Effect::Dispatch(dispatch) => {
+                let attempt = dispatch.attempt;
+                let run = attempt::run(Rc::clone(node), self.client.clone(), dispatch);
+                self.attempts.insert(attempt, actix_rt::spawn(run));
+            }
+            Effect::Abort(attempt) => {
+                if let Some(task) = self.attempts.remove(&attempt) {
+                    // Dropping the response closes its connection.
+                    task.abort();
+                }
+            }
+            Effect::Cancel { address, attempt } => {
+                actix_rt::spawn(engine::cancel(self.client.clone(), address, attempt));
+            }
+            Effect::Reserve {
+                attempt,
+                parts,
+                lease_ms,
+            } => {
+                actix_rt::spawn(engine::reserve(
+                    Rc::clone(node),
+                    self.client.clone(),
+                    attempt,
+                    parts,
+                    lease_ms,
+                ));
+            }
+            Effect::Unreserve { attempt, parts } => {
+                actix_rt::spawn(engine::unreserve(self.client.clone(), attempt, parts));
+            }
+            Effect::Respond(refusal) => {
+                if let Some(call) = node.call(refusal.request) {
+                    call.outlet.finish(Final::Refused(refusal));
+                }
+            }
+            Effect::Replay {
+                request,
+                outcome,
+                response,
+            } => {
+                if let Some(call) = node.call(request) {
+                    call.outlet.finish(Final::Replayed(outcome, response));
+                }
+            }
+            Effect::Complete(request) => {
+                if let Some(call) = node.call(request) {
+                    call.outlet.finish(Final::Answered);
+                }
+            }
+            Effect::HandOver { request, address } => {
+                actix_rt::spawn(handover::run(Rc::clone(node), request, address));
+            }
+            Effect::Ledger { request, mut call } => {
+                if let Call::Finish {
+                    outcome: Outcome::Answered,
+                    response,
+                    ..
+                } = &mut call
+                {
+                    // The reducer sees no bytes, so the recorded answer is added here.
+                    *response = node.call(request).and_then(|call| call.record());
+                }
+                actix_rt::spawn(ledger::call(Rc::clone(node), request, call));
+            }
+            Effect::Probe { target, address } => {
+                actix_rt::spawn(engine::probe(Rc::clone(node), target, address));
+            }
+            Effect::Send { to, message, .. } => {
+                node.endpoint.send(to, message);
+            }
+            Effect::InForce(config) => {
+                log::info!("configuration {} is in force", config.version);
+                node.set_in_force(config);
+            }
+            Effect::Ready(ready) => {
+                log::info!("ready: {ready}");
+                node.ready.set(ready);
+            }
+            Effect::Notice(notice) => log_notice(&notice),
+        }
+    }
+}
+
+fn log_notice(notice: &Notice) {
+    match notice {
+        Notice::TargetJoined(target) => log::info!("target {target} announced itself"),
+        Notice::TargetLost(target) => log::warn!("target {target} is gone: its lease expired"),
+        Notice::TargetCold(target) => log::warn!("target {target} is cold"),
+        Notice::TargetWarm(target) => log::info!("target {target} is warm"),
+        Notice::TargetConflict(target) => {
+            log::error!("two targets announce themselves as {target}")
+        }
+        Notice::MemberJoined(member) => log::info!("entry VM {member} joined the zone"),
+        Notice::MemberLost(member) => log::warn!("entry VM {member} is gone"),
+        Notice::CoordinatorGained(epoch) => log::info!("coordinator of the zone, epoch {epoch}"),
+        Notice::CoordinatorLost(epoch) => {
+            log::warn!("no longer coordinator of the zone, epoch {epoch}");
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/handover.rs
@@ -0,0 +1,88 @@
+//! Hand-over of a request to an entry VM of another zone.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use awc::http::header::{AUTHORIZATION, CONTENT_TYPE};
+use primrosepin_core::request::{Attempt, End, Id};
+use primrosepin_core::serving::event::Event;
+
+use crate::attempt::{self, Seen};
+use crate::node::{Call, CallKind, Node};
+use crate::reply;
+use crate::sse::Reader;
+
+/// Number of the attempt under which a hand-over reports progress; the reducer counts its own attempts
+/// from 0 and ignores it.
+const ATTEMPT_NUMBER: u16 = u16::MAX;
+
+/// Sends a request to another zone, passes the answer on and reports how it ended.
+pub(crate) async fn run(node: Rc<Node>, request: Id, address: SocketAddr) {
+    let end = match node.call(request) {
+        Some(call) => tokio::select! {
+            end = send(&node, &call, address) => end,
+            () = call.left.notified() => End::Lost,
+        },
+        None => End::NotRun { busy: false },
+    };
+    node.report(Event::HandedOver { request, end });
+}
+
+async fn send(node: &Rc<Node>, call: &Rc<Call>, address: SocketAddr) -> End {
+    let seen = Rc::new(Seen::default());
+    let client = attempt::client(&seen);
+    let mut request = client
+        .request(
+            call.method.clone(),
+            format!("http://{address}{}", call.path),
+        )
+        .force_close()
+        .insert_header((reply::HOP, "1"));
+    for (name, value) in &call.headers {
+        request = request.append_header((name.clone(), value.clone()));
+    }
+    if let Some(authorization) = &call.authorization {
+        request = request.insert_header((AUTHORIZATION, authorization.clone()));
+    }
+    if let Some(key) = &call.key {
+        request = request.insert_header((reply::IDEMPOTENCY_KEY, &**key));
+    }
+    if let Some(deadline) = call.deadline {
+        let left = deadline.saturating_sub(call.arrived.elapsed());
+        request = request.insert_header((reply::DEADLINE_MS, left.as_millis().to_string()));
+    }
+    let response = match request.send_body(attempt::Pieces(call.bytes())).await {
+        Ok(response) => response,
+        Err(error) => {
+            log::debug!("hand-over to {address}: {error}");
+            return if attempt::not_connected(&error) || seen.written.get() == 0 {
+                End::NotRun { busy: false }
+            } else {
+                End::Lost
+            };
+        }
+    };
+    let headers = response.headers();
+    let outcome = headers
+        .get(reply::OUTCOME)
+        .map(|outcome| outcome.as_bytes().to_vec());
+    let is_stream = headers
+        .get(CONTENT_TYPE)
+        .is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"));
+    match outcome.as_deref() {
+        Some(b"answered") => attempt::whole(call, response, &seen, true)
+            .await
+            .unwrap_or_else(|failure| failure),
+        Some(b"not_run") => End::NotRun { busy: true },
+        None if call.kind == CallKind::Stream && is_stream => {
+            let attempt = Attempt {
+                request: call.id,
+                number: ATTEMPT_NUMBER,
+            };
+            attempt::stream(node, call, attempt, response, Reader::of_entry())
+                .await
+                .unwrap_or_else(|failure| failure)
+        }
+        _ => End::Lost,
+    }
+}
--- /dev/null
+++ b/entry/src/ledger.rs
@@ -0,0 +1,86 @@
+//! Calls to the control processes: ledger and configuration.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_rt::time::sleep;
+use primrosepin_core::ledger::{Answer, Call};
+use primrosepin_core::message::Message;
+use primrosepin_core::request::Id;
+use primrosepin_core::serving::event::Event;
+
+use crate::node::Node;
+
+/// Time for one control process to answer. A commit takes two round trips and a sync.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time after which the ledger counts as unavailable. A new leader is elected within 2 s.
+const LEDGER_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Pause after all control processes were tried.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Interval of the look for a higher configuration version.
+const CONFIG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Calls the ledger, one control process after the other, and reports the answer. Calls are
+/// idempotent, so a call whose answer was lost is repeated.
+pub(crate) async fn call(node: Rc<Node>, request: Id, call: Call) {
+    let answer = ask(&node, call).await;
+    node.report(Event::Ledger { request, answer });
+}
+
+async fn ask(node: &Node, call: Call) -> Answer {
+    let endpoint = &node.endpoint;
+    let end = Instant::now() + LEDGER_TIMEOUT;
+    loop {
+        for offset in 0..node.settings.control.len() {
+            let replicas = &node.settings.control;
+            let index = (node.control.get() + offset) % replicas.len();
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Answer::Unavailable;
+            }
+            let message = Message::Ledger(call.clone());
+            let answer = endpoint
+                .call(replicas[index], message, left.min(CALL_TIMEOUT))
+                .await;
+            if let Ok(Message::LedgerAnswer(answer)) = answer
+                && answer != Answer::Unavailable
+            {
+                node.control.set(index);
+                return answer;
+            }
+        }
+        if Instant::now() + PAUSE >= end {
+            return Answer::Unavailable;
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+/// Asks control for a higher configuration version at intervals.
+pub(crate) async fn pull_config(node: Rc<Node>) {
+    let endpoint = &node.endpoint;
+    let mut next = 0;
+    loop {
+        let have = node
+            .in_force()
+            .map_or(0, |in_force| in_force.config.version);
+        let replicas = &node.settings.control;
+        if let Some(address) = replicas.get(next) {
+            let answer = endpoint
+                .call(*address, Message::ConfigPull { have }, CALL_TIMEOUT)
+                .await;
+            match answer {
+                Ok(Message::ConfigPush(config)) => node.report(Event::Configured(config)),
+                Ok(_) => {}
+                Err(error) => log::debug!("cannot pull the configuration: {error}"),
+            }
+            // The replicas are asked in turn, since one that is cut off keeps answering with an old
+            // version.
+            next = (next + 1) % replicas.len();
+        }
+        sleep(CONFIG_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/entry/src/listen.rs
@@ -0,0 +1,299 @@
+//! Listener and connections of callers, targets and operators.
+
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use std::time::{Duration, Instant};
+
+use actix_http::body::BoxBody;
+use actix_http::{HttpService, KeepAlive, Protocol, Request, Response};
+use actix_rt::net::{TcpListener, TcpStream};
+use actix_rt::time::sleep;
+use actix_service::{Service, ServiceFactory, fn_service};
+use eyre::eyre;
+use primrosepin_config::settings::Limits;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::sync::watch;
+
+use crate::node::Phase;
+
+/// Idle time after which a caller's connection is closed.
+const KEEP_ALIVE: Duration = Duration::from_secs(75);
+
+/// Time to read and drop the rest of a rejected body, so that the caller sees the response and not a
+/// reset connection.
+const LINGER: Duration = Duration::from_secs(2);
+
+/// Pause after a failed accept, for example without free file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Interval of the check for slow connections.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
+
+/// First bytes of an HTTP/2 connection.
+const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2";
+
+/// State of one connection, shared with its requests.
+#[derive(Debug, Default)]
+pub(crate) struct Connection {
+    /// Requests that are being served.
+    active: Cell<u32>,
+    /// Start of a request head that is not complete.
+    head_since: Cell<Option<Instant>>,
+    /// Start of a write that the caller does not take.
+    blocked_since: Cell<Option<Instant>>,
+    expired: Cell<bool>,
+    closed: Cell<bool>,
+    wakers: RefCell<Vec<Waker>>,
+}
+
+impl Connection {
+    /// Counts a request on this connection until the guard is dropped.
+    pub(crate) fn enter(self: &Rc<Self>) -> Active {
+        self.active.set(self.active.get() + 1);
+        self.head_since.set(None);
+        Active(Rc::clone(self))
+    }
+
+    /// Completes when the connection is closed.
+    pub(crate) async fn closed(&self) {
+        std::future::poll_fn(|context| {
+            if self.closed.get() {
+                return Poll::Ready(());
+            }
+            self.wake_later(context);
+            Poll::Pending
+        })
+        .await;
+    }
+
+    fn wake_later(&self, context: &Context<'_>) {
+        let mut wakers = self.wakers.borrow_mut();
+        if !wakers.iter().any(|waker| waker.will_wake(context.waker())) {
+            wakers.push(context.waker().clone());
+        }
+    }
+
+    fn close(&self) {
+        self.closed.set(true);
+        self.wake();
+    }
+
+    fn wake(&self) {
+        for waker in self.wakers.borrow_mut().drain(..) {
+            waker.wake();
+        }
+    }
+
+    /// Marks the connection as expired if its caller is too slow.
+    fn check(&self, now: Instant, head: Duration, write: Duration) {
+        let passed = |since: &Cell<Option<Instant>>, limit| {
+            since.get().is_some_and(|since| now - since > limit)
+        };
+        if passed(&self.head_since, head) || passed(&self.blocked_since, write) {
+            self.expired.set(true);
+            self.wake();
+        }
+    }
+}
+
+/// A request that is being served on a connection.
+#[derive(Debug)]
+pub(crate) struct Active(Rc<Connection>);
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.active.set(self.0.active.get() - 1);
+    }
+}
+
+/// A caller's socket that notes slow heads and blocked writes.
+#[derive(Debug)]
+struct Socket {
+    stream: TcpStream,
+    state: Rc<Connection>,
+    http2: bool,
+}
+
+impl Socket {
+    fn check(&self, context: &Context<'_>) -> io::Result<()> {
+        if self.state.expired.get() {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        self.state.wake_later(context);
+        Ok(())
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.check(context)?;
+        let before = buffer.filled().len();
+        let poll = Pin::new(&mut self.stream).poll_read(context, buffer);
+        // HTTP/2 multiplexes heads with pings and window updates, and bounds them itself.
+        let state = &self.state;
+        if !self.http2
+            && buffer.filled().len() > before
+            && state.active.get() == 0
+            && state.head_since.get().is_none()
+        {
+            state.head_since.set(Some(Instant::now()));
+        }
+        poll
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.check(context)?;
+        let poll = Pin::new(&mut self.stream).poll_write(context, bytes);
+        let blocked = &self.state.blocked_since;
+        if poll.is_ready() {
+            blocked.set(None);
+        } else if blocked.get().is_none() {
+            blocked.set(Some(Instant::now()));
+        }
+        poll
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
+/// Accepts connections until the phase is [`Phase::Closing`], then closes idle ones and waits until
+/// the requests on the others are answered.
+pub(crate) async fn serve<H, F>(
+    listener: TcpListener,
+    limits: Limits,
+    mut phase: watch::Receiver<Phase>,
+    handler: H,
+) -> eyre::Result<()>
+where
+    H: Fn(Request) -> F + Clone + 'static,
+    F: Future<Output = Response<BoxBody>> + 'static,
+{
+    let goodbye = phase.clone();
+    let service = HttpService::build()
+        .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
+        .client_request_timeout(Duration::from_millis(limits.header_timeout_ms))
+        .client_disconnect_timeout(LINGER)
+        // A caller that closes its side does not wait for the answer any more.
+        .h1_allow_half_closed(false)
+        .graceful_shutdown_signal(move || {
+            let mut phase = goodbye.clone();
+            async move {
+                // Fails only when the process ends, which closes the connection as well.
+                let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
+            }
+        })
+        .on_connect_ext(|socket: &Socket, extensions| {
+            extensions.insert(Rc::clone(&socket.state));
+        })
+        .finish(fn_service(move |request: Request| {
+            let answer = handler(request);
+            async move { Ok::<_, Infallible>(answer.await) }
+        }));
+    let service = Rc::new(
+        service
+            .new_service(())
+            .await
+            .map_err(|()| eyre!("cannot create the HTTP service"))?,
+    );
+    let connections: Rc<RefCell<Vec<Rc<Connection>>>> = Rc::default();
+    let sweep = actix_rt::spawn(sweep(Rc::clone(&connections), limits));
+    let (done, mut all_done) = tokio::sync::mpsc::channel::<()>(1);
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = phase.wait_for(|phase| *phase == Phase::Closing) => break,
+        };
+        let (stream, peer) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                log::warn!("cannot accept a connection: {error}");
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if connections.borrow().len() >= limits.connections {
+            // Closing at once is cheaper than an answer, and the balancer tries another VM.
+            drop(stream);
+            continue;
+        }
+        let state = Rc::new(Connection::default());
+        connections.borrow_mut().push(Rc::clone(&state));
+        let service = Rc::clone(&service);
+        let connections = Rc::clone(&connections);
+        let done = done.clone();
+        let closing = phase.clone();
+        let header_timeout = Duration::from_millis(limits.header_timeout_ms);
+        actix_rt::spawn(async move {
+            // Fails only on a socket that is closed already.
+            let _ = stream.set_nodelay(true);
+            let mut first = [0; HTTP2_PREFACE.len()];
+            let mut closing = closing;
+            let begun = tokio::select! {
+                peeked = stream.peek(&mut first) => peeked.is_ok_and(|length| length > 0),
+                () = sleep(header_timeout) => false,
+                _ = closing.wait_for(|phase| *phase == Phase::Closing) => false,
+            };
+            if begun {
+                let http2 = first == HTTP2_PREFACE;
+                let protocol = if http2 {
+                    Protocol::Http2
+                } else {
+                    Protocol::Http1
+                };
+                let socket = Socket {
+                    stream,
+                    state: Rc::clone(&state),
+                    http2,
+                };
+                if let Err(error) = service.call((socket, protocol, Some(peer))).await {
+                    log::debug!("connection of {peer} ended: {error}");
+                }
+            }
+            state.close();
+            connections
+                .borrow_mut()
+                .retain(|other| !Rc::ptr_eq(other, &state));
+            drop(done);
+        });
+    }
+    drop(listener);
+    drop(done);
+    // Returns none once every connection is closed.
+    let _ = all_done.recv().await;
+    sweep.abort();
+    Ok(())
+}
+
+/// Expires connections whose callers send a head or take an answer too slowly.
+async fn sweep(connections: Rc<RefCell<Vec<Rc<Connection>>>>, limits: Limits) {
+    let head = Duration::from_millis(limits.header_timeout_ms);
+    let write = Duration::from_millis(limits.body_timeout_ms);
+    loop {
+        sleep(SWEEP_INTERVAL).await;
+        let now = Instant::now();
+        for connection in connections.borrow().iter() {
+            connection.check(now, head, write);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/node.rs
@@ -0,0 +1,310 @@
+//! State that the tasks of one entry process share on its thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use awc::http::Method;
+use awc::http::header::{HeaderName, HeaderValue};
+use bytes::{Bytes, BytesMut};
+use primrosepin_config::settings::{Entry, Limits};
+use primrosepin_core::registry::Config;
+use primrosepin_core::request::{Attempt, Id};
+use primrosepin_core::serving::event::Event;
+use primrosepin_core::{ledger, time, vm};
+use primrosepin_transport::Endpoint;
+use rand::RngExt;
+use rand::rngs::StdRng;
+use tokio::sync::{Notify, mpsc, watch};
+
+use crate::attempt::Answer;
+use crate::inforce::InForce;
+use crate::outlet::Outlet;
+use crate::reply::Rejection;
+
+/// Largest answer that the ledger keeps for a resend.
+const RECORD_BYTES_MAX: usize = 64 * 1024;
+
+/// Phase of the process, from start to shutdown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Phase {
+    /// Requests are accepted.
+    Serving,
+    /// Requests are accepted, and callers are asked to use another process.
+    Draining,
+    /// Listeners are closed; running requests finish.
+    Closing,
+}
+
+/// Shared state.
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub(crate) settings: Entry,
+    pub(crate) instance: vm::Instance,
+    pub(crate) inbox: mpsc::UnboundedSender<Event>,
+    pub(crate) phase: watch::Receiver<Phase>,
+    pub(crate) endpoint: Endpoint,
+    pub(crate) calls: RefCell<HashMap<Id, Rc<Call>>>,
+    pub(crate) ready: Cell<bool>,
+    pub(crate) buffered: Cell<usize>,
+    /// Index of the control process that answered last.
+    pub(crate) control: Cell<usize>,
+    pub(crate) rejections: RefCell<BTreeMap<&'static str, u64>>,
+    in_force: RefCell<Option<Rc<InForce>>>,
+    random: RefCell<StdRng>,
+    started: Instant,
+}
+
+impl Node {
+    pub(crate) fn new(
+        settings: Entry,
+        instance: vm::Instance,
+        inbox: mpsc::UnboundedSender<Event>,
+        phase: watch::Receiver<Phase>,
+        endpoint: Endpoint,
+        random: StdRng,
+    ) -> Self {
+        Self {
+            settings,
+            instance,
+            inbox,
+            phase,
+            endpoint,
+            calls: RefCell::default(),
+            ready: Cell::new(false),
+            buffered: Cell::new(0),
+            control: Cell::new(0),
+            rejections: RefCell::default(),
+            in_force: RefCell::new(None),
+            random: RefCell::new(random),
+            started: Instant::now(),
+        }
+    }
+
+    /// Returns the time for the reducer.
+    pub(crate) fn now(&self) -> time::Instant {
+        time::Instant::from_micros(self.started.elapsed().as_micros() as u64)
+    }
+
+    /// Hands an event to the reducer's task.
+    pub(crate) fn report(&self, event: Event) {
+        // Fails only while the process ends.
+        let _ = self.inbox.send(event);
+    }
+
+    pub(crate) fn limits(&self) -> &Limits {
+        &self.settings.limits
+    }
+
+    pub(crate) fn in_force(&self) -> Option<Rc<InForce>> {
+        self.in_force.borrow().clone()
+    }
+
+    pub(crate) fn set_in_force(&self, config: Arc<Config>) {
+        *self.in_force.borrow_mut() = Some(Rc::new(InForce::new(config)));
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        *self.phase.borrow() > Phase::Serving
+    }
+
+    /// Draws a request id.
+    pub(crate) fn request_id(&self) -> Id {
+        Id(self.random.borrow_mut().random())
+    }
+
+    /// Counts a request that is rejected before the reducer sees it.
+    pub(crate) fn reject(&self, rejection: &Rejection) {
+        *self
+            .rejections
+            .borrow_mut()
+            .entry(rejection.code)
+            .or_default() += 1;
+    }
+
+    pub(crate) fn call(&self, id: Id) -> Option<Rc<Call>> {
+        self.calls.borrow().get(&id).cloned()
+    }
+}
+
+/// A caller's request that is being served.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) id: Id,
+    pub(crate) method: Method,
+    /// Path with query.
+    pub(crate) path: String,
+    pub(crate) kind: CallKind,
+    pub(crate) at_most_once: bool,
+    /// Headers that are passed on to the target or to another zone.
+    pub(crate) headers: Vec<(HeaderName, HeaderValue)>,
+    /// Value of `authorization`, for a hand-over.
+    pub(crate) authorization: Option<HeaderValue>,
+    pub(crate) arrived: Instant,
+    /// Time limit asked for by the caller.
+    pub(crate) deadline: Option<Duration>,
+    /// Body; released once a part of the answer is delivered, since no attempt sends it again then.
+    pub(crate) body: RefCell<Option<Body>>,
+    /// Events of a stream that were passed on.
+    pub(crate) delivered: Cell<u32>,
+    /// Whether a part of the answer was passed on.
+    pub(crate) started: Cell<bool>,
+    /// Whether the outcome was handed to the caller's connection.
+    pub(crate) ended: Cell<bool>,
+    /// The caller's idempotency key.
+    pub(crate) key: Option<Arc<str>>,
+    /// Start of a streamed answer that the ledger records; none once it is too large.
+    captured: RefCell<Option<BytesMut>>,
+    /// Signals that the answer has ended or the caller is gone.
+    pub(crate) left: Notify,
+    /// Checked whole answer of the last attempt.
+    pub(crate) answer: RefCell<Option<Answer>>,
+    pub(crate) outlet: Outlet,
+}
+
+/// Parts of a [`Call`] that are known when the caller's request was read.
+#[derive(Debug)]
+pub(crate) struct Head {
+    pub(crate) id: Id,
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) kind: CallKind,
+    pub(crate) at_most_once: bool,
+    pub(crate) headers: Vec<(HeaderName, HeaderValue)>,
+    pub(crate) authorization: Option<HeaderValue>,
+    pub(crate) deadline: Option<Duration>,
+    pub(crate) key: Option<Arc<str>>,
+    pub(crate) body: Body,
+}
+
+impl Call {
+    pub(crate) fn new(head: Head) -> Self {
+        Self {
+            id: head.id,
+            method: head.method,
+            path: head.path,
+            kind: head.kind,
+            at_most_once: head.at_most_once,
+            headers: head.headers,
+            authorization: head.authorization,
+            arrived: Instant::now(),
+            deadline: head.deadline,
+            body: RefCell::new(Some(head.body)),
+            delivered: Cell::new(0),
+            started: Cell::new(false),
+            ended: Cell::new(false),
+            key: head.key,
+            captured: RefCell::new(Some(BytesMut::new())),
+            left: Notify::new(),
+            answer: RefCell::new(None),
+            outlet: Outlet::default(),
+        }
+    }
+
+    /// Keeps a part of a streamed answer for the ledger.
+    pub(crate) fn capture(&self, events: &[u8]) {
+        let mut captured = self.captured.borrow_mut();
+        if let Some(bytes) = captured.as_mut() {
+            bytes.extend_from_slice(events);
+            if bytes.len() > RECORD_BYTES_MAX {
+                *captured = None;
+            }
+        }
+    }
+
+    /// Returns the answer for the ledger, if it is small enough.
+    pub(crate) fn record(&self) -> Option<ledger::Response> {
+        let response = |status, content_type: &str, body: &[u8]| ledger::Response {
+            status,
+            content_type: content_type.into(),
+            body: body.to_vec(),
+        };
+        if let Some(answer) = &*self.answer.borrow() {
+            return (answer.body.len() <= RECORD_BYTES_MAX)
+                .then(|| response(answer.head.status, &answer.head.content_type, &answer.body));
+        }
+        self.captured
+            .borrow()
+            .as_ref()
+            .map(|events| response(200, "text/event-stream", events))
+    }
+
+    /// Returns the bytes of the body, shared.
+    pub(crate) fn bytes(&self) -> Bytes {
+        self.body
+            .borrow()
+            .as_ref()
+            .map_or_else(Bytes::new, |body| body.bytes.clone())
+    }
+}
+
+/// What a request asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CallKind {
+    /// Generation with a streamed answer.
+    Stream,
+    /// Generation with a whole answer.
+    Whole,
+    /// A call to a plain service.
+    Plain,
+}
+
+/// A request body that counts against the limit of buffered bytes while it is held.
+#[derive(Debug)]
+pub(crate) struct Body {
+    pub(crate) bytes: Bytes,
+    reservation: Reservation,
+}
+
+impl Body {
+    pub(crate) fn new(bytes: Bytes, reservation: Reservation) -> Self {
+        Self { bytes, reservation }
+    }
+
+    /// Returns the number of bytes that the body counts for.
+    pub(crate) fn reserved(&self) -> usize {
+        self.reservation.bytes
+    }
+}
+
+/// Part of the limit of buffered bytes.
+#[derive(Debug)]
+pub(crate) struct Reservation {
+    node: Rc<Node>,
+    bytes: usize,
+}
+
+impl Reservation {
+    pub(crate) fn new(node: &Rc<Node>) -> Self {
+        Self {
+            node: Rc::clone(node),
+            bytes: 0,
+        }
+    }
+
+    /// Grows the reservation to `bytes`; returns false if the limit does not allow it.
+    pub(crate) fn grow(&mut self, bytes: usize) -> bool {
+        let more = bytes.saturating_sub(self.bytes);
+        let total = self.node.buffered.get() + more;
+        if total > self.node.limits().buffered_bytes {
+            return false;
+        }
+        self.node.buffered.set(total);
+        self.bytes += more;
+        true
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        let buffered = &self.node.buffered;
+        buffered.set(buffered.get() - self.bytes);
+    }
+}
+
+/// Returns the id of an attempt as engines see it.
+pub(crate) fn attempt_id(attempt: Attempt) -> String {
+    format!("{:032x}-{}", attempt.request.0, attempt.number)
+}
--- /dev/null
+++ b/entry/src/outlet.rs
@@ -0,0 +1,162 @@
+//! Way of one answer from an attempt to the caller's connection.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::future::poll_fn;
+use std::task::{Context, Poll, Waker};
+
+use bytes::{Bytes, BytesMut};
+use primrosepin_core::ledger;
+use primrosepin_core::request::Outcome;
+use primrosepin_core::serving::effect::Refusal;
+
+/// Bytes that wait for a slow caller before the attempt stops to read from its target.
+const HIGH_WATER_BYTES: usize = 64 * 1024;
+
+/// Head of an answer.
+#[derive(Debug, Clone)]
+pub(crate) struct Head {
+    /// HTTP status.
+    pub(crate) status: u16,
+    /// Value of `content-type`.
+    pub(crate) content_type: String,
+    /// Further headers to pass on.
+    pub(crate) headers: Vec<(String, Vec<u8>)>,
+}
+
+/// How an answer ends.
+#[derive(Debug, Clone)]
+pub(crate) enum Final {
+    /// The whole answer is delivered, or waits in the outlet.
+    Answered,
+    /// The request ends without a whole answer.
+    Refused(Refusal),
+    /// The ledger holds the answer of an earlier run.
+    Replayed(Outcome, ledger::Response),
+}
+
+/// What the caller's side reads next.
+#[derive(Debug)]
+pub(crate) enum Next {
+    /// Bytes of the answer.
+    Data(Bytes),
+    /// The end.
+    End(Final),
+}
+
+/// Queue between one attempt at a time and the caller's connection, on one thread.
+#[derive(Debug, Default)]
+pub(crate) struct Outlet {
+    inner: RefCell<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    head: Option<Head>,
+    queue: VecDeque<Bytes>,
+    queued: usize,
+    end: Option<Final>,
+    reader: Option<Waker>,
+    writer: Option<Waker>,
+}
+
+impl Inner {
+    fn wake_reader(&mut self) {
+        if let Some(waker) = self.reader.take() {
+            waker.wake();
+        }
+    }
+}
+
+impl Outlet {
+    /// Sets the head of a streamed answer, which commits the status.
+    pub(crate) fn start(&self, head: Head) {
+        let mut inner = self.inner.borrow_mut();
+        inner.head = Some(head);
+        inner.wake_reader();
+    }
+
+    /// Queues bytes without waiting for the caller.
+    pub(crate) fn push(&self, bytes: Bytes) {
+        let mut inner = self.inner.borrow_mut();
+        inner.queued += bytes.len();
+        inner.queue.push_back(bytes);
+        inner.wake_reader();
+    }
+
+    /// Returns whether the caller lags so far that the attempt has to wait.
+    pub(crate) fn is_full(&self) -> bool {
+        self.inner.borrow().queued >= HIGH_WATER_BYTES
+    }
+
+    /// Waits until the caller has taken enough of the queued bytes.
+    pub(crate) async fn drained(&self) {
+        poll_fn(|context| {
+            let mut inner = self.inner.borrow_mut();
+            if inner.queued < HIGH_WATER_BYTES {
+                return Poll::Ready(());
+            }
+            inner.writer = Some(context.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+
+    /// Ends the answer. Only the first end counts.
+    pub(crate) fn finish(&self, end: Final) {
+        let mut inner = self.inner.borrow_mut();
+        if inner.end.is_none() {
+            inner.end = Some(end);
+        }
+        inner.wake_reader();
+    }
+
+    /// Returns whether the answer has ended.
+    pub(crate) fn is_finished(&self) -> bool {
+        self.inner.borrow().end.is_some()
+    }
+
+    /// Waits for the head of a stream or the end of the answer, whichever comes first.
+    pub(crate) async fn begun(&self) -> Result<Head, Final> {
+        poll_fn(|context| {
+            let mut inner = self.inner.borrow_mut();
+            if let Some(head) = inner.head.take() {
+                return Poll::Ready(Ok(head));
+            }
+            if let Some(end) = inner.end.clone() {
+                return Poll::Ready(Err(end));
+            }
+            inner.reader = Some(context.waker().clone());
+            Poll::Pending
+        })
+        .await
+    }
+
+    /// Polls for the next bytes. All queued bytes are taken together, so that a caller that lags
+    /// costs one write instead of one for each token.
+    pub(crate) fn poll_next(&self, context: &mut Context<'_>) -> Poll<Next> {
+        let mut inner = self.inner.borrow_mut();
+        if let Some(first) = inner.queue.pop_front() {
+            let bytes = if inner.queue.is_empty() {
+                first
+            } else {
+                let mut all = BytesMut::with_capacity(inner.queued);
+                all.extend_from_slice(&first);
+                for next in inner.queue.drain(..) {
+                    all.extend_from_slice(&next);
+                }
+                all.freeze()
+            };
+            inner.queued = 0;
+            if let Some(waker) = inner.writer.take() {
+                waker.wake();
+            }
+            return Poll::Ready(Next::Data(bytes));
+        }
+        if let Some(end) = inner.end.clone() {
+            return Poll::Ready(Next::End(end));
+        }
+        inner.reader = Some(context.waker().clone());
+        Poll::Pending
+    }
+}
--- /dev/null
+++ b/entry/src/server.rs
@@ -0,0 +1,264 @@
+//! The entry process as a value.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use actix_rt::net::TcpListener;
+use actix_rt::time::sleep;
+use eyre::{WrapErr, eyre};
+use primrosepin_config::settings::Entry;
+use primrosepin_core::message::Message;
+use primrosepin_core::registry::Config;
+use primrosepin_core::serving::event::Event;
+use primrosepin_core::serving::{Policy, Reducer, Settings};
+use primrosepin_core::vm;
+use primrosepin_transport::{Endpoint, Identity, Incoming};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::driver::Driver;
+use crate::node::{Node, Phase};
+use crate::{callers, ledger, listen, targets};
+
+/// Options of a server that are no settings of the process.
+#[derive(Debug, Clone, Default)]
+pub struct Options {
+    /// Seed of all random choices; drawn from the system if absent.
+    pub seed: Option<u64>,
+    /// Placement policy.
+    pub policy: Policy,
+    /// Identity for messages between processes; read from the files in the settings if absent.
+    pub identity: Option<Identity>,
+    /// Configuration to start with, before control is asked.
+    pub config: Option<Arc<Config>>,
+}
+
+/// Addresses that a server listens on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Addresses {
+    /// HTTP for callers.
+    pub callers: SocketAddr,
+    /// HTTP for targets.
+    pub targets: SocketAddr,
+    /// HTTP for operators.
+    pub admin: SocketAddr,
+    /// QUIC for other processes.
+    pub peers: SocketAddr,
+}
+
+/// A running entry process. It has its own thread, so several may run in one program.
+#[derive(Debug)]
+pub struct Server {
+    addresses: Addresses,
+    endpoint: Endpoint,
+    inbox: mpsc::UnboundedSender<Event>,
+    stop: oneshot::Sender<()>,
+    ended: oneshot::Receiver<eyre::Result<()>>,
+}
+
+impl Server {
+    /// Binds all addresses and starts to serve.
+    pub async fn start(settings: Entry, options: Options) -> eyre::Result<Self> {
+        let (started, starts) = oneshot::channel();
+        let (ended, ends) = oneshot::channel();
+        let (stop, stopped) = oneshot::channel();
+        thread::Builder::new()
+            .name(format!("entry-{}", settings.vm))
+            .spawn(move || {
+                let result = actix_rt::Runtime::new()
+                    .wrap_err("cannot start the runtime")
+                    .and_then(|runtime| runtime.block_on(run(settings, options, started, stopped)));
+                // Fails only if the server was dropped.
+                let _ = ended.send(result);
+            })?;
+        match starts.await {
+            Ok((addresses, endpoint, inbox)) => Ok(Self {
+                addresses,
+                endpoint,
+                inbox,
+                stop,
+                ended: ends,
+            }),
+            Err(_) => {
+                ends.await.wrap_err("the entry thread ended")??;
+                Err(eyre!("the entry thread ended"))
+            }
+        }
+    }
+
+    /// Returns the bound addresses.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Returns the endpoint for messages between processes, for fault injection.
+    pub fn endpoint(&self) -> &Endpoint {
+        &self.endpoint
+    }
+
+    /// Hands in a configuration as if control had sent it.
+    pub fn configure(&self, config: Arc<Config>) {
+        // Fails only if the thread ended, which `stop` reports.
+        let _ = self.inbox.send(Event::Configured(config));
+    }
+
+    /// Shuts down gracefully: readiness fails, running requests finish, then connections close.
+    pub async fn stop(self) -> eyre::Result<()> {
+        // Fails only if the thread ended by itself, which the next line reports.
+        let _ = self.stop.send(());
+        self.ended.await.wrap_err("the entry thread ended")?
+    }
+}
+
+type Started = (Addresses, Endpoint, mpsc::UnboundedSender<Event>);
+
+async fn run(
+    mut settings: Entry,
+    options: Options,
+    started: oneshot::Sender<Started>,
+    stopped: oneshot::Receiver<()>,
+) -> eyre::Result<()> {
+    let listen = &mut settings.listen;
+    let callers = bind(&mut listen.callers).await?;
+    let targets = bind(&mut listen.targets).await?;
+    let admin = bind(&mut listen.admin).await?;
+    let identity = match options.identity {
+        Some(identity) => identity,
+        None => {
+            let tls = &settings.tls;
+            Identity::read(&tls.authority, &tls.certificate, &tls.key)?
+        }
+    };
+    let instance = vm::Instance {
+        name: Arc::clone(&settings.vm),
+        incarnation: vm::Incarnation(
+            SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .wrap_err("the clock is before 1970")?
+                .as_millis() as u64,
+        ),
+    };
+    let (endpoint, incoming) = Endpoint::start(primrosepin_transport::Settings {
+        bind: settings.listen.peers,
+        identity,
+        instance: instance.clone(),
+    })?;
+    settings.listen.peers = endpoint.local_address()?;
+    let listen = settings.listen;
+    let seed = options.seed.unwrap_or_else(rand::random);
+    let (inbox, events) = mpsc::unbounded_channel();
+    let (phase, phases) = watch::channel(Phase::Serving);
+    let limits = settings.limits;
+    let reducer_settings = Settings {
+        vm: instance.clone(),
+        address: vm::Address {
+            peers: listen.peers,
+            callers: Some(listen.callers),
+        },
+        zone: Arc::clone(&settings.zone),
+        seeds: settings.seeds.clone(),
+        other_zones: settings.other_zones.clone(),
+        control: settings.control.clone(),
+        policy: options.policy,
+    };
+    let node = Rc::new(Node::new(
+        settings,
+        instance,
+        inbox.clone(),
+        phases.clone(),
+        endpoint.clone(),
+        StdRng::seed_from_u64(seed),
+    ));
+    let reducer = Reducer::new(reducer_settings, seed, node.now());
+    let driver = actix_rt::spawn(Driver::new(Rc::clone(&node), reducer).run(events));
+    if let Some(config) = options.config {
+        node.report(Event::Configured(config));
+    }
+    let receive = actix_rt::spawn(receive(Rc::clone(&node), incoming));
+    let pull = actix_rt::spawn(ledger::pull_config(Rc::clone(&node)));
+    let for_callers = Rc::clone(&node);
+    let callers = actix_rt::spawn(listen::serve(
+        callers,
+        limits,
+        phases.clone(),
+        move |request| callers::serve(Rc::clone(&for_callers), request),
+    ));
+    let for_targets = Rc::clone(&node);
+    let targets = actix_rt::spawn(listen::serve(
+        targets,
+        limits,
+        phases.clone(),
+        move |request| targets::serve(Rc::clone(&for_targets), request),
+    ));
+    drop(admin);
+    let addresses = Addresses {
+        callers: listen.callers,
+        targets: listen.targets,
+        admin: listen.admin,
+        peers: listen.peers,
+    };
+    log::info!(
+        "callers at {}, targets at {}",
+        listen.callers,
+        listen.targets
+    );
+    // Fails only if `start` was cancelled, which drops the other end of `stopped` as well.
+    let _ = started.send((addresses, endpoint.clone(), inbox));
+    // A dropped server stops as well.
+    let _ = stopped.await;
+    log::info!("shutdown: not ready");
+    phase.send_replace(Phase::Draining);
+    node.report(Event::Drain);
+    sleep(Duration::from_millis(limits.drain_ms)).await;
+    log::info!(
+        "shutdown: {} requests are running",
+        node.calls.borrow().len()
+    );
+    phase.send_replace(Phase::Closing);
+    callers.await??;
+    targets.await??;
+    // Running requests still receive messages; afterwards the peers are told.
+    pull.abort();
+    receive.abort();
+    driver.abort();
+    endpoint.close().await;
+    log::info!("shutdown: done");
+    Ok(())
+}
+
+/// Binds an address and stores the bound port.
+async fn bind(address: &mut SocketAddr) -> eyre::Result<TcpListener> {
+    let listener = TcpListener::bind(*address)
+        .await
+        .wrap_err_with(|| format!("cannot bind {address}"))?;
+    *address = listener.local_addr()?;
+    Ok(listener)
+}
+
+/// Turns messages from other processes into events.
+async fn receive(node: Rc<Node>, mut incoming: mpsc::Receiver<Incoming>) {
+    while let Some(Incoming {
+        from,
+        message,
+        reply,
+        ..
+    }) = incoming.recv().await
+    {
+        match (message, reply) {
+            (Message::ConfigPush(config), _) => node.report(Event::Configured(config)),
+            (Message::ConfigPull { have }, Some(reply)) => {
+                if let Some(in_force) = node.in_force()
+                    && in_force.config.version > have
+                {
+                    let config = Arc::clone(&in_force.config);
+                    actix_rt::spawn(reply.send(Message::ConfigPush(config)));
+                }
+            }
+            (message, _) => node.report(Event::Received { from, message }),
+        }
+    }
+}
