--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -6,7 +6,6 @@
 //! the answer reveals bytes left over from an earlier one.
 
 use std::cell::Cell;
-use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -71,12 +70,12 @@
 impl AsyncRead for Socket {
     fn poll_read(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let poll = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if poll.is_ready() && buffer.filled().len() == before {
+        let before = buf.filled().len();
+        let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if poll.is_ready() && buf.filled().len() == before {
             self.seen.end.set(true);
         }
         poll
@@ -86,10 +85,10 @@
 impl AsyncWrite for Socket {
     fn poll_write(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
+        cx: &mut Context<'_>,
+        buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let poll = Pin::new(&mut self.stream).poll_write(context, bytes);
+        let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
         if let Poll::Ready(Ok(count)) = poll {
             let written = &self.seen.written;
             written.set(written.get() + count as u64);
@@ -97,22 +96,22 @@
         poll
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
 
 impl ActixStream for Socket {
-    fn poll_read_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_read_ready(&self.stream, context)
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_read_ready(&self.stream, cx)
     }
 
-    fn poll_write_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_write_ready(&self.stream, context)
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_write_ready(&self.stream, cx)
     }
 }
 
@@ -316,7 +315,7 @@
     }
 }
 
-type Response = awc::ClientResponse<actix_http::Payload>;
+type Response = awc::ClientResponse;
 
 /// Passes a stream on. Returns how the attempt ended.
 pub(crate) async fn stream<S>(
--- a/entry/src/callers.rs
+++ b/entry/src/callers.rs
@@ -155,24 +155,23 @@
     }
     let body = read_body(node, request).await?;
     let method = request.method().clone();
-    let (kind, scan, service, model) = match plain {
-        Some(service) => (CallKind::Plain, None, service, None),
-        None => {
-            let scan = scan(&body.bytes).await?;
-            let (service, model) = in_force.model(&scan.model).ok_or_else(|| {
-                Rejection::new(
-                    404,
-                    "unknown_model",
-                    format!("no service has the model {:?}", scan.model),
-                )
-            })?;
-            let kind = if scan.stream {
-                CallKind::Stream
-            } else {
-                CallKind::Whole
-            };
-            (kind, Some(scan), service, Some(model))
-        }
+    let (kind, scan, service, model) = if let Some(service) = plain {
+        (CallKind::Plain, None, service, None)
+    } else {
+        let scan = scan(&body.bytes).await?;
+        let (service, model) = in_force.model(&scan.model).ok_or_else(|| {
+            Rejection::new(
+                404,
+                "unknown_model",
+                format!("no service has the model {:?}", scan.model),
+            )
+        })?;
+        let kind = if scan.stream {
+            CallKind::Stream
+        } else {
+            CallKind::Whole
+        };
+        (kind, Some(scan), service, Some(model))
     };
     let at_most_once = is_at_most_once(&in_force, &service, request);
     let repeatable = kind != CallKind::Plain || method.is_safe();
@@ -415,13 +414,13 @@
 
     fn poll_next(
         self: Pin<&mut Self>,
-        context: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, Infallible>>> {
         let call = &self.0.call;
         if call.ended.get() {
             return Poll::Ready(None);
         }
-        call.outlet.poll_next(context).map(|next| {
+        call.outlet.poll_next(cx).map(|next| {
             Some(Ok(match next {
                 Next::Data(bytes) => bytes,
                 Next::End(end) => {
--- a/entry/src/driver.rs
+++ b/entry/src/driver.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
-use actix_rt::time::{MissedTickBehavior, interval};
+use actix_rt::time::interval;
 use awc::Client;
 use primrosepin_core::ledger::Call;
 use primrosepin_core::request::{Attempt, Outcome};
@@ -13,6 +13,7 @@
 use primrosepin_core::serving::effect::{Effect, Notice};
 use primrosepin_core::serving::event::Event;
 use tokio::sync::mpsc;
+use tokio::time::MissedTickBehavior;
 
 use crate::node::Node;
 use crate::outlet::Final;
@@ -160,7 +161,7 @@
         Notice::TargetCold(target) => log::warn!("target {target} is cold"),
         Notice::TargetWarm(target) => log::info!("target {target} is warm"),
         Notice::TargetConflict(target) => {
-            log::error!("two targets announce themselves as {target}")
+            log::error!("two targets announce themselves as {target}");
         }
         Notice::MemberJoined(member) => log::info!("entry VM {member} joined the zone"),
         Notice::MemberLost(member) => log::warn!("entry VM {member} is gone"),
--- a/entry/src/listen.rs
+++ b/entry/src/listen.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -132,16 +131,16 @@
 impl AsyncRead for Socket {
     fn poll_read(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        self.check(context)?;
-        let before = buffer.filled().len();
-        let poll = Pin::new(&mut self.stream).poll_read(context, buffer);
+        self.check(cx)?;
+        let before = buf.filled().len();
+        let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
         // HTTP/2 multiplexes heads with pings and window updates, and bounds them itself.
         let state = &self.state;
         if !self.http2
-            && buffer.filled().len() > before
+            && buf.filled().len() > before
             && state.active.get() == 0
             && state.head_since.get().is_none()
         {
@@ -154,11 +153,11 @@
 impl AsyncWrite for Socket {
     fn poll_write(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
+        cx: &mut Context<'_>,
+        buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.check(context)?;
-        let poll = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.check(cx)?;
+        let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
         let blocked = &self.state.blocked_since;
         if poll.is_ready() {
             blocked.set(None);
@@ -168,12 +167,12 @@
         poll
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
 
--- /dev/null
+++ b/entry/src/main.rs
@@ -0,0 +1,2 @@
+//! Binary of the entry process.
+fn main() {}
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -13,7 +13,7 @@
 use primrosepin_core::registry::Config;
 use primrosepin_core::request::{Attempt, Id};
 use primrosepin_core::serving::event::Event;
-use primrosepin_core::{ledger, time, vm};
+use primrosepin_core::{ledger, time};
 use primrosepin_transport::Endpoint;
 use rand::RngExt;
 use rand::rngs::StdRng;
@@ -42,7 +42,6 @@
 #[derive(Debug)]
 pub(crate) struct Node {
     pub(crate) settings: Entry,
-    pub(crate) instance: vm::Instance,
     pub(crate) inbox: mpsc::UnboundedSender<Event>,
     pub(crate) phase: watch::Receiver<Phase>,
     pub(crate) endpoint: Endpoint,
@@ -60,7 +59,6 @@
 impl Node {
     pub(crate) fn new(
         settings: Entry,
-        instance: vm::Instance,
         inbox: mpsc::UnboundedSender<Event>,
         phase: watch::Receiver<Phase>,
         endpoint: Endpoint,
@@ -68,7 +66,6 @@
     ) -> Self {
         Self {
             settings,
-            instance,
             inbox,
             phase,
             endpoint,
@@ -255,17 +252,15 @@
 #[derive(Debug)]
 pub(crate) struct Body {
     pub(crate) bytes: Bytes,
-    reservation: Reservation,
+    _reservation: Reservation,
 }
 
 impl Body {
     pub(crate) fn new(bytes: Bytes, reservation: Reservation) -> Self {
-        Self { bytes, reservation }
-    }
-
-    /// Returns the number of bytes that the body counts for.
-    pub(crate) fn reserved(&self) -> usize {
-        self.reservation.bytes
+        Self {
+            bytes,
+            _reservation: reservation,
+        }
     }
 }
 
--- a/entry/src/server.rs
+++ b/entry/src/server.rs
@@ -154,7 +154,7 @@
     let (phase, phases) = watch::channel(Phase::Serving);
     let limits = settings.limits;
     let reducer_settings = Settings {
-        vm: instance.clone(),
+        vm: instance,
         address: vm::Address {
             peers: listen.peers,
             callers: Some(listen.callers),
@@ -167,7 +167,6 @@
     };
     let node = Rc::new(Node::new(
         settings,
-        instance,
         inbox.clone(),
         phases.clone(),
         endpoint.clone(),
