--- /dev/null
+++ b/bench/src/audit.rs
@@ -0,0 +1,241 @@
+//! Counters and percentiles from the records of stand-ins and callers.
+//!
+//! Nothing here comes from the product's view of itself, except the outcome that it told the
+//! caller, which is checked against the stand-ins' records.
+
+use std::collections::{BTreeMap, HashMap};
+
+use primrosepin_standin::Record;
+use primrosepin_standin::engine;
+
+use crate::caller::{Outcome, Seen};
+use crate::report::{BUCKETS, Bucket, Collector, Counters, Percentiles, Second};
+use crate::workload::Kind;
+
+/// Time after a deadline that is allowed for the transport of the last bytes.
+const DEADLINE_SLACK_US: u64 = 500_000;
+
+/// Time after a removal within which new work may still arrive.
+const REMOVAL_US: u64 = 3_000_000;
+
+/// Points kept for the plot.
+const POINTS_MAX: usize = 3_000;
+
+/// Targets without new work from a time on.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Removal {
+    /// Names of the targets.
+    pub targets: Vec<String>,
+    /// Time at which the removal was accepted.
+    pub from_us: u64,
+    /// Time at which the return was asked for; none if they stay out.
+    pub until_us: Option<u64>,
+}
+
+/// What the stand-ins say at the end.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Evidence {
+    /// Runs at engines.
+    pub engine_records: Vec<Record>,
+    /// Runs at plain services.
+    pub plain_records: Vec<Record>,
+    /// KV tokens held after all leases.
+    pub kv_tokens_leaked: u64,
+    /// Cold starts that fell over.
+    pub cold_overruns: u64,
+    /// Targets that were taken out.
+    pub removals: Vec<Removal>,
+}
+
+/// Counts kept and broken promises.
+pub fn counters(seen: &[Seen], evidence: &Evidence) -> Counters {
+    let mut runs: HashMap<&str, u64> = HashMap::new();
+    for record in &evidence.engine_records {
+        if record.started_us > 0
+            && let Some(user) = &record.user
+        {
+            *runs.entry(user).or_default() += 1;
+        }
+    }
+    for record in &evidence.plain_records {
+        if let Some(user) = &record.user {
+            *runs.entry(user).or_default() += 1;
+        }
+    }
+    let mut counters = Counters {
+        kv_tokens_leaked: evidence.kv_tokens_leaked,
+        cold_overruns: evidence.cold_overruns,
+        ..Counters::default()
+    };
+    for call in seen {
+        let ran = runs.get(call.call.user.as_str()).copied().unwrap_or(0);
+        let counter = match call.outcome {
+            Some(Outcome::Answered) => &mut counters.answered,
+            Some(Outcome::NotRun) => &mut counters.refused_not_run,
+            Some(Outcome::Failed) => &mut counters.failed,
+            Some(Outcome::Unknown) => &mut counters.outcome_unknown,
+            None => &mut counters.lost,
+        };
+        *counter += 1;
+        if call.outcome == Some(Outcome::NotRun) {
+            counters.false_not_run += u64::from(ran > 0);
+        } else {
+            counters.admitted += 1;
+        }
+        let incomplete = call.outcome == Some(Outcome::Answered) && !call.whole;
+        counters.mixed_up += u64::from(call.foreign || incomplete);
+        counters.ran_twice += u64::from(call.call.kind == Kind::PlainPost && ran > 1);
+        let limit_us = call.deadline_ms * 1000 + DEADLINE_SLACK_US;
+        counters.late_past_deadline += u64::from(call.end_us - call.due_us > limit_us);
+    }
+    let records = evidence.engine_records.iter().chain(&evidence.plain_records);
+    for record in records {
+        let late = evidence.removals.iter().any(|removal| {
+            removal.targets.contains(&record.target)
+                && record.received_us > removal.from_us + REMOVAL_US
+                && removal.until_us.is_none_or(|until_us| record.received_us < until_us)
+        });
+        counters.work_after_removal += u64::from(late);
+    }
+    counters
+}
+
+/// Percentiles of a run.
+#[derive(Debug)]
+pub struct Summary {
+    /// By prompt length.
+    pub buckets: Vec<Bucket>,
+    /// Prompts up to 4,000 tokens.
+    pub short: Bucket,
+    /// Plain calls; slowdown relative to `plain_alone_ms`.
+    pub plain: Bucket,
+    /// Between two pieces of a stream.
+    pub token_gap_ms: Percentiles,
+    /// Prompt and generated tokens of answered calls.
+    pub good_tokens: u64,
+    /// Error codes.
+    pub codes: BTreeMap<String, u64>,
+    /// Service over time.
+    pub seconds: Vec<Second>,
+    /// Prompt length and time to first token.
+    pub points: Vec<(u64, f64)>,
+}
+
+struct Fill {
+    max: u64,
+    sent: u64,
+    answered: u64,
+    ttft: Collector,
+    slowdown: Collector,
+}
+
+impl Fill {
+    fn new(max: u64) -> Self {
+        Self {
+            max,
+            sent: 0,
+            answered: 0,
+            ttft: Collector::new(1e3),
+            slowdown: Collector::new(1e3),
+        }
+    }
+
+    fn add(&mut self, call: &Seen, alone_ms: f64) {
+        self.sent += 1;
+        if call.outcome != Some(Outcome::Answered) {
+            return;
+        }
+        self.answered += 1;
+        if let Some(ttft_ms) = call.ttft_ms() {
+            self.ttft.add(ttft_ms);
+            self.slowdown.add(ttft_ms / alone_ms);
+        }
+    }
+
+    fn bucket(&self) -> Bucket {
+        Bucket {
+            prompt_tokens_max: self.max,
+            sent: self.sent,
+            answered: self.answered,
+            ttft_ms: self.ttft.percentiles(),
+            slowdown: self.slowdown.percentiles(),
+        }
+    }
+}
+
+/// Summarises what callers saw. Slowdown is relative to the service model.
+pub fn summarise(
+    seen: &[Seen],
+    begin_us: u64,
+    model: &engine::Settings,
+    plain_alone_ms: f64,
+) -> Summary {
+    let mut buckets: Vec<_> = BUCKETS.iter().map(|max| Fill::new(*max)).collect();
+    let (mut short, mut plain) = (Fill::new(4_000), Fill::new(0));
+    let mut gaps = Collector::new(1e3);
+    let mut good_tokens = 0;
+    let mut codes: BTreeMap<String, u64> = BTreeMap::new();
+    let mut seconds: BTreeMap<u64, (Second, Collector)> = BTreeMap::new();
+    let mut points = Vec::new();
+    for call in seen {
+        let answered = call.outcome == Some(Outcome::Answered);
+        let second = call.due_us.saturating_sub(begin_us) / 1_000_000;
+        let (slot, ttft) = seconds
+            .entry(second)
+            .or_insert_with(|| (Second::default(), Collector::new(1e3)));
+        slot.second = second;
+        slot.sent += 1;
+        slot.answered += u64::from(answered);
+        if !answered {
+            let code = if call.code.is_empty() {
+                format!("status {}", call.status)
+            } else {
+                call.code.clone()
+            };
+            *codes.entry(code).or_default() += 1;
+        }
+        let Kind::Engine {
+            prompt_tokens,
+            max_tokens,
+        } = call.call.kind
+        else {
+            plain.add(call, plain_alone_ms);
+            continue;
+        };
+        let alone_ms = model.ttft_alone_ms(prompt_tokens);
+        let index = buckets.iter().position(|bucket| prompt_tokens <= bucket.max);
+        let last = buckets.len() - 1;
+        buckets[index.unwrap_or(last)].add(call, alone_ms);
+        if prompt_tokens <= short.max {
+            short.add(call, alone_ms);
+        }
+        for gap_us in &call.gaps_us {
+            gaps.add(f64::from(*gap_us) / 1e3);
+        }
+        if answered {
+            good_tokens += prompt_tokens + max_tokens;
+            if let Some(ttft_ms) = call.ttft_ms() {
+                ttft.add(ttft_ms);
+                if points.len() < POINTS_MAX {
+                    points.push((prompt_tokens, (ttft_ms * 10.0).round() / 10.0));
+                }
+            }
+        }
+    }
+    Summary {
+        buckets: buckets.iter().map(Fill::bucket).collect(),
+        short: short.bucket(),
+        plain: plain.bucket(),
+        token_gap_ms: gaps.percentiles(),
+        good_tokens,
+        codes,
+        seconds: seconds
+            .into_values()
+            .map(|(mut second, ttft)| {
+                second.p95_ttft_ms = ttft.percentiles().p95;
+                second
+            })
+            .collect(),
+        points,
+    }
+}
--- /dev/null
+++ b/bench/src/main.rs
@@ -0,0 +1,183 @@
+//! Command line of the benchmarks.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use eyre::WrapErr;
+use primrosepin_bench::report::{Report, compare};
+use primrosepin_bench::scenario::{self, Scenario};
+use primrosepin_bench::{plot, quickstart};
+use primrosepin_core::serving::Policy;
+
+/// Load driver, experiments, tables, plots and JSON reports
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+enum Command {
+    /// Runs a whole deployment in one process: two zones, four engines, one plain service
+    #[bpaf(command)]
+    Quickstart {
+        /// Sends prompts of 1k, 10k, 100k and 1M tokens and plain calls, then stops
+        once: bool,
+        /// Writes the result of --once as JSON
+        #[bpaf(argument("FILE"))]
+        json: Option<PathBuf>,
+    },
+    /// Runs an experiment: mixed-lengths, zone-out, cold-start, failover, overload, long-only
+    #[bpaf(command)]
+    Run {
+        /// Placement: length, round-robin, least-load
+        #[bpaf(argument("NAME"), fallback("length".into()))]
+        policy: String,
+        /// Seed of arrivals and choices
+        #[bpaf(argument("N"), fallback(1))]
+        seed: u64,
+        /// Length of the load, seconds
+        #[bpaf(argument("N"), fallback(60))]
+        duration_s: u64,
+        /// Factor on the engines' rates
+        #[bpaf(argument("F"), fallback(2.0))]
+        speed: f64,
+        /// Load relative to the engines' capacity; by default the scenario's own
+        #[bpaf(argument("F"))]
+        load: Option<f64>,
+        /// Control replicas; 0 hands the configuration to the entry VMs directly
+        #[bpaf(argument("N"), fallback(3))]
+        controls: usize,
+        /// Writes the report as JSON
+        #[bpaf(argument("FILE"))]
+        json: Option<PathBuf>,
+        /// Scenario
+        #[bpaf(positional("SCENARIO"))]
+        scenario: String,
+    },
+    /// Prints the ratios of two reports, the second relative to the first
+    #[bpaf(command)]
+    Compare {
+        /// First report
+        #[bpaf(positional("A.json"))]
+        first: PathBuf,
+        /// Second report
+        #[bpaf(positional("B.json"))]
+        second: PathBuf,
+    },
+    /// Writes plots of reports as SVG
+    #[bpaf(command)]
+    Plot {
+        /// Folder for the plots
+        #[bpaf(argument("FOLDER"), fallback("out".into()))]
+        out: PathBuf,
+        /// Reports
+        #[bpaf(positional("REPORT.json"))]
+        reports: Vec<PathBuf>,
+    },
+}
+
+fn read(file: &Path) -> eyre::Result<Report> {
+    let text = std::fs::read_to_string(file).wrap_err_with(|| file.display().to_string())?;
+    serde_json::from_str(&text).wrap_err_with(|| file.display().to_string())
+}
+
+fn write<T>(file: Option<&Path>, value: &T) -> eyre::Result<()>
+where
+    T: serde::Serialize,
+{
+    let Some(file) = file else {
+        return Ok(());
+    };
+    let text = serde_json::to_string_pretty(value)?;
+    std::fs::write(file, text).wrap_err_with(|| file.display().to_string())
+}
+
+fn parse_policy(name: &str) -> eyre::Result<Policy> {
+    [Policy::Length, Policy::RoundRobin, Policy::LeastLoad]
+        .into_iter()
+        .find(|policy| scenario::policy_name(*policy) == name)
+        .ok_or_else(|| eyre::eyre!("unknown policy {name:?}; expected length, round-robin, least-load"))
+}
+
+fn parse_scenario(name: &str) -> eyre::Result<Scenario> {
+    [
+        Scenario::MixedLengths,
+        Scenario::ZoneOut,
+        Scenario::ColdStart,
+        Scenario::Failover,
+        Scenario::Overload,
+        Scenario::LongOnly,
+    ]
+    .into_iter()
+    .find(|scenario| scenario.as_str() == name)
+    .ok_or_else(|| eyre::eyre!("unknown scenario {name:?}"))
+}
+
+#[actix_rt::main]
+async fn main() -> eyre::Result<ExitCode> {
+    match command().run() {
+        Command::Quickstart { once, json } => {
+            let cluster = quickstart::start().await?;
+            if !once {
+                println!("{}", quickstart::help(&cluster));
+                interrupted().await?;
+                cluster.stop().await?;
+                return Ok(ExitCode::SUCCESS);
+            }
+            let result = quickstart::once(&cluster).await;
+            cluster.stop().await?;
+            println!("Prompts of one million tokens span the two engines of a zone.");
+            print!("{}", result.table);
+            write(json.as_deref(), &result.json)?;
+            if !result.all_answered {
+                return Ok(ExitCode::FAILURE);
+            }
+        }
+        Command::Run {
+            policy,
+            seed,
+            duration_s,
+            speed,
+            load,
+            controls,
+            json,
+            scenario,
+        } => {
+            let options = scenario::Options {
+                policy: parse_policy(&policy)?,
+                seed,
+                duration_s,
+                speed,
+                load,
+                controls,
+            };
+            let report = scenario::run(parse_scenario(&scenario)?, &options).await?;
+            print!("{}", report.table());
+            write(json.as_deref(), &report)?;
+        }
+        Command::Compare { first, second } => {
+            print!("{}", compare(&read(&first)?, &read(&second)?));
+        }
+        Command::Plot { out, reports } => {
+            let reports = reports
+                .iter()
+                .map(|file| read(file))
+                .collect::<eyre::Result<Vec<_>>>()?;
+            for name in plot::write(&reports, &out)? {
+                println!("{}", out.join(name).display());
+            }
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Waits for SIGINT or SIGTERM.
+async fn interrupted() -> eyre::Result<()> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let (mut interrupt, mut terminate) = (
+        signal(SignalKind::interrupt())?,
+        signal(SignalKind::terminate())?,
+    );
+    tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = terminate.recv() => {}
+    }
+    Ok(())
+}
