--- /dev/null
+++ b/tests/src/engine.rs
@@ -0,0 +1,158 @@
+//! A fake engine that records what it runs.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use primrosepin_core::inventory::Kind;
+use primrosepin_core::request::Attempt;
+use primrosepin_core::target::{Announcement, Budget, Load, Model, State};
+use primrosepin_core::time::Instant;
+
+/// Prefill rate of a fake engine.
+pub const PREFILL_TOKENS_PER_S: u64 = 20_000;
+
+/// Tokens that each answer has.
+pub const ANSWER_TOKENS: u32 = 4;
+
+/// Time between tokens.
+pub const TOKEN_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Time for which a cold engine stays cold after its last overrun or start.
+const WARM_UP: Duration = Duration::from_secs(4);
+
+/// What the engine holds for an attempt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Held {
+    /// Node that sent the attempt, with the node's incarnation.
+    pub owner: (usize, u64),
+    /// Prompt tokens in KV memory.
+    pub tokens: u64,
+    /// Index of the next token.
+    pub next: u32,
+    /// Whether the connection that carries the answer went silent.
+    pub silent: bool,
+    /// Whether all tokens were sent.
+    pub finished: bool,
+    /// Identifies the stream that reads the answer; an older stream gets no more tokens.
+    pub stream: u64,
+}
+
+/// A fake engine.
+#[derive(Debug)]
+pub struct Engine {
+    /// What the engine announces.
+    pub announcement: Announcement,
+    /// Node index of its zone's nodes to which it announces in turn.
+    pub zone: usize,
+    /// When a dead engine returns.
+    pub dead_until: Option<Instant>,
+    /// When a cold engine turns warm.
+    pub warm_at: Option<Instant>,
+    /// What the engine holds.
+    pub held: BTreeMap<Attempt, Held>,
+    /// Attempts cancelled before they arrived; a later arrival is dropped.
+    pub cancelled: Vec<Attempt>,
+    /// Memory reserved for parts of spanning requests.
+    pub reserved: BTreeMap<Attempt, (u64, (usize, u64))>,
+}
+
+impl Engine {
+    /// Creates a warm engine.
+    pub fn new(index: usize, zone: usize, zone_name: &str) -> Self {
+        let announcement = Announcement {
+            name: format!("engine-{index}").into(),
+            zone: zone_name.into(),
+            service: "lm".into(),
+            kind: Kind::Engine,
+            address: SocketAddr::from(([127, 0, 1, index as u8 + 1], 9_000)),
+            incarnation: 1,
+            seq: 0,
+            state: State::Warm,
+            models: vec![Model {
+                name: "lm-7b".into(),
+                version: "1".into(),
+            }],
+            cold_budget: Budget {
+                requests: 2,
+                tokens: 40_000,
+            },
+            max_running: 8,
+            kv_tokens: 400_000,
+            prefill_tokens_per_s: PREFILL_TOKENS_PER_S,
+            decode_tokens_per_s: 25,
+            spans: true,
+            checks_fencing: false,
+            load: Load::default(),
+        };
+        Self {
+            announcement,
+            zone,
+            dead_until: None,
+            warm_at: None,
+            held: BTreeMap::new(),
+            cancelled: Vec::new(),
+            reserved: BTreeMap::new(),
+        }
+    }
+
+    /// Returns whether the engine answers.
+    pub const fn alive(&self) -> bool {
+        self.dead_until.is_none()
+    }
+
+    /// Returns the number of attempts that are not finished.
+    pub fn running(&self) -> usize {
+        self.held.values().filter(|held| !held.finished).count()
+    }
+
+    /// Dies until `until` and forgets everything.
+    pub fn die(&mut self, until: Instant) {
+        self.dead_until = Some(until);
+        self.held.clear();
+        self.reserved.clear();
+        self.cancelled.clear();
+    }
+
+    /// Turns cold in place and loses what it ran.
+    pub fn turn_cold(&mut self, now: Instant) {
+        self.held.clear();
+        self.reserved.clear();
+        self.announcement.state = State::Cold;
+        self.warm_at = Some(now + WARM_UP);
+    }
+
+    /// Starts again after its death.
+    pub fn start(&mut self, now: Instant) {
+        self.dead_until = None;
+        self.announcement.incarnation += 1;
+        self.announcement.seq = 0;
+        self.turn_cold(now);
+    }
+
+    /// Returns the next announcement.
+    pub fn announce(&mut self, now: Instant) -> Announcement {
+        if self.announcement.state == State::Cold && self.warm_at.is_some_and(|at| at <= now) {
+            self.announcement.state = State::Warm;
+            self.warm_at = None;
+        }
+        self.announcement.seq += 1;
+        self.announcement.load = Load {
+            running: self.running() as u32,
+            waiting: 0,
+            prefill_tokens: self
+                .held
+                .values()
+                .filter(|held| held.next == 0)
+                .map(|held| held.tokens)
+                .sum(),
+            kv_tokens_used: self.held.values().map(|held| held.tokens).sum::<u64>()
+                + self
+                    .reserved
+                    .values()
+                    .map(|(tokens, _)| tokens)
+                    .sum::<u64>(),
+        };
+        self.announcement.clone()
+    }
+}
--- /dev/null
+++ b/tests/src/step.rs
@@ -0,0 +1,150 @@
+//! Steps of a history, with a text form so that a failing history can be kept as a test case.
+
+use std::fmt;
+use std::str::FromStr;
+
+/// One step of a history. Numbers select a node, engine or zone modulo how many there are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// A caller sends a request to a node.
+    Send {
+        /// Node that receives it.
+        node: u8,
+        /// Prompt length in thousands of tokens.
+        kilotokens: u16,
+        /// Idempotency key; requests with a key run at most once.
+        key: Option<u8>,
+    },
+    /// The caller of the most recent request on a node goes away.
+    CallerGone(u8),
+    /// An engine dies and returns cold after a while.
+    Kill(u8),
+    /// An engine turns cold without restarting and loses what it ran.
+    Cold(u8),
+    /// Open connections to an engine go silent; new ones work.
+    Silence(u8),
+    /// An engine cuts its open streams.
+    Cut(u8),
+    /// An engine announces that it drains.
+    Drain(u8),
+    /// A node crashes.
+    Crash(u8),
+    /// A crashed node starts again with a new incarnation.
+    Restart(u8),
+    /// A node pauses: it processes nothing until it resumes.
+    Pause(u8),
+    /// A paused node resumes.
+    Resume(u8),
+    /// A node begins a graceful shutdown.
+    Shutdown(u8),
+    /// A node loses its connections to the other nodes and to control.
+    Isolate(u8),
+    /// Control cannot be reached from a zone.
+    CutControl(u8),
+    /// All partitions heal.
+    Heal,
+    /// Operators take a zone out.
+    ZoneOut(u8),
+    /// Operators bring a zone back.
+    ZoneIn(u8),
+    /// Operators take a target out.
+    TargetOut(u8),
+    /// Operators bring a target back.
+    TargetIn(u8),
+    /// Time passes, milliseconds.
+    Wait(u16),
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match *self {
+            Self::Send {
+                node,
+                kilotokens,
+                key: None,
+            } => write!(f, "send {node} {kilotokens}"),
+            Self::Send {
+                node,
+                kilotokens,
+                key: Some(key),
+            } => {
+                write!(f, "send {node} {kilotokens} key {key}")
+            }
+            Self::CallerGone(n) => write!(f, "caller-gone {n}"),
+            Self::Kill(n) => write!(f, "kill {n}"),
+            Self::Cold(n) => write!(f, "cold {n}"),
+            Self::Silence(n) => write!(f, "silence {n}"),
+            Self::Cut(n) => write!(f, "cut {n}"),
+            Self::Drain(n) => write!(f, "drain {n}"),
+            Self::Crash(n) => write!(f, "crash {n}"),
+            Self::Restart(n) => write!(f, "restart {n}"),
+            Self::Pause(n) => write!(f, "pause {n}"),
+            Self::Resume(n) => write!(f, "resume {n}"),
+            Self::Shutdown(n) => write!(f, "shutdown {n}"),
+            Self::Isolate(n) => write!(f, "isolate {n}"),
+            Self::CutControl(n) => write!(f, "cut-control {n}"),
+            Self::Heal => write!(f, "heal"),
+            Self::ZoneOut(n) => write!(f, "zone-out {n}"),
+            Self::ZoneIn(n) => write!(f, "zone-in {n}"),
+            Self::TargetOut(n) => write!(f, "target-out {n}"),
+            Self::TargetIn(n) => write!(f, "target-in {n}"),
+            Self::Wait(ms) => write!(f, "wait {ms}"),
+        }
+    }
+}
+
+/// Text that is not a step.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Malformed(pub String);
+
+impl FromStr for Step {
+    type Err = Malformed;
+
+    fn from_str(text: &str) -> Result<Self, Malformed> {
+        let malformed = || Malformed(text.to_owned());
+        let words: Vec<&str> = text.split_whitespace().collect();
+        let number = |index: usize| -> Result<u16, Malformed> {
+            words
+                .get(index)
+                .and_then(|word| word.parse().ok())
+                .ok_or_else(malformed)
+        };
+        let small = |index: usize| -> Result<u8, Malformed> {
+            words
+                .get(index)
+                .and_then(|word| word.parse().ok())
+                .ok_or_else(malformed)
+        };
+        Ok(match words.first().copied() {
+            Some("send") => Self::Send {
+                node: small(1)?,
+                kilotokens: number(2)?,
+                key: if words.len() > 3 {
+                    Some(small(4)?)
+                } else {
+                    None
+                },
+            },
+            Some("caller-gone") => Self::CallerGone(small(1)?),
+            Some("kill") => Self::Kill(small(1)?),
+            Some("cold") => Self::Cold(small(1)?),
+            Some("silence") => Self::Silence(small(1)?),
+            Some("cut") => Self::Cut(small(1)?),
+            Some("drain") => Self::Drain(small(1)?),
+            Some("crash") => Self::Crash(small(1)?),
+            Some("restart") => Self::Restart(small(1)?),
+            Some("pause") => Self::Pause(small(1)?),
+            Some("resume") => Self::Resume(small(1)?),
+            Some("shutdown") => Self::Shutdown(small(1)?),
+            Some("isolate") => Self::Isolate(small(1)?),
+            Some("cut-control") => Self::CutControl(small(1)?),
+            Some("heal") => Self::Heal,
+            Some("zone-out") => Self::ZoneOut(small(1)?),
+            Some("zone-in") => Self::ZoneIn(small(1)?),
+            Some("target-out") => Self::TargetOut(small(1)?),
+            Some("target-in") => Self::TargetIn(small(1)?),
+            Some("wait") => Self::Wait(number(1)?),
+            _ => return Err(malformed()),
+        })
+    }
+}
