--- a/entry/src/main.rs
+++ b/entry/src/main.rs
@@ -1,2 +1,73 @@
 //! Binary of the entry process.
-fn main() {}
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use eyre::WrapErr;
+use primrosepin_config::settings::{Entry, LogForm};
+use primrosepin_entry::{Options, Server};
+use primrosepin_telemetry::log::{Form, init};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Entry process of primrosepin: takes callers' requests and relays them to targets.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+struct Arguments {
+    /// Settings of the process, JSON with comments
+    #[bpaf(argument("FILE"))]
+    settings: PathBuf,
+    /// Check the settings, print a summary and exit; exit code 2 if they are wrong
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments = arguments().run();
+    let settings: Entry = match primrosepin_config::load(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(2);
+        }
+    };
+    if arguments.check {
+        let listen = settings.listen;
+        println!(
+            "entry VM {} in zone {}: callers {}, targets {}, admin {}, peers {}; {} control replicas",
+            settings.vm,
+            settings.zone,
+            listen.callers,
+            listen.targets,
+            listen.admin,
+            listen.peers,
+            settings.control.len()
+        );
+        return ExitCode::SUCCESS;
+    }
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(settings: Entry) -> eyre::Result<()> {
+    let form = match settings.log.form {
+        LogForm::Human => Form::Human,
+        LogForm::Json => Form::Json,
+    };
+    init(&settings.log.level, form)?;
+    let runtime = actix_rt::Runtime::new().wrap_err("cannot start the runtime")?;
+    runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let server = Server::start(settings, Options::default()).await?;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        server.stop().await
+    })
+}
--- a/entry/src/server.rs
+++ b/entry/src/server.rs
@@ -75,19 +75,17 @@
                 // Fails only if the server was dropped.
                 let _ = ended.send(result);
             })?;
-        match starts.await {
-            Ok((addresses, endpoint, inbox)) => Ok(Self {
-                addresses,
-                endpoint,
-                inbox,
-                stop,
-                ended: ends,
-            }),
-            Err(_) => {
-                ends.await.wrap_err("the entry thread ended")??;
-                Err(eyre!("the entry thread ended"))
-            }
-        }
+        let Ok((addresses, endpoint, inbox)) = starts.await else {
+            ends.await.wrap_err("the entry thread ended")??;
+            return Err(eyre!("the entry thread ended"));
+        };
+        Ok(Self {
+            addresses,
+            endpoint,
+            inbox,
+            stop,
+            ended: ends,
+        })
     }
 
     /// Returns the bound addresses.
@@ -122,17 +120,14 @@
     started: oneshot::Sender<Started>,
     stopped: oneshot::Receiver<()>,
 ) -> eyre::Result<()> {
-    let listen = &mut settings.listen;
-    let callers = bind(&mut listen.callers).await?;
-    let targets = bind(&mut listen.targets).await?;
-    let admin = bind(&mut listen.admin).await?;
-    let identity = match options.identity {
-        Some(identity) => identity,
-        None => {
-            let tls = &settings.tls;
-            Identity::read(&tls.authority, &tls.certificate, &tls.key)?
-        }
-    };
+    let callers = bind(&mut settings.listen.callers).await?;
+    let targets = bind(&mut settings.listen.targets).await?;
+    let admin = bind(&mut settings.listen.admin).await?;
+    let tls = &settings.tls;
+    let identity = options.identity.map_or_else(
+        || Identity::read(&tls.authority, &tls.certificate, &tls.key),
+        Ok,
+    )?;
     let instance = vm::Instance {
         name: Arc::clone(&settings.vm),
         incarnation: vm::Incarnation(
--- /dev/null
+++ b/entry/tests/support/mod.rs
@@ -0,0 +1,406 @@
+//! Fake targets over real sockets and an entry process for them.
+
+#![allow(dead_code, reason = "each test file uses a part of the support")]
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_rt::net::{TcpListener, TcpStream};
+use actix_rt::time::sleep;
+use awc::Client;
+use futures_util::future::LocalBoxFuture;
+use primrosepin_config::settings::{Entry, EntryListen, Limits, Log, Tls};
+use primrosepin_core::inventory::{Inventory, Kind, Match, Organisation, Rules, Service, Zone};
+use primrosepin_core::registry::Config;
+use primrosepin_entry::{Options, Server};
+use primrosepin_transport::Role;
+use primrosepin_transport::keys::Authority;
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+pub const CALLER_KEY: &str = "caller-key";
+pub const ANNOUNCE_KEY: &str = "announce-key";
+pub const OPERATOR_KEY: &str = "operator-key";
+
+pub fn sha256(key: &str) -> Arc<str> {
+    let digits: Vec<String> = Sha256::digest(key.as_bytes())
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect();
+    digits.concat().into()
+}
+
+/// Configuration with one zone, an engine service `lm` and a plain service `orders`, whose POST
+/// requests run at most once below `/orders/once`.
+pub fn config() -> Config {
+    let service = |name: &str, kind, models: &[&str], paths: &[&str]| Service {
+        name: name.into(),
+        kind,
+        models: models.iter().map(|&model| model.into()).collect(),
+        paths: paths.iter().map(|&path| path.into()).collect(),
+        announce_keys_sha256: vec![sha256(ANNOUNCE_KEY)],
+    };
+    Config {
+        version: 1,
+        inventory: Inventory {
+            zones: vec![Zone {
+                name: "z".into(),
+                region: "r".into(),
+                entries: vec!["e1".into()],
+            }],
+            services: vec![
+                service("lm", Kind::Engine, &["m"], &[]),
+                service("orders", Kind::Plain, &[], &["/orders"]),
+            ],
+            organisations: vec![Organisation {
+                name: "acme".into(),
+                keys_sha256: vec![sha256(CALLER_KEY)],
+                share: 1,
+                max_running: 64,
+            }],
+            rules: Rules {
+                at_most_once: vec![Match {
+                    path: Some("/orders/once".into()),
+                    ..Match::default()
+                }],
+                ..Rules::default()
+            },
+        },
+        zones_out: Vec::new(),
+        targets_out: Vec::new(),
+    }
+}
+
+pub fn settings() -> Entry {
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    Entry {
+        vm: "e1".into(),
+        zone: "z".into(),
+        listen: EntryListen {
+            callers: any,
+            targets: any,
+            admin: any,
+            peers: any,
+        },
+        seeds: Vec::new(),
+        control: Vec::new(),
+        other_zones: Vec::new(),
+        tls: Tls {
+            authority: "unused".into(),
+            certificate: "unused".into(),
+            key: "unused".into(),
+        },
+        operator_keys_sha256: vec![sha256(OPERATOR_KEY)],
+        limits: Limits {
+            drain_ms: 0,
+            ..Limits::default()
+        },
+        log: Log::default(),
+    }
+}
+
+/// Starts an entry process with the configuration of [`config`].
+pub async fn entry(settings: Entry) -> Server {
+    let authority = Authority::new().unwrap();
+    let identity = authority.issue("e1", Role::Entry).unwrap();
+    let options = Options {
+        seed: Some(7),
+        identity: Some(identity),
+        config: Some(Arc::new(config())),
+        ..Options::default()
+    };
+    let server = Server::start(settings, options).await.unwrap();
+    until(async || {
+        let ready = format!("http://{}/readyz", server.addresses().callers);
+        let response = Client::default().get(ready).send().await;
+        response.is_ok_and(|response| response.status().is_success())
+    })
+    .await;
+    server
+}
+
+/// Repeats a check until it holds.
+pub async fn until<F>(check: F)
+where
+    F: AsyncFn() -> bool,
+{
+    while !check().await {
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// A request as a fake target reads it.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    pub method: String,
+    pub path: String,
+    pub headers: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+    /// Number of the connection, from 0.
+    pub connection: usize,
+}
+
+impl Seen {
+    pub fn attempt(&self) -> &str {
+        &self.headers["x-primrosepin-attempt"]
+    }
+
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap()
+    }
+}
+
+/// What a fake target does with a request. The connection is closed if the script returns none.
+pub type Script = Rc<dyn Fn(Seen, TcpStream) -> LocalBoxFuture<'static, Option<TcpStream>>>;
+
+/// A fake target that runs a script for each request and notes them all.
+pub struct Target {
+    pub address: SocketAddr,
+    pub seen: Rc<RefCell<Vec<Seen>>>,
+}
+
+impl Target {
+    pub async fn start<S, F>(script: S) -> Self
+    where
+        S: Fn(Seen, TcpStream) -> F + 'static,
+        F: Future<Output = Option<TcpStream>> + 'static,
+    {
+        let script: Script = Rc::new(move |seen, stream| Box::pin(script(seen, stream)));
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let seen: Rc<RefCell<Vec<Seen>>> = Rc::default();
+        let log = Rc::clone(&seen);
+        actix_rt::spawn(async move {
+            for connection in 0.. {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let script = Rc::clone(&script);
+                let log = Rc::clone(&log);
+                actix_rt::spawn(async move {
+                    while let Some(request) = read_request(&mut stream, connection).await {
+                        log.borrow_mut().push(request.clone());
+                        // Calls beside the attempts are acknowledged.
+                        if request.path == "/v1/cancel" || request.path == "/v1/requests" {
+                            write_json(&mut stream, &request, 200, &json!({})).await;
+                            continue;
+                        }
+                        match script(request, stream).await {
+                            Some(kept) => stream = kept,
+                            None => return,
+                        }
+                    }
+                });
+            }
+        });
+        Self { address, seen }
+    }
+
+    /// Announces the target once as warm.
+    pub async fn announce(&self, server: &Server, name: &str, service: &str, seq: u64) {
+        let kind = if service == "lm" { "engine" } else { "plain" };
+        let body = json!({
+            "name": name, "zone": "z", "service": service, "kind": kind,
+            "address": self.address.to_string(), "incarnation": 1, "seq": seq, "state": "warm",
+            "models": [{"name": "m", "version": "1"}],
+            "cold_budget": {"requests": 8, "tokens": 1_000_000},
+            "max_running": 64, "kv_tokens": 1_000_000, "prefill_tokens_per_s": 1_000_000,
+            "decode_tokens_per_s": 1_000,
+        });
+        let url = format!("http://{}/v1/targets/announce", server.addresses().targets);
+        let request = Client::default().post(url).bearer_auth(ANNOUNCE_KEY);
+        let response = request.send_json(&body).await.unwrap();
+        assert_eq!(response.status(), 200);
+    }
+
+    /// Announces the target until the test ends.
+    pub async fn join(&self, server: &Server, name: &'static str, service: &'static str) {
+        self.announce(server, name, service, 1).await;
+        let url = format!("http://{}/v1/targets/announce", server.addresses().targets);
+        let address = self.address;
+        actix_rt::spawn(async move {
+            for seq in 2.. {
+                sleep(Duration::from_millis(500)).await;
+                let kind = if service == "lm" { "engine" } else { "plain" };
+                let body = json!({
+                    "name": name, "zone": "z", "service": service, "kind": kind,
+                    "address": address.to_string(), "incarnation": 1, "seq": seq,
+                    "state": "warm", "models": [{"name": "m", "version": "1"}],
+                    "cold_budget": {"requests": 8, "tokens": 1_000_000},
+                    "max_running": 64, "kv_tokens": 1_000_000,
+                    "prefill_tokens_per_s": 1_000_000, "decode_tokens_per_s": 1_000,
+                });
+                let request = Client::default().post(&url).bearer_auth(ANNOUNCE_KEY);
+                // Fails once the entry process has stopped.
+                drop(request.send_json(&body).await);
+            }
+        });
+    }
+
+    /// Returns the requests of a path that the target has read.
+    pub fn requests(&self, path: &str) -> Vec<Seen> {
+        let seen = self.seen.borrow();
+        seen.iter()
+            .filter(|seen| seen.path == path)
+            .cloned()
+            .collect()
+    }
+}
+
+/// Reads one HTTP/1.1 request with a body by length.
+pub async fn read_request(stream: &mut TcpStream, connection: usize) -> Option<Seen> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    let text = String::from_utf8(head).unwrap();
+    let mut lines = text.lines();
+    let mut start = lines.next()?.split(' ');
+    let (method, path) = (start.next()?.to_owned(), start.next()?.to_owned());
+    let headers: BTreeMap<String, String> = lines
+        .filter_map(|line| line.split_once(": "))
+        .map(|(name, value)| (name.to_ascii_lowercase(), value.to_owned()))
+        .collect();
+    let length = headers
+        .get("content-length")
+        .map_or(0, |length| length.parse().unwrap());
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await.ok()?;
+    Some(Seen {
+        method,
+        path,
+        headers,
+        body,
+        connection,
+    })
+}
+
+/// Writes a whole JSON answer with the attempt id.
+pub async fn write_json(stream: &mut TcpStream, seen: &Seen, status: u16, body: &Value) {
+    let body = body.to_string();
+    let attempt = seen
+        .headers
+        .get("x-primrosepin-attempt")
+        .cloned()
+        .unwrap_or_default();
+    let text = format!(
+        "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\
+         x-primrosepin-attempt: {attempt}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(text.as_bytes()).await.unwrap();
+}
+
+/// Writes the head of a stream.
+pub async fn write_stream_head(stream: &mut TcpStream, attempt: &str) {
+    let text = format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\
+         x-primrosepin-attempt: {attempt}\r\n\r\n"
+    );
+    stream.write_all(text.as_bytes()).await.unwrap();
+}
+
+/// Writes a chunk; fails silently when the other side is gone.
+pub async fn write_chunk(stream: &mut TcpStream, text: &str) {
+    let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+    drop(stream.write_all(chunk.as_bytes()).await);
+}
+
+/// Writes one event with its id.
+pub async fn write_event(stream: &mut TcpStream, attempt: &str, index: u32) {
+    write_chunk(
+        stream,
+        &format!("id: {attempt}:{index}\ndata: {{\"t\":{index}}}\n\n"),
+    )
+    .await;
+}
+
+/// Writes the end marker and the last chunk.
+pub async fn write_done(stream: &mut TcpStream) {
+    write_chunk(stream, "data: [DONE]\n\n").await;
+    drop(stream.write_all(b"0\r\n\r\n").await);
+}
+
+/// Streams `count` events as an engine does.
+pub async fn stream_all(mut stream: TcpStream, seen: &Seen, count: u32) -> Option<TcpStream> {
+    write_stream_head(&mut stream, seen.attempt()).await;
+    for index in 0..count {
+        write_event(&mut stream, seen.attempt(), index).await;
+    }
+    write_done(&mut stream).await;
+    Some(stream)
+}
+
+/// What a caller gets.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: BTreeMap<String, String>,
+    pub body: String,
+}
+
+impl Answer {
+    pub fn outcome(&self) -> &str {
+        &self.headers["x-primrosepin-outcome"]
+    }
+
+    pub fn error(&self) -> Value {
+        let body: Value = serde_json::from_str(&self.body).unwrap();
+        body["error"].clone()
+    }
+
+    /// Returns the outcome in the final event of a stream.
+    pub fn final_outcome(&self) -> Option<String> {
+        let (_, end) = self.body.split_once("event: primrosepin.outcome\ndata: ")?;
+        let event: Value = serde_json::from_str(end.trim()).unwrap();
+        Some(event["outcome"].as_str().unwrap().to_owned())
+    }
+}
+
+pub fn generation(stream: bool) -> Value {
+    json!({"model": "m", "stream": stream, "max_tokens": 8, "messages": [{"role": "user", "content": "x"}]})
+}
+
+/// Sends a request as a caller and reads the whole answer.
+pub async fn call(server: &Server, path: &str, body: &Value) -> Answer {
+    call_with(server, path, body, &[]).await
+}
+
+pub async fn call_with(
+    server: &Server,
+    path: &str,
+    body: &Value,
+    headers: &[(&'static str, &'static str)],
+) -> Answer {
+    let url = format!("http://{}{path}", server.addresses().callers);
+    let client = awc::ClientBuilder::new().disable_timeout().finish();
+    let mut request = client.post(url).bearer_auth(CALLER_KEY);
+    for header in headers {
+        request = request.insert_header(*header);
+    }
+    let mut response = request.send_json(body).await.unwrap();
+    let body = response.body().limit(64 << 20).await.unwrap();
+    Answer {
+        status: response.status().as_u16(),
+        headers: response
+            .headers()
+            .iter()
+            .map(|(name, value)| {
+                let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
+                (name.as_str().to_owned(), value)
+            })
+            .collect(),
+        body: String::from_utf8(body.to_vec()).unwrap(),
+    }
+}
+
+/// Returns events as a caller sees them.
+pub fn tokens(range: std::ops::Range<u32>) -> String {
+    let events: Vec<String> = range
+        .map(|index| format!("data: {{\"t\":{index}}}\n\n"))
+        .collect();
+    events.concat()
+}
