--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -27,6 +27,10 @@
     pub usage: Vec<Usage>,
     /// Zone orders given locally while control was unreachable.
     pub local_out: Vec<Override>,
+    /// Epoch of the zone lease, if the sender holds it.
+    pub epoch: Option<u64>,
+    /// Digest of the cold states of targets at the sender; views that differ are exchanged.
+    pub turns: u64,
 }
 
 /// Work that one entry VM dispatched to one target.
@@ -40,6 +44,10 @@
     pub since_seq: u64,
     /// Prompt tokens dispatched since that report and not yet prefilled.
     pub tokens: u64,
+    /// Running attempts of the classes `long` and `huge`.
+    pub long: u32,
+    /// Prompt tokens of running attempts before their first token, by class.
+    pub unprefilled: [u64; 4],
 }
 
 /// Usage of one organisation at one entry VM.
--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -25,6 +25,8 @@
     Credit(Credit),
     /// Reservations for requests that span several targets.
     Span(Span),
+    /// Cold states of targets, sent to a member whose view differs.
+    Turns(Vec<target::Turn>),
     /// Capacity of a zone.
     Summary(zone::Summary),
     /// The sender holds this configuration version and asks for a higher one.
--- /dev/null
+++ b/core/src/serving/admission.rs
@@ -0,0 +1,132 @@
+//! Admission: a request that cannot be answered before its deadline is refused at once, so that
+//! the caller can try elsewhere and the fleet spends no work on answers that come too late.
+
+use std::time::Duration;
+
+use crate::request::{Class, Id, Reason};
+
+use super::reducer::Reducer;
+use super::request::Request;
+
+/// Retry hint while no target serves the service.
+const NO_TARGET_RETRY_MS: u64 = 2_000;
+
+/// Retry hint while the zone is out.
+const ZONE_OUT_RETRY_MS: u64 = 5_000;
+
+/// Retry hint of an organisation over its limit.
+const ORGANISATION_RETRY_MS: u64 = 1_000;
+
+/// Bounds of the retry hint of a busy fleet.
+const BUSY_RETRY_MS: (u64, u64) = (200, 30_000);
+
+/// Waiting requests of an organisation at its limit, in multiples of its limit.
+const WAITING_PER_LIMIT: usize = 4;
+
+/// Smallest number of waiting requests that an organisation at its limit may have.
+const WAITING_MIN: usize = 16;
+
+/// Generated tokens assumed before the first answer.
+const DECODE_GUESS_TOKENS: u64 = 128;
+
+/// Why a request is not admitted, with the retry hint.
+pub(super) type Denial = (Reason, Option<u64>);
+
+impl Reducer {
+    /// Returns why the zone cannot serve a request before its deadline, if so.
+    pub(super) fn denial(&self, id: Id) -> Option<Denial> {
+        let request = self.requests.get(&id)?;
+        if self.zone_out() {
+            return Some((Reason::ZoneOut, Some(ZONE_OUT_RETRY_MS)));
+        }
+        if self.table.members(request.group).next().is_none() {
+            return Some((Reason::NoTarget, Some(NO_TARGET_RETRY_MS)));
+        }
+        if request.cost.kv_tokens > self.table.largest_memory(request.group) {
+            return self.span_denial(request);
+        }
+        let (running, waiting) = self.queue.load(&request.arrival.organisation);
+        let limit = self.limit(&request.arrival.organisation);
+        let most = WAITING_MIN.max((limit as usize).saturating_mul(WAITING_PER_LIMIT));
+        if running >= limit && waiting >= most {
+            return Some((Reason::OrganisationLimit, Some(ORGANISATION_RETRY_MS)));
+        }
+        let left = request.deadline.since(self.now).as_micros() as f64;
+        let needed = self.predict_us(request);
+        (needed > left).then(|| busy(needed - left))
+    }
+
+    /// Predicts the time from now to the whole answer, in microseconds.
+    fn predict_us(&self, request: &Request) -> f64 {
+        let group = self.table.group(request.group);
+        let class = request.class as usize;
+        let mut slots = 0;
+        let mut running = 0;
+        let mut rate = 0.0;
+        let mut targets = 0.0;
+        let mut long_tokens: u64 = group.waiting_tokens[2..].iter().sum();
+        let mut service = f64::INFINITY;
+        for (_, target) in self.table.members(request.group) {
+            if !target.is_open(self.now) {
+                continue;
+            }
+            slots += target.announcement.max_running;
+            running += target.zone_running();
+            rate += target.announcement.prefill_tokens_per_s as f64 / 1e6;
+            targets += 1.0;
+            long_tokens += target.unprefilled_long();
+            let own = target.wait_us(self.now, request.class)
+                + target.prefill_us(request.cost.prefill_tokens)
+                + target.decode_us(request.cost.decode_tokens);
+            service = service.min(own);
+        }
+        if slots == 0 {
+            // Targets exist but none is open; one may open again before the deadline.
+            return 0.0;
+        }
+        let waiting: u32 = group.waiting[..=class].iter().sum();
+        let over = (running + waiting + 1).saturating_sub(slots);
+        let slot_us = f64::from(over) / f64::from(slots) * self.mean_service_us(request.group);
+        let mut queue_us = slot_us;
+        if rate > 0.0 {
+            let tokens: u64 = group.waiting_tokens[..=class].iter().sum();
+            queue_us = queue_us.max(tokens as f64 / rate);
+            if request.class >= Class::Long {
+                let long_rate = rate / targets * (targets / 2.0_f64).max(1.0);
+                queue_us = queue_us.max(long_tokens as f64 / long_rate);
+            }
+        }
+        queue_us + service
+    }
+
+    fn mean_service_us(&self, group: u32) -> f64 {
+        let known = self.table.group(group).service_us;
+        let known = known.iter().filter(|&&us| us > 0.0);
+        let (sum, count) = known.fold((0.0, 0.0), |(sum, count), us| (sum + us, count + 1.0));
+        if count > 0.0 { sum / count } else { 0.0 }
+    }
+
+    /// Returns the expected number of generated tokens of a group's answers.
+    pub(super) fn expected_decode(&self, group: u32, max_tokens: u64) -> u64 {
+        let mean = self.table.group(group).generated_tokens;
+        let expected = if mean > 0.0 {
+            mean as u64
+        } else {
+            DECODE_GUESS_TOKENS
+        };
+        expected.min(max_tokens)
+    }
+
+    /// Returns the denial of a request whose answer would come too late if it started now.
+    pub(super) fn late_by(&self, id: Id, needed_us: f64) -> Option<Denial> {
+        let request = self.requests.get(&id)?;
+        let left = request.deadline.since(self.now).as_micros() as f64;
+        (needed_us > left).then(|| busy(needed_us - left))
+    }
+}
+
+fn busy(excess_us: f64) -> Denial {
+    let excess = Duration::from_micros(excess_us as u64).as_millis() as u64;
+    let hint = excess.clamp(BUSY_RETRY_MS.0, BUSY_RETRY_MS.1);
+    (Reason::FleetBusy, Some(hint))
+}
--- /dev/null
+++ b/core/src/serving/claim.rs
@@ -0,0 +1,173 @@
+//! Requests that must run at most once.
+//!
+//! The key is claimed in the ledger before the first dispatch and the outcome is recorded
+//! afterwards. A record is sent again until the ledger confirms it; until then the entry counts as
+//! in flight there, which is the safe side.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::ledger::{Answer, Call, Key};
+use crate::request::{Id, Outcome, Reason};
+use crate::time::Instant;
+
+use super::effect::Effect;
+use super::reducer::Reducer;
+use super::request::{Request, Stage};
+
+/// Time after the deadline until a claim without a record counts as `unknown`.
+const EXPIRY_MARGIN: Duration = Duration::from_secs(5);
+
+/// Time after which an unconfirmed record is sent again.
+const RESEND: Duration = Duration::from_secs(1);
+
+/// Time for which an outcome is kept, so that a late claim can be released.
+const KEEP: Duration = Duration::from_mins(1);
+
+/// Retry hint while the ledger cannot be written.
+const LEDGER_RETRY_MS: u64 = 2_000;
+
+/// An outcome to record.
+#[derive(Debug)]
+pub(super) struct Record {
+    call: Call,
+    /// When to send again; none once confirmed.
+    next: Option<Instant>,
+    until: Instant,
+}
+
+fn key(request: &Request) -> Key {
+    let own = || format!("{:032x}", request.arrival.id.0).into();
+    Key {
+        organisation: Arc::clone(&request.arrival.organisation),
+        key: request.arrival.key.clone().unwrap_or_else(own),
+    }
+}
+
+impl Reducer {
+    /// Claims the key of a request.
+    pub(super) fn claim(&mut self, id: Id, effects: &mut Vec<Effect>) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.stage = Stage::Claiming;
+        request.claimed = true;
+        let left = request.deadline.since(self.now) + EXPIRY_MARGIN;
+        effects.push(Effect::Ledger {
+            request: id,
+            call: Call::Begin {
+                key: key(request),
+                holder: self.settings.vm.clone(),
+                request: id,
+                expires_ms: left.as_millis() as u64,
+                content: 0,
+            },
+        });
+    }
+
+    /// Records the outcome of a request that claimed a key.
+    pub(super) fn record(
+        &mut self,
+        request: &Request,
+        outcome: Outcome,
+        effects: &mut Vec<Effect>,
+    ) {
+        if !request.claimed {
+            return;
+        }
+        let id = request.arrival.id;
+        let call = Call::Finish {
+            key: key(request),
+            holder: self.settings.vm.clone(),
+            request: id,
+            outcome,
+            response: None,
+        };
+        effects.push(Effect::Ledger {
+            request: id,
+            call: call.clone(),
+        });
+        let record = Record {
+            call,
+            next: Some(self.now + RESEND),
+            until: self.now + KEEP,
+        };
+        self.records.insert(id, record);
+    }
+
+    /// Takes an answer of the ledger.
+    pub(super) fn ledger(&mut self, id: Id, answer: Answer, effects: &mut Vec<Effect>) {
+        if let Some(record) = self.records.get_mut(&id) {
+            match answer {
+                Answer::Recorded => record.next = None,
+                // The claim was committed after its request had ended.
+                Answer::Claimed => record.next = Some(self.now),
+                Answer::Unavailable
+                | Answer::InFlight
+                | Answer::Conflict
+                | Answer::Finished { .. } => {}
+            }
+            return;
+        }
+        let claiming = self
+            .requests
+            .get(&id)
+            .is_some_and(|request| matches!(request.stage, Stage::Claiming));
+        if !claiming {
+            return;
+        }
+        match answer {
+            Answer::Claimed => self.enqueue(id),
+            Answer::Unavailable => {
+                let hint = Some(LEDGER_RETRY_MS);
+                self.fail(id, Reason::LedgerUnavailable, hint, effects);
+            }
+            Answer::InFlight => {
+                self.unclaim(id);
+                self.finish(id, Outcome::Unknown, Reason::Duplicate, None, effects);
+            }
+            Answer::Conflict => {
+                self.unclaim(id);
+                self.finish(id, Outcome::NotRun, Reason::Duplicate, None, effects);
+            }
+            Answer::Finished { outcome, response } => {
+                self.unclaim(id);
+                let Some(response) = response else {
+                    self.finish(id, outcome, Reason::Duplicate, None, effects);
+                    return;
+                };
+                self.remove(id);
+                self.counters.replayed += 1;
+                self.counters.ended(outcome);
+                effects.push(Effect::Replay {
+                    request: id,
+                    outcome,
+                    response,
+                });
+            }
+            Answer::Recorded => {}
+        }
+    }
+
+    /// Notes that another request holds the key, so that nothing is recorded for this one.
+    fn unclaim(&mut self, id: Id) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.claimed = false;
+        }
+    }
+
+    /// Sends unconfirmed records again.
+    pub(super) fn resend_records(&mut self, effects: &mut Vec<Effect>) {
+        let now = self.now;
+        self.records.retain(|_, record| record.until > now);
+        for (&request, record) in &mut self.records {
+            if record.next.is_some_and(|next| next <= now) {
+                record.next = Some(now + RESEND);
+                effects.push(Effect::Ledger {
+                    request,
+                    call: record.call.clone(),
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/serving/coordinator.rs
@@ -0,0 +1,443 @@
+//! The zone lease and the coordinator's duties.
+//!
+//! The entry VMs that the inventory lists for the zone vote. A vote holds for one lease from its
+//! receipt, the asker counts its lease from the ask, so that the asker's lease ends first. A voter
+//! abstains for one lease after its start, because it may have forgotten a vote, and after a
+//! change of the list of voters.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::inventory::Kind;
+use crate::membership::Vote;
+use crate::message::Message;
+use crate::time::Instant;
+use crate::vm;
+use crate::zone::{Capacity, Summary};
+
+use super::effect::{Effect, Notice};
+use super::reducer::Reducer;
+
+/// Duration of the zone lease.
+pub(super) const ZONE_LEASE: Duration = Duration::from_secs(3);
+
+/// Longest lease that a voter grants.
+const LEASE_MAX_MS: u64 = 10_000;
+
+/// Interval at which the holder renews.
+const RENEW_INTERVAL: Duration = Duration::from_millis(750);
+
+/// Delay between the candidates of a vacant lease, so that their asks rarely collide.
+const CANDIDATE_STEP: Duration = Duration::from_millis(250);
+
+/// Interval of summaries to other zones.
+const SUMMARY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Interval of the comparison of engines' held attempts with the live entry VMs.
+const RECONCILE_INTERVAL: Duration = Duration::from_secs(5);
+
+/// What this VM knows of the zone lease.
+#[derive(Debug)]
+pub(super) struct Lease {
+    abstain_until: Instant,
+    voters: Vec<Arc<str>>,
+    /// Vote of this VM: holder, epoch and end.
+    granted: Option<(vm::Instance, u64, Instant)>,
+    /// Highest epoch seen.
+    highest: u64,
+    ask: Option<Ask>,
+    round: u64,
+    next_ask: Instant,
+    /// Epoch and end of the lease, if this VM holds it.
+    held: Option<(u64, Instant)>,
+    vacant_since: Instant,
+    /// Another member that holds the lease, with its epoch.
+    pub holder: Option<(vm::Instance, u64)>,
+    next_summary: Instant,
+    summaries: u64,
+    next_reconcile: Instant,
+}
+
+#[derive(Debug)]
+struct Ask {
+    epoch: u64,
+    round: u64,
+    asked: Instant,
+    votes: BTreeSet<Arc<str>>,
+}
+
+impl Lease {
+    pub fn new(now: Instant) -> Self {
+        Self {
+            abstain_until: now + ZONE_LEASE,
+            voters: Vec::new(),
+            granted: None,
+            highest: 0,
+            ask: None,
+            round: 0,
+            next_ask: now,
+            held: None,
+            vacant_since: now,
+            holder: None,
+            next_summary: now,
+            summaries: 0,
+            next_reconcile: now,
+        }
+    }
+}
+
+impl Reducer {
+    /// Returns the epoch of the zone lease, if this VM holds it now.
+    pub fn held_epoch(&self) -> Option<u64> {
+        let (epoch, until) = self.lease.held?;
+        (until > self.now).then_some(epoch)
+    }
+
+    /// Returns the names of the entry VMs that vote in this zone.
+    pub(super) fn voters(&self) -> &[Arc<str>] {
+        &self.lease.voters
+    }
+
+    /// Returns the holder of the zone lease, if it is another VM and alive.
+    pub(super) fn other_coordinator(&self) -> Option<(&vm::Instance, u64)> {
+        let (holder, epoch) = self.lease.holder.as_ref()?;
+        self.members.get(holder).map(|_| (holder, *epoch))
+    }
+
+    /// Returns whether cold credits and spanning reservations can be asked for.
+    pub(super) fn has_coordinator(&self) -> bool {
+        self.held_epoch().is_some() || self.other_coordinator().is_some()
+    }
+
+    /// Takes the list of voters from the configuration in force.
+    pub(super) fn update_voters(&mut self) {
+        let Some(config) = &self.config else {
+            return;
+        };
+        let zone = config
+            .inventory
+            .zones
+            .iter()
+            .find(|zone| zone.name == self.settings.zone);
+        let voters = zone.map_or(&[][..], |zone| &zone.entries);
+        if self.lease.voters == voters {
+            return;
+        }
+        // The first list is covered by the abstention after the start.
+        if !self.lease.voters.is_empty() {
+            self.lease.abstain_until = self.now + ZONE_LEASE;
+        }
+        self.lease.voters = voters.to_vec();
+    }
+
+    /// Asks for the zone lease, renews it or notes its end, and carries out the holder's duties.
+    pub(super) fn keep_lease(&mut self, effects: &mut Vec<Effect>) {
+        if let Some((epoch, until)) = self.lease.held
+            && until <= self.now
+        {
+            self.lease.held = None;
+            self.lease.ask = None;
+            self.end_term();
+            effects.push(Effect::Notice(Notice::CoordinatorLost(epoch)));
+        }
+        let own = &self.settings.vm.name;
+        let is_voter = self.lease.voters.contains(own);
+        if is_voter && !self.draining && self.lease.abstain_until <= self.now {
+            match self.held_epoch() {
+                Some(epoch) if self.lease.next_ask <= self.now => {
+                    self.lease.next_ask = self.now + RENEW_INTERVAL;
+                    self.ask_for_lease(epoch, effects);
+                }
+                Some(_) => {}
+                None => self.stand_for_lease(effects),
+            }
+        }
+        if self.held_epoch().is_some() {
+            self.summarise(effects);
+            self.reconcile(effects);
+        }
+    }
+
+    fn stand_for_lease(&mut self, effects: &mut Vec<Effect>) {
+        let claimed = self
+            .members
+            .known
+            .values()
+            .any(|member| member.epoch.is_some());
+        let voted = self
+            .lease
+            .granted
+            .as_ref()
+            .is_some_and(|(holder, _, until)| *holder != self.settings.vm && *until > self.now);
+        if claimed || voted {
+            self.lease.vacant_since = self.now;
+            return;
+        }
+        let rank = self
+            .lease
+            .voters
+            .iter()
+            .filter(|&name| *name < self.settings.vm.name)
+            .filter(|&name| self.members.known.contains_key(name))
+            .count();
+        let turn = self.lease.vacant_since + CANDIDATE_STEP * rank as u32;
+        if turn > self.now || self.lease.next_ask > self.now {
+            return;
+        }
+        let pause_ms = 400 + self.rng.next_u64() % 400;
+        self.lease.next_ask = self.now + Duration::from_millis(pause_ms);
+        self.ask_for_lease(self.lease.highest + 1, effects);
+    }
+
+    fn ask_for_lease(&mut self, epoch: u64, effects: &mut Vec<Effect>) {
+        self.lease.round += 1;
+        let round = self.lease.round;
+        self.lease.ask = Some(Ask {
+            epoch,
+            round,
+            asked: self.now,
+            votes: BTreeSet::new(),
+        });
+        let vote = Vote::Ask {
+            epoch,
+            lease_ms: ZONE_LEASE.as_millis() as u64,
+            round,
+        };
+        let others: Vec<vm::Instance> = self
+            .members
+            .known
+            .values()
+            .filter(|member| self.lease.voters.contains(&member.instance.name))
+            .map(|member| member.instance.clone())
+            .collect();
+        for other in others {
+            self.send(&other, Message::Vote(vote.clone()), effects);
+        }
+        let own = self.settings.vm.clone();
+        if self.grants(&own, epoch, ZONE_LEASE) {
+            self.count_vote(&own, epoch, round, effects);
+        }
+    }
+
+    /// Votes for an asker, if no vote stands against it.
+    fn grants(&mut self, asker: &vm::Instance, epoch: u64, lease: Duration) -> bool {
+        if self.lease.abstain_until > self.now {
+            return false;
+        }
+        if let Some((holder, granted, until)) = &self.lease.granted {
+            let other = holder != asker;
+            if other && *until > self.now
+                || epoch < self.lease.highest
+                || epoch == self.lease.highest && (other || epoch != *granted)
+            {
+                return false;
+            }
+        } else if epoch <= self.lease.highest {
+            return false;
+        }
+        self.lease.highest = epoch;
+        self.lease.granted = Some((asker.clone(), epoch, self.now + lease));
+        true
+    }
+
+    /// Takes a message of the zone lease.
+    pub(super) fn vote(&mut self, from: &vm::Instance, vote: &Vote, effects: &mut Vec<Effect>) {
+        if !self.lease.voters.contains(&from.name) || self.members.get(from).is_none() {
+            return;
+        }
+        match *vote {
+            Vote::Ask {
+                epoch,
+                lease_ms,
+                round,
+            } => {
+                let is_voter = self.lease.voters.contains(&self.settings.vm.name);
+                let lease = Duration::from_millis(lease_ms);
+                let granted =
+                    is_voter && lease_ms <= LEASE_MAX_MS && self.grants(from, epoch, lease);
+                let answer = if granted {
+                    Vote::Grant { epoch, round }
+                } else {
+                    Vote::Deny {
+                        epoch: self.lease.highest,
+                        round,
+                    }
+                };
+                self.send(from, Message::Vote(answer), effects);
+            }
+            Vote::Grant { epoch, round } => self.count_vote(from, epoch, round, effects),
+            Vote::Deny { epoch, .. } => self.lease.highest = self.lease.highest.max(epoch),
+        }
+    }
+
+    fn count_vote(
+        &mut self,
+        from: &vm::Instance,
+        epoch: u64,
+        round: u64,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(ask) = &mut self.lease.ask else {
+            return;
+        };
+        if ask.epoch != epoch || ask.round != round {
+            return;
+        }
+        ask.votes.insert(Arc::clone(&from.name));
+        let votes = ask
+            .votes
+            .iter()
+            .filter(|&name| self.lease.voters.contains(name))
+            .count();
+        let until = ask.asked + ZONE_LEASE;
+        if 2 * votes <= self.lease.voters.len() || until <= self.now {
+            return;
+        }
+        let gained = self.held_epoch() != Some(epoch);
+        self.lease.held = Some((epoch, until));
+        if gained {
+            self.lease.holder = None;
+            self.lease.next_ask = self.now + RENEW_INTERVAL;
+            effects.push(Effect::Notice(Notice::CoordinatorGained(epoch)));
+            self.begin_term();
+            self.reschedule = true;
+        }
+    }
+
+    /// Notes whether a member holds the zone lease.
+    pub(super) fn heard_epoch(
+        &mut self,
+        from: &vm::Instance,
+        epoch: Option<u64>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(epoch) = epoch else {
+            if self
+                .lease
+                .holder
+                .as_ref()
+                .is_some_and(|(holder, _)| holder == from)
+            {
+                self.lease.holder = None;
+            }
+            return;
+        };
+        self.lease.highest = self.lease.highest.max(epoch);
+        let newer = self
+            .lease
+            .holder
+            .as_ref()
+            .is_none_or(|(_, known)| epoch > *known);
+        if newer {
+            self.lease.holder = Some((from.clone(), epoch));
+            self.send_holdings(effects);
+        }
+    }
+
+    /// Publishes the zone's capacity to the other zones.
+    fn summarise(&mut self, effects: &mut Vec<Effect>) {
+        if self.lease.next_summary > self.now {
+            return;
+        }
+        self.lease.next_summary = self.now + SUMMARY_INTERVAL;
+        self.lease.summaries += 1;
+        let summary = Summary {
+            zone: Arc::clone(&self.settings.zone),
+            sequence: self.lease.summaries,
+            epoch: self.held_epoch().unwrap_or_default(),
+            services: if self.zone_out() {
+                Vec::new()
+            } else {
+                self.capacities()
+            },
+            entries: self
+                .members
+                .known
+                .values()
+                .filter(|member| !member.draining)
+                .map(|member| member.address.callers)
+                .chain([self.settings.address.callers.filter(|_| !self.draining)])
+                .flatten()
+                .collect(),
+        };
+        for &to in &self.settings.other_zones {
+            effects.push(Effect::Send {
+                to,
+                receiver: None,
+                message: Message::Summary(summary.clone()),
+            });
+        }
+    }
+
+    fn capacities(&self) -> Vec<Capacity> {
+        let mut services: BTreeMap<&Arc<str>, Capacity> = BTreeMap::new();
+        for (_, target) in self.table.iter() {
+            let announcement = &target.announcement;
+            let capacity = services
+                .entry(&announcement.service)
+                .or_insert_with(|| Capacity {
+                    service: Arc::clone(&announcement.service),
+                    warm_targets: 0,
+                    prefill_tokens_per_s: 0.0,
+                    backlog_tokens: 0,
+                    largest_kv_tokens: 0,
+                    spanning_kv_tokens: 0,
+                });
+            if !target.is_open(self.now) || target.is_cold() {
+                continue;
+            }
+            capacity.warm_targets += 1;
+            capacity.prefill_tokens_per_s += announcement.prefill_tokens_per_s as f64;
+            let rate = announcement.prefill_tokens_per_s as f64 / 1e6;
+            let wait = target.wait_us(self.now, crate::request::Class::Huge);
+            capacity.backlog_tokens += (wait * rate) as u64;
+            capacity.largest_kv_tokens = capacity.largest_kv_tokens.max(announcement.kv_tokens);
+            if announcement.spans {
+                capacity.spanning_kv_tokens += announcement.kv_tokens;
+            }
+        }
+        for group in self.table.groups() {
+            if let Some(capacity) = services.get_mut(&group.service) {
+                capacity.backlog_tokens += group.waiting_tokens.iter().sum::<u64>();
+            }
+        }
+        services.into_values().collect()
+    }
+
+    /// Takes another zone's summary and passes one from outside on to the zone's members.
+    pub(super) fn summary(
+        &mut self,
+        from: &vm::Instance,
+        summary: Summary,
+        effects: &mut Vec<Effect>,
+    ) {
+        if summary.zone == self.settings.zone {
+            return;
+        }
+        let newer = self.zones.learn(self.now, summary.clone());
+        if newer && self.members.get(from).is_none() {
+            self.broadcast(&Message::Summary(summary), effects);
+        }
+    }
+
+    /// Lets the engines release what belongs to entry VMs that are gone.
+    fn reconcile(&mut self, effects: &mut Vec<Effect>) {
+        if self.lease.next_reconcile > self.now {
+            return;
+        }
+        self.lease.next_reconcile = self.now + RECONCILE_INTERVAL;
+        let live = self.live_owners();
+        for (_, target) in self.table.iter() {
+            if target.announcement.kind == Kind::Engine {
+                effects.push(Effect::Reconcile {
+                    target: Arc::clone(&target.announcement.name),
+                    address: target.announcement.address,
+                    live: live.clone(),
+                });
+            }
+        }
+    }
+}
--- a/core/src/serving/cost.rs
+++ b/core/src/serving/cost.rs
@@ -8,6 +8,9 @@
 /// Longest uncached prompts of the classes `short`, `medium` and `long`, tokens.
 const CLASS_LIMITS_TOKENS: [u64; 3] = [4_000, 32_000, 128_000];
 
+/// Prefill tokens that take an engine about as long as one generated token of one stream in a batch.
+const DECODE_WEIGHT: f64 = 4.0;
+
 /// Work and memory that a request needs on one target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Cost {
@@ -28,6 +31,11 @@
             kv_tokens: arrival.prompt_tokens.saturating_add(arrival.max_tokens),
         }
     }
+
+    /// Returns the cost in prefill-token equivalents, at least 1, for sharing between organisations.
+    pub fn weight(&self) -> f64 {
+        (self.prefill_tokens as f64 + DECODE_WEIGHT * self.decode_tokens as f64).max(1.0)
+    }
 }
 
 /// Returns the class of a prompt with this many uncached tokens.
--- /dev/null
+++ b/core/src/serving/credit.rs
@@ -0,0 +1,575 @@
+//! Cold credits: work on targets in cold start, bounded over all entry VMs of the zone.
+//!
+//! The coordinator grants one credit for each attempt. A credit is outstanding until its holder
+//! gives it back or, when the holder is gone, until the engine must have dropped the attempt. A
+//! new coordinator grants nothing before all members have reported what they hold.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::message::{Credit, Message};
+use crate::request::{Attempt, Id};
+use crate::target;
+use crate::target::State;
+use crate::time::Instant;
+use crate::vm;
+
+use super::effect::Effect;
+use super::placement::Choice;
+use super::reducer::{ENGINE_LEASE_MS, Reducer};
+use super::request::{Request, Run, Stage};
+
+/// Time from the ask within which an attempt must be dispatched.
+const DISPATCH_WITHIN: Duration = Duration::from_secs(1);
+
+/// Time after which an unanswered ask is given up.
+const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Pause after a denial or an unanswered ask.
+const DENIED_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest time for which a credit of an unreachable VM can matter: the dispatch limit, the
+/// engine's lease and the transit.
+const CREDIT_LEASE: Duration = Duration::from_millis(ENGINE_LEASE_MS + 2_000);
+
+/// Age of a grant from which its absence in its holder's report proves that it is not held.
+const SETTLED: Duration = Duration::from_secs(2);
+
+/// Interval of the holders' reports.
+pub(super) const HOLDINGS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The coordinator's accounts.
+#[derive(Debug, Default)]
+pub(super) struct Book {
+    accounts: BTreeMap<Arc<str>, Account>,
+    /// Members whose holdings are not known yet.
+    missing: BTreeSet<vm::Instance>,
+    /// Whether a voter cannot be reached, so that its holdings stay unknown.
+    unreachable: bool,
+    /// End of all credits granted before the term.
+    settled_at: Instant,
+}
+
+#[derive(Debug)]
+struct Account {
+    incarnation: u64,
+    requests: u32,
+    tokens: u64,
+    /// Good first tokens since the last increase.
+    good: u32,
+    held: BTreeMap<Attempt, Hold>,
+}
+
+#[derive(Debug, Clone)]
+struct Hold {
+    holder: vm::Instance,
+    tokens: u64,
+    granted: Instant,
+    /// Set when the holder is gone.
+    expires: Option<Instant>,
+}
+
+/// A credit as an attempt holds it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Held {
+    pub attempt: Attempt,
+    pub incarnation: u64,
+}
+
+impl Book {
+    fn account(&mut self, target: &super::target::Target) -> &mut Account {
+        let announcement = &target.announcement;
+        let account = self
+            .accounts
+            .entry(Arc::clone(&announcement.name))
+            .or_insert_with(|| Account::new(target));
+        if account.incarnation < announcement.incarnation {
+            *account = Account::new(target);
+        }
+        account
+    }
+
+    /// Returns whether credits granted before the term may be unknown.
+    fn is_collecting(&self, now: Instant) -> bool {
+        (self.unreachable || !self.missing.is_empty()) && now < self.settled_at
+    }
+
+    /// Drops the holds of VMs that were gone for longer than a credit can matter.
+    pub fn expire(&mut self, now: Instant) {
+        for account in self.accounts.values_mut() {
+            account
+                .held
+                .retain(|_, hold| hold.expires.is_none_or(|expires| expires > now));
+        }
+    }
+}
+
+impl Account {
+    fn new(target: &super::target::Target) -> Self {
+        let budget = target.announcement.cold_budget;
+        // A target that says it is warm gets at least one request, or it could never prove it.
+        let least = u32::from(target.announcement.state != State::Cold);
+        Self {
+            incarnation: target.announcement.incarnation,
+            requests: budget.requests.max(least),
+            tokens: budget.tokens,
+            good: 0,
+            held: BTreeMap::new(),
+        }
+    }
+}
+
+impl Reducer {
+    /// Starts a term as coordinator.
+    pub(super) fn begin_term(&mut self) {
+        let known = &self.members.known;
+        let unreachable = self
+            .voters()
+            .iter()
+            .any(|name| *name != self.settings.vm.name && !known.contains_key(name));
+        self.book = Book {
+            accounts: BTreeMap::new(),
+            missing: known
+                .values()
+                .map(|member| member.instance.clone())
+                .collect(),
+            unreachable,
+            settled_at: self.now + CREDIT_LEASE,
+        };
+        let own = self.settings.vm.clone();
+        let held = self.holdings();
+        self.take_holdings(&own, &held);
+    }
+
+    /// Ends a term as coordinator.
+    pub(super) fn end_term(&mut self) {
+        self.book = Book::default();
+        self.end_span_term();
+    }
+
+    /// Lets the credits of a VM that is gone run out.
+    pub(super) fn member_gone(&mut self, instance: &vm::Instance) {
+        let expires = self.now + CREDIT_LEASE;
+        for account in self.book.accounts.values_mut() {
+            for hold in account.held.values_mut() {
+                if hold.holder == *instance {
+                    hold.expires.get_or_insert(expires);
+                }
+            }
+        }
+        self.departed.insert(instance.clone(), expires);
+        self.span_member_gone(instance);
+    }
+
+    /// Returns the processes whose attempts the engines should keep.
+    pub(super) fn live_owners(&mut self) -> Vec<vm::Instance> {
+        let now = self.now;
+        self.departed.retain(|_, until| *until > now);
+        let members = &self.members.known;
+        let mut live: Vec<vm::Instance> = members
+            .values()
+            .map(|member| member.instance.clone())
+            .chain([self.settings.vm.clone()])
+            .collect();
+        // A VM that only this one cannot hear may still read its streams. An earlier incarnation
+        // of a live VM certainly does not.
+        let silent = self
+            .departed
+            .keys()
+            .filter(|instance| !members.contains_key(&instance.name));
+        live.extend(silent.cloned());
+        live
+    }
+
+    /// Asks for a credit for a waiting request.
+    pub(super) fn ask_credit(&mut self, id: Id, choice: Choice, effects: &mut Vec<Effect>) {
+        self.dequeue(id);
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let Some(target) = self.table.get_mut(choice.target) else {
+            return;
+        };
+        let attempt = request.attempt();
+        let name = Arc::clone(&target.announcement.name);
+        let incarnation = target.announcement.incarnation;
+        target.asks += 1;
+        request.stage = Stage::Credit {
+            attempt,
+            choice,
+            generation: target.generation,
+            incarnation,
+            asked: self.now,
+        };
+        self.counters.credits_asked += 1;
+        let tokens = choice.prefill_tokens;
+        if self.held_epoch().is_some() {
+            let own = self.settings.vm.clone();
+            if self.grant(&own, attempt, &name, incarnation, tokens) {
+                self.use_credit(attempt, effects);
+            } else {
+                self.give_up_credit(id);
+                self.enqueue_quietly(id);
+            }
+            return;
+        }
+        let ask = Credit::Ask {
+            attempt,
+            target: name,
+            incarnation,
+            tokens,
+        };
+        if let Some((holder, _)) = self.other_coordinator() {
+            let holder = holder.clone();
+            self.send(&holder, Message::Credit(ask), effects);
+        }
+    }
+
+    /// Notes that a request no longer waits for a credit; returns whether it did.
+    pub(super) fn give_up_credit(&mut self, id: Id) -> bool {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return false;
+        };
+        let Stage::Credit {
+            choice, generation, ..
+        } = request.stage
+        else {
+            return false;
+        };
+        request.stage = Stage::Queued;
+        if let Some(target) = self.table.same_mut(choice.target, generation) {
+            target.asks = target.asks.saturating_sub(1);
+            target.denied_until = self.now + DENIED_PAUSE;
+        }
+        true
+    }
+
+    /// Dispatches the attempt of a granted credit; returns whether it was dispatched.
+    fn use_credit(&mut self, attempt: Attempt, effects: &mut Vec<Effect>) -> bool {
+        let id = attempt.request;
+        let Some(request) = self.requests.get(&id) else {
+            return false;
+        };
+        let Stage::Credit {
+            attempt: asked_for,
+            choice,
+            generation,
+            incarnation,
+            asked,
+        } = request.stage
+        else {
+            return false;
+        };
+        let in_time = self.now.since(asked) <= DISPATCH_WITHIN;
+        if asked_for != attempt || !in_time {
+            return false;
+        }
+        let open = self
+            .table
+            .same_mut(choice.target, generation)
+            .is_some_and(|target| target.is_open(self.now))
+            && !self.zone_out();
+        self.give_up_credit(id);
+        if !open {
+            self.enqueue(id);
+            return false;
+        }
+        if let Some(target) = self.table.get_mut(choice.target) {
+            target.denied_until = self.now;
+        }
+        let held = Held {
+            attempt,
+            incarnation,
+        };
+        self.dispatch(id, choice, Some(held), effects);
+        true
+    }
+
+    /// Gives the credit of an attempt back.
+    pub(super) fn return_credit(&mut self, run: &Run, effects: &mut Vec<Effect>) {
+        if let Some(held) = &run.credit {
+            let credit = Credit::Return {
+                attempt: held.attempt,
+                target: Arc::clone(&run.name),
+                incarnation: held.incarnation,
+                healthy: run.healthy,
+            };
+            self.give_back(credit, effects);
+        }
+    }
+
+    fn give_back(&mut self, credit: Credit, effects: &mut Vec<Effect>) {
+        if self.held_epoch().is_some() {
+            let own = self.settings.vm.clone();
+            self.credit(&own, credit, effects);
+        } else if let Some((holder, _)) = self.other_coordinator() {
+            let holder = holder.clone();
+            self.send(&holder, Message::Credit(credit), effects);
+        }
+    }
+
+    /// Takes a message about cold credits.
+    pub(super) fn credit(
+        &mut self,
+        from: &vm::Instance,
+        credit: Credit,
+        effects: &mut Vec<Effect>,
+    ) {
+        if *from != self.settings.vm && self.members.get(from).is_none() {
+            return;
+        }
+        match credit {
+            Credit::Ask {
+                attempt,
+                target,
+                incarnation,
+                tokens,
+            } => {
+                let granted = self.grant(from, attempt, &target, incarnation, tokens);
+                let answer = match self.held_epoch() {
+                    Some(epoch) if granted => Credit::Grant {
+                        attempt,
+                        target,
+                        incarnation,
+                        epoch,
+                        dispatch_within_ms: DISPATCH_WITHIN.as_millis() as u64,
+                    },
+                    _ => Credit::Deny { attempt, target },
+                };
+                self.send(from, Message::Credit(answer), effects);
+            }
+            Credit::Grant {
+                attempt,
+                target,
+                incarnation,
+                epoch,
+                ..
+            } => {
+                // A grant of an earlier coordinator is not in the report to the present one.
+                let current = epoch >= self.reported_epoch;
+                if !current || !self.use_credit(attempt, effects) {
+                    let unused = Credit::Return {
+                        attempt,
+                        target,
+                        incarnation,
+                        healthy: false,
+                    };
+                    self.send(from, Message::Credit(unused), effects);
+                }
+            }
+            Credit::Deny { attempt, .. } => {
+                let asked = self.requests.get(&attempt.request).is_some_and(|request| {
+                    matches!(&request.stage, Stage::Credit { attempt: asked, .. } if *asked == attempt)
+                });
+                if asked {
+                    self.give_up_credit(attempt.request);
+                    self.enqueue(attempt.request);
+                }
+            }
+            Credit::Return {
+                attempt,
+                target,
+                incarnation,
+                healthy,
+            } => self.take_back(attempt, &target, incarnation, healthy, effects),
+            Credit::Holdings { epoch, held } => {
+                if self.held_epoch() == Some(epoch) {
+                    self.take_holdings(from, &held);
+                    self.book.missing.remove(from);
+                    self.reschedule = true;
+                }
+            }
+        }
+    }
+
+    /// Grants a credit as coordinator, if the target's budget allows it.
+    fn grant(
+        &mut self,
+        holder: &vm::Instance,
+        attempt: Attempt,
+        name: &Arc<str>,
+        incarnation: u64,
+        tokens: u64,
+    ) -> bool {
+        let granted = self.try_grant(holder, attempt, name, incarnation, tokens);
+        if granted {
+            self.counters.credits_granted += 1;
+        } else {
+            self.counters.credits_denied += 1;
+        }
+        granted
+    }
+
+    fn try_grant(
+        &mut self,
+        holder: &vm::Instance,
+        attempt: Attempt,
+        name: &Arc<str>,
+        incarnation: u64,
+        tokens: u64,
+    ) -> bool {
+        if self.held_epoch().is_none() || self.book.is_collecting(self.now) {
+            return false;
+        }
+        let Some(target) = self.table.id(name).and_then(|id| self.table.get(id)) else {
+            return false;
+        };
+        if target.announcement.incarnation != incarnation || !target.is_open(self.now) {
+            return false;
+        }
+        let load = target.announcement.load;
+        let running = target.zone_running().max(load.running + load.waiting);
+        let account = self.book.account(target);
+        if account.held.contains_key(&attempt) {
+            return true;
+        }
+        // Work from before the target turned cold, or of entry VMs that restarted, counts too.
+        let held = account.held.len() as u32;
+        let used = running.max(held);
+        let held_tokens: u64 = account.held.values().map(|hold| hold.tokens).sum();
+        if used >= account.requests || held_tokens.saturating_add(tokens) > account.tokens {
+            return false;
+        }
+        let hold = Hold {
+            holder: holder.clone(),
+            tokens,
+            granted: self.now,
+            expires: None,
+        };
+        account.held.insert(attempt, hold);
+        true
+    }
+
+    /// Takes a credit back as coordinator; the budget doubles after each full set of good first
+    /// tokens until the target is warm.
+    fn take_back(
+        &mut self,
+        attempt: Attempt,
+        name: &Arc<str>,
+        incarnation: u64,
+        healthy: bool,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(account) = self.book.accounts.get_mut(name) else {
+            return;
+        };
+        if account.held.remove(&attempt).is_none() || account.incarnation != incarnation {
+            return;
+        }
+        self.reschedule = true;
+        if !healthy {
+            account.good = 0;
+            return;
+        }
+        account.good += 1;
+        if account.good < account.requests {
+            return;
+        }
+        let Some(id) = self.table.id(name) else {
+            return;
+        };
+        let Some(target) = self.table.get(id) else {
+            return;
+        };
+        let most = target.announcement.max_running;
+        account.good = 0;
+        account.requests = account.requests.saturating_mul(2).min(most.max(1));
+        account.tokens = account.tokens.saturating_mul(2);
+        if account.requests >= most && target.announcement.state != State::Cold {
+            self.book.accounts.remove(name);
+            self.turn_warm(id, effects);
+        }
+    }
+
+    fn take_holdings(&mut self, from: &vm::Instance, held: &[(Attempt, Arc<str>, u64, u64)]) {
+        let now = self.now;
+        for account in self.book.accounts.values_mut() {
+            account.held.retain(|attempt, hold| {
+                hold.holder != *from
+                    || now.since(hold.granted) < SETTLED
+                    || held.iter().any(|(known, ..)| known == attempt)
+            });
+        }
+        for (attempt, name, incarnation, tokens) in held {
+            let target = self.table.id(name).and_then(|id| self.table.get(id));
+            let Some(target) =
+                target.filter(|target| target.announcement.incarnation == *incarnation)
+            else {
+                continue;
+            };
+            self.book
+                .account(target)
+                .held
+                .entry(*attempt)
+                .or_insert_with(|| Hold {
+                    holder: from.clone(),
+                    tokens: *tokens,
+                    granted: now,
+                    expires: None,
+                });
+        }
+    }
+
+    /// Returns the credits that this VM holds.
+    fn holdings(&self) -> Vec<(Attempt, Arc<str>, u64, u64)> {
+        self.requests
+            .values()
+            .filter_map(Request::run)
+            .filter_map(|run| {
+                let held = run.credit.as_ref()?;
+                let name = Arc::clone(&run.name);
+                Some((held.attempt, name, held.incarnation, run.prefill_tokens))
+            })
+            .collect()
+    }
+
+    /// Reports the credits that this VM holds to the coordinator.
+    pub(super) fn send_holdings(&mut self, effects: &mut Vec<Effect>) {
+        self.next_holdings = self.now + HOLDINGS_INTERVAL;
+        let Some((holder, epoch)) = self.other_coordinator() else {
+            return;
+        };
+        let holder = holder.clone();
+        self.reported_epoch = self.reported_epoch.max(epoch);
+        let report = Credit::Holdings {
+            epoch,
+            held: self.holdings(),
+        };
+        self.send(&holder, Message::Credit(report), effects);
+    }
+
+    /// Gives up asks that were not answered, and lets credits of gone VMs run out.
+    pub(super) fn keep_credits(&mut self, effects: &mut Vec<Effect>) {
+        self.book.expire(self.now);
+        if self.next_holdings <= self.now {
+            self.send_holdings(effects);
+        }
+        let now = self.now;
+        let unanswered: Vec<Id> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| {
+                matches!(request.stage, Stage::Credit { asked, .. } if now.since(asked) >= ASK_TIMEOUT)
+            })
+            .map(|(&id, _)| id)
+            .collect();
+        for id in unanswered {
+            self.give_up_credit(id);
+            self.enqueue(id);
+        }
+    }
+
+    /// Returns the number of outstanding credits by target, as coordinator.
+    pub fn credits(&self) -> Vec<(Arc<str>, usize)> {
+        self.book
+            .accounts
+            .iter()
+            .map(|(name, account)| (Arc::clone(name), account.held.len()))
+            .collect()
+    }
+
+    pub(super) fn target_id(&self, name: &str) -> Option<target::Id> {
+        self.table.id(name)
+    }
+}
--- a/core/src/serving/effect.rs
+++ b/core/src/serving/effect.rs
@@ -62,6 +62,9 @@
         address: SocketAddr,
     },
     /// Call the ledger and report `Event::Ledger`.
+    ///
+    /// The reducer never sees bodies: the process that carries out the effect sets
+    /// `Call::Begin::content`, and `Call::Finish::response` for an answer that is small enough.
     Ledger {
         /// Request that the call is about.
         request: request::Id,
@@ -75,6 +78,15 @@
         /// Address to probe.
         address: SocketAddr,
     },
+    /// List what an engine holds and cancel what belongs to an owner that is not in `live`.
+    Reconcile {
+        /// Target name.
+        target: Arc<str>,
+        /// Address of the engine.
+        address: SocketAddr,
+        /// Entry processes whose attempts, reservations and pins are kept.
+        live: Vec<vm::Instance>,
+    },
     /// Send a message to another entry VM.
     Send {
         /// QUIC address of the receiver.
--- /dev/null
+++ b/core/src/serving/health.rs
@@ -0,0 +1,211 @@
+//! Health of targets and connections: late first tokens, silent connections, probes.
+//!
+//! A silent connection says nothing about its target. The target is probed on a new connection
+//! first; if it answers, the stream is resumed on a new connection, and if not, the attempt counts
+//! as lost.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::request::{End, Id};
+use crate::target;
+
+use super::effect::{Effect, Notice};
+use super::reducer::Reducer;
+use super::request::Run;
+
+/// Silence after which a connection is doubted.
+const SILENCE: Duration = Duration::from_secs(2);
+
+/// Time within which a probe must be answered.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time without new work for a target that did not answer.
+const UNRESPONSIVE: Duration = Duration::from_secs(2);
+
+/// Times that a silent attempt on a live target is resumed before it is left until its deadline.
+const SILENCES_MAX: u8 = 3;
+
+/// Ratio to the prediction above which a first token is late.
+const LATE_RATIO: u64 = 4;
+
+/// Predictions below this are not compared, because transport and batching take as long.
+const LATE_MIN_US: u64 = 250_000;
+
+/// Returns whether a first token that arrives this long after the dispatch is late.
+const fn is_late(run: &Run, elapsed_us: u64) -> bool {
+    let expected = if run.ttft_us > LATE_MIN_US {
+        run.ttft_us
+    } else {
+        LATE_MIN_US
+    };
+    elapsed_us > LATE_RATIO * expected
+}
+
+impl Reducer {
+    /// Judges the target of an attempt by the time to its first token, or to its end without one.
+    pub(super) fn judge_first_token(
+        &mut self,
+        run: &mut Run,
+        got: bool,
+        effects: &mut Vec<Effect>,
+    ) {
+        let elapsed = self.now.since(run.sent).as_micros() as u64;
+        let late = is_late(run, elapsed);
+        run.healthy = got && !late;
+        if !got && !late {
+            return;
+        }
+        let turned = self
+            .table
+            .same_mut(run.target, run.generation)
+            .is_some_and(|target| target.first_token(late));
+        if turned {
+            self.turn_cold(run.target, effects);
+        }
+    }
+
+    /// Lets a target be cold from now on.
+    pub(super) fn turn_cold(&mut self, id: target::Id, effects: &mut Vec<Effect>) {
+        let Some(target) = self.table.get_mut(id) else {
+            return;
+        };
+        target.cold.assumed = false;
+        if target.cold.is_cold() {
+            return;
+        }
+        target.cold.turn += 1;
+        let name = Arc::clone(&target.announcement.name);
+        effects.push(Effect::Notice(Notice::TargetCold(name)));
+    }
+
+    /// Lets a target be warm from now on.
+    pub(super) fn turn_warm(&mut self, id: target::Id, effects: &mut Vec<Effect>) {
+        let Some(target) = self.table.get_mut(id) else {
+            return;
+        };
+        target.cold.assumed = false;
+        if !target.cold.is_cold() {
+            return;
+        }
+        target.cold.turn += 1;
+        let name = Arc::clone(&target.announcement.name);
+        self.reschedule = true;
+        effects.push(Effect::Notice(Notice::TargetWarm(name)));
+    }
+
+    /// Probes the targets of silent attempts.
+    pub(super) fn check_silence(&mut self, effects: &mut Vec<Effect>) {
+        let mut silent = Vec::new();
+        for request in self.requests.values_mut() {
+            let Some(run) = request.run_mut() else {
+                continue;
+            };
+            let due = if run.first_token {
+                run.last_progress
+            } else {
+                run.last_progress
+                    .max(run.sent + Duration::from_micros(run.ttft_us))
+            };
+            let patience = SILENCE * (1 << run.silences.min(SILENCES_MAX));
+            if !run.probed && run.silences < SILENCES_MAX && due + patience <= self.now {
+                run.probed = true;
+                silent.push((Arc::clone(&run.name), run.address));
+            }
+        }
+        for (name, address) in silent {
+            self.probe(&name, address, effects);
+        }
+        let now = self.now;
+        let unanswered: Vec<_> = self
+            .probes
+            .iter()
+            .filter(|&(_, &since)| since + PROBE_TIMEOUT <= now)
+            .map(|(name, _)| Arc::clone(name))
+            .collect();
+        for name in unanswered {
+            self.probed(&name, false, effects);
+        }
+    }
+
+    /// Probes a target, unless a probe is under way.
+    pub(super) fn probe(
+        &mut self,
+        name: &Arc<str>,
+        address: std::net::SocketAddr,
+        effects: &mut Vec<Effect>,
+    ) {
+        if self.probes.contains_key(name) {
+            return;
+        }
+        self.probes.insert(Arc::clone(name), self.now);
+        self.counters.probes += 1;
+        effects.push(Effect::Probe {
+            target: Arc::clone(name),
+            address,
+        });
+    }
+
+    /// Takes new work away from a target that could not be reached, until a probe decides.
+    pub(super) fn doubt(&mut self, run: &Run, effects: &mut Vec<Effect>) {
+        if let Some(target) = self.table.same_mut(run.target, run.generation) {
+            target.unresponsive_until = Some(self.now + UNRESPONSIVE);
+        }
+        self.probe(&run.name, run.address, effects);
+    }
+
+    /// Takes the result of a probe and decides about the target's silent attempts.
+    pub(super) fn probed(&mut self, name: &Arc<str>, alive: bool, effects: &mut Vec<Effect>) {
+        if self.probes.remove(name).is_none() {
+            return;
+        }
+        if let Some(id) = self.table.id(name)
+            && let Some(target) = self.table.get_mut(id)
+        {
+            target.unresponsive_until = (!alive).then(|| self.now + UNRESPONSIVE);
+            self.reschedule = true;
+        }
+        let silent: Vec<Id> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| {
+                request
+                    .run()
+                    .is_some_and(|run| run.probed && run.name == *name)
+            })
+            .map(|(&id, _)| id)
+            .collect();
+        for id in silent {
+            self.decide_silent(id, alive, effects);
+        }
+    }
+
+    fn decide_silent(&mut self, id: Id, alive: bool, effects: &mut Vec<Effect>) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let delivered = request.delivered;
+        let at_most_once = request.arrival.at_most_once;
+        let Some(run) = request.run_mut() else {
+            return;
+        };
+        run.probed = false;
+        run.silences += 1;
+        let attempt = run.attempt;
+        if alive {
+            // Only an engine can continue a stream on another connection.
+            if run.engine && !at_most_once {
+                effects.push(Effect::Abort(attempt));
+                self.resume(id, effects);
+            }
+            return;
+        }
+        effects.push(Effect::Abort(attempt));
+        let end = if delivered > 0 {
+            End::Broken
+        } else {
+            End::Lost
+        };
+        self.attempt_failed(id, end, effects);
+    }
+}
--- /dev/null
+++ b/core/src/serving/membership.rs
@@ -0,0 +1,469 @@
+//! Members of the zone: heartbeats, configuration, announcements of other entry VMs.
+//!
+//! A member is heard directly or not at all; what others say of it only serves to find its address.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::membership::{Heartbeat, Override, Usage};
+use crate::message::Message;
+use crate::target;
+use crate::target::Announcement;
+use crate::time::Instant;
+use crate::vm;
+
+use super::effect::{Effect, Notice};
+use super::reducer::Reducer;
+use super::target::{LEASE, Work};
+
+/// Interval between heartbeats.
+pub(super) const BEAT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Silence after which a member is suspect.
+const SUSPECT: Duration = Duration::from_secs(1);
+
+/// Silence after which a member is gone.
+pub(super) const GONE: Duration = Duration::from_secs(3);
+
+/// Interval at which control is asked for a newer configuration.
+const PULL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Interval at which cold states are sent to a member whose view differs.
+const TURNS_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Part of the lease that a relayed announcement may have used up before it arrives: one heartbeat
+/// interval and the transit.
+const RELAY_ALLOWANCE: Duration = Duration::from_millis(400);
+
+/// How long the address of a silent VM is tried.
+const CONTACT: Duration = Duration::from_mins(1);
+
+/// Time after the start within which members report the cold state of targets.
+pub(super) const LEARNING: Duration = Duration::from_secs(1);
+
+/// A member for status.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct View {
+    /// Process.
+    pub instance: vm::Instance,
+    /// Where it is reached.
+    pub address: vm::Address,
+    /// Whether it was heard within the last second.
+    pub alive: bool,
+    /// Whether it shuts down.
+    pub draining: bool,
+    /// Configuration version in force there.
+    pub config: u64,
+    /// Epoch of the zone lease, if it holds it.
+    pub epoch: Option<u64>,
+}
+
+/// Another entry VM of the zone.
+#[derive(Debug)]
+pub(super) struct Member {
+    pub instance: vm::Instance,
+    pub address: vm::Address,
+    pub heard: Instant,
+    pub draining: bool,
+    pub config: u64,
+    pub epoch: Option<u64>,
+    sequence: u64,
+    usage: Vec<Usage>,
+    sent: Vec<(target::Id, u64, Work)>,
+    turns_sent: Instant,
+}
+
+/// The zone's other entry VMs and what is sent to them.
+#[derive(Debug)]
+pub(super) struct Members {
+    pub known: BTreeMap<vm::Name, Member>,
+    /// Highest incarnation heard of each VM.
+    incarnations: BTreeMap<vm::Name, vm::Incarnation>,
+    /// Addresses of VMs that were not heard yet, with the time until which they are tried.
+    contacts: BTreeMap<SocketAddr, Instant>,
+    sequence: u64,
+    next_beat: Instant,
+    next_pull: Instant,
+    /// Control address to ask next.
+    pull_at: usize,
+    /// Targets that announced themselves here since the last heartbeat.
+    fresh: Vec<target::Id>,
+    /// Orders given at entry VMs, by zone.
+    pub overrides: BTreeMap<Arc<str>, Override>,
+    started: Instant,
+}
+
+impl Members {
+    pub const fn new(now: Instant) -> Self {
+        Self {
+            known: BTreeMap::new(),
+            incarnations: BTreeMap::new(),
+            contacts: BTreeMap::new(),
+            sequence: 0,
+            next_beat: now,
+            next_pull: now,
+            pull_at: 0,
+            fresh: Vec::new(),
+            overrides: BTreeMap::new(),
+            started: now,
+        }
+    }
+
+    /// Returns whether members may still have to report the cold state of targets.
+    pub fn is_learning(&self, now: Instant) -> bool {
+        now.since(self.started) < LEARNING
+    }
+
+    /// Returns whether a member was not heard for a second.
+    pub fn any_suspect(&self, now: Instant) -> bool {
+        self.known
+            .values()
+            .any(|member| now.since(member.heard) >= SUSPECT)
+    }
+
+    /// Returns a member that runs this incarnation.
+    pub fn get(&self, instance: &vm::Instance) -> Option<&Member> {
+        self.known
+            .get(&instance.name)
+            .filter(|member| member.instance == *instance)
+    }
+}
+
+impl Reducer {
+    /// Returns the zone's other entry VMs.
+    pub fn members(&self) -> Vec<View> {
+        self.members
+            .known
+            .values()
+            .map(|member| View {
+                instance: member.instance.clone(),
+                address: member.address,
+                alive: self.now.since(member.heard) < SUSPECT,
+                draining: member.draining,
+                config: member.config,
+                epoch: member.epoch,
+            })
+            .collect()
+    }
+
+    /// Sends a message to a member, if it is known.
+    pub(super) fn send(&self, to: &vm::Instance, message: Message, effects: &mut Vec<Effect>) {
+        if let Some(member) = self.members.get(to) {
+            effects.push(Effect::Send {
+                to: member.address.peers,
+                receiver: Some(to.clone()),
+                message,
+            });
+        }
+    }
+
+    /// Sends a message to all members.
+    pub(super) fn broadcast(&self, message: &Message, effects: &mut Vec<Effect>) {
+        for member in self.members.known.values() {
+            effects.push(Effect::Send {
+                to: member.address.peers,
+                receiver: Some(member.instance.clone()),
+                message: message.clone(),
+            });
+        }
+    }
+
+    /// Sends heartbeats and announcements, asks for configuration and judges silent members.
+    pub(super) fn keep_membership(&mut self, effects: &mut Vec<Effect>) {
+        if self.members.next_beat <= self.now {
+            self.members.next_beat = self.now + BEAT_INTERVAL;
+            self.drop_silent_members(effects);
+            self.merge_usage();
+            self.spread_announcements(effects);
+            self.beat(effects);
+        }
+        if self.members.next_pull <= self.now && !self.settings.control.is_empty() {
+            self.members.next_pull = self.now + PULL_INTERVAL;
+            let at = self.members.pull_at % self.settings.control.len();
+            self.members.pull_at = at + 1;
+            effects.push(Effect::Send {
+                to: self.settings.control[at],
+                receiver: None,
+                message: Message::ConfigPull {
+                    have: self.config_version(),
+                },
+            });
+        }
+    }
+
+    /// Returns the configuration version in force; zero if there is none.
+    pub(super) fn config_version(&self) -> u64 {
+        self.config.as_ref().map_or(0, |config| config.version)
+    }
+
+    fn beat(&mut self, effects: &mut Vec<Effect>) {
+        self.members.sequence += 1;
+        let heartbeat = Heartbeat {
+            zone: Arc::clone(&self.settings.zone),
+            address: self.settings.address,
+            sequence: self.members.sequence,
+            config: self.config_version(),
+            draining: self.draining,
+            members: self
+                .members
+                .known
+                .values()
+                .map(|member| (member.instance.clone(), member.address))
+                .collect(),
+            sent: self
+                .table
+                .iter()
+                .filter_map(|(_, target)| target.sent_by_own())
+                .collect(),
+            usage: self.queue.usage(),
+            local_out: self.members.overrides.values().cloned().collect(),
+            epoch: self.held_epoch(),
+            turns: self.table.turns_digest(),
+        };
+        let now = self.now;
+        self.members.contacts.retain(|_, until| *until > now);
+        self.broadcast(&Message::Heartbeat(heartbeat.clone()), effects);
+        let mut others: Vec<SocketAddr> = self.members.contacts.keys().copied().collect();
+        others.extend(&self.settings.seeds);
+        others.sort_unstable();
+        others.dedup();
+        let own = self.settings.address.peers;
+        for to in others {
+            let known = self
+                .members
+                .known
+                .values()
+                .any(|member| member.address.peers == to);
+            if to != own && !known {
+                effects.push(Effect::Send {
+                    to,
+                    receiver: None,
+                    message: Message::Heartbeat(heartbeat.clone()),
+                });
+            }
+        }
+    }
+
+    fn spread_announcements(&mut self, effects: &mut Vec<Effect>) {
+        let mut fresh = std::mem::take(&mut self.members.fresh);
+        fresh.sort_unstable();
+        fresh.dedup();
+        let announcements: Vec<Announcement> = fresh
+            .into_iter()
+            .filter_map(|id| Some(self.table.get(id)?.announcement.clone()))
+            .collect();
+        if !announcements.is_empty() {
+            self.broadcast(&Message::Targets(announcements), effects);
+        }
+    }
+
+    /// Notes an announcement that arrived here for the other members; a change is sent at once.
+    pub(super) fn relay(&mut self, id: target::Id, changed: bool, effects: &mut Vec<Effect>) {
+        if !changed {
+            self.members.fresh.push(id);
+            return;
+        }
+        if let Some(target) = self.table.get(id) {
+            let message = Message::Targets(vec![target.announcement.clone()]);
+            self.broadcast(&message, effects);
+        }
+    }
+
+    fn drop_silent_members(&mut self, effects: &mut Vec<Effect>) {
+        let now = self.now;
+        let gone: Vec<vm::Instance> = self
+            .members
+            .known
+            .values()
+            .filter(|member| now.since(member.heard) >= GONE)
+            .map(|member| member.instance.clone())
+            .collect();
+        for instance in gone {
+            self.lose_member(&instance, effects);
+        }
+    }
+
+    fn lose_member(&mut self, instance: &vm::Instance, effects: &mut Vec<Effect>) {
+        let Some(mut member) = self.members.known.remove(&instance.name) else {
+            return;
+        };
+        self.table.replace_peer_work(&mut member.sent, &[]);
+        let until = self.now + CONTACT;
+        self.members.contacts.insert(member.address.peers, until);
+        self.merge_usage();
+        self.member_gone(instance);
+        self.reschedule = true;
+        effects.push(Effect::Notice(Notice::MemberLost(Arc::clone(
+            &instance.name,
+        ))));
+    }
+
+    fn merge_usage(&mut self) {
+        let members = self.members.known.values();
+        self.queue
+            .set_peers(members.flat_map(|member| member.usage.iter()));
+    }
+
+    /// Takes a message from another process.
+    pub(super) fn received(
+        &mut self,
+        from: &vm::Instance,
+        message: Message,
+        effects: &mut Vec<Effect>,
+    ) {
+        match message {
+            Message::Heartbeat(heartbeat) => self.heartbeat(from, heartbeat, effects),
+            Message::Targets(announcements) => {
+                if self.members.get(from).is_some() {
+                    let until = self.now + LEASE - RELAY_ALLOWANCE;
+                    for announcement in announcements {
+                        self.announce(announcement, until, false, effects);
+                    }
+                }
+            }
+            Message::Vote(vote) => self.vote(from, &vote, effects),
+            Message::Credit(credit) => self.credit(from, credit, effects),
+            Message::Span(span) => self.span(from, span, effects),
+            Message::Summary(summary) => self.summary(from, summary, effects),
+            Message::ConfigPull { have } => self.config_pull(from, have, effects),
+            Message::ConfigPush(config) => self.configured(config, effects),
+            Message::Turns(turns) => self.learn_turns(from, &turns, effects),
+            // These are between entry I/O and control, or between control replicas.
+            Message::Ledger(_)
+            | Message::LedgerAnswer(_)
+            | Message::Consensus(_)
+            | Message::Propose(_)
+            | Message::Proposed(_) => {}
+        }
+    }
+
+    fn heartbeat(&mut self, from: &vm::Instance, beat: Heartbeat, effects: &mut Vec<Effect>) {
+        if beat.zone != self.settings.zone || from.name == self.settings.vm.name {
+            return;
+        }
+        let highest = self.members.incarnations.get(&from.name).copied();
+        if highest.is_some_and(|highest| from.incarnation < highest) {
+            return;
+        }
+        if highest.is_none_or(|highest| from.incarnation > highest) {
+            let old = self.members.known.get(&from.name);
+            if let Some(old) = old.map(|member| member.instance.clone()) {
+                self.lose_member(&old, effects);
+            }
+            self.members
+                .incarnations
+                .insert(Arc::clone(&from.name), from.incarnation);
+        }
+        let now = self.now;
+        let joined = !self.members.known.contains_key(&from.name);
+        let member = self
+            .members
+            .known
+            .entry(Arc::clone(&from.name))
+            .or_insert_with(|| Member {
+                instance: from.clone(),
+                address: beat.address,
+                heard: now,
+                draining: false,
+                config: 0,
+                epoch: None,
+                sequence: 0,
+                usage: Vec::new(),
+                sent: Vec::new(),
+                turns_sent: now - TURNS_INTERVAL,
+            });
+        if beat.sequence <= member.sequence {
+            return;
+        }
+        member.sequence = beat.sequence;
+        member.heard = now;
+        member.address = beat.address;
+        member.draining = beat.draining;
+        member.config = beat.config;
+        member.epoch = beat.epoch;
+        member.usage = beat.usage;
+        self.table.replace_peer_work(&mut member.sent, &beat.sent);
+        let send_turns = beat.turns != self.table.turns_digest()
+            && now.since(member.turns_sent) >= TURNS_INTERVAL;
+        if send_turns {
+            member.turns_sent = now;
+        }
+        self.members.contacts.remove(&beat.address.peers);
+        for (instance, address) in beat.members {
+            let known = self.members.known.contains_key(&instance.name);
+            if instance.name != self.settings.vm.name && !known {
+                self.members.contacts.insert(address.peers, now + CONTACT);
+            }
+        }
+        for order in beat.local_out {
+            self.local_order(order);
+        }
+        if send_turns {
+            let turns = self.table.turns();
+            self.send(from, Message::Turns(turns), effects);
+        }
+        if beat.config > self.config_version() {
+            let have = self.config_version();
+            self.send(from, Message::ConfigPull { have }, effects);
+        }
+        if joined {
+            effects.push(Effect::Notice(Notice::MemberJoined(Arc::clone(&from.name))));
+        }
+        self.heard_epoch(from, beat.epoch, effects);
+        self.reschedule = true;
+    }
+
+    fn config_pull(&self, from: &vm::Instance, have: u64, effects: &mut Vec<Effect>) {
+        if let Some(config) = &self.config
+            && config.version > have
+        {
+            self.send(from, Message::ConfigPush(Arc::clone(config)), effects);
+        }
+    }
+
+    fn learn_turns(
+        &mut self,
+        from: &vm::Instance,
+        turns: &[target::Turn],
+        effects: &mut Vec<Effect>,
+    ) {
+        if self.members.get(from).is_none() {
+            return;
+        }
+        for turn in turns {
+            let Some(id) = self.table.id(&turn.target) else {
+                continue;
+            };
+            let Some(target) = self.table.get_mut(id) else {
+                continue;
+            };
+            if target.announcement.incarnation != turn.incarnation {
+                continue;
+            }
+            let known = target.cold;
+            if !known.assumed && turn.turn <= known.turn {
+                continue;
+            }
+            target.cold.turn = turn.turn;
+            target.cold.assumed = false;
+            let name = Arc::clone(&turn.target);
+            match (known.is_cold(), target.cold.is_cold()) {
+                (true, false) => {
+                    self.reschedule = true;
+                    effects.push(Effect::Notice(Notice::TargetWarm(name)));
+                }
+                (false, true) => effects.push(Effect::Notice(Notice::TargetCold(name))),
+                _ => {}
+            }
+        }
+    }
+
+    /// Returns the numbers of members among which concurrency limits are split and whether one of
+    /// them is silent.
+    pub(super) fn limit_basis(&self) -> (u32, bool) {
+        let members = self.members.known.len() as u32 + 1;
+        (members, self.members.any_suspect(self.now))
+    }
+}
--- /dev/null
+++ b/core/src/serving/span.rs
@@ -0,0 +1,384 @@
+//! Spanning requests: prompts that no single engine can hold.
+//!
+//! The coordinator allots parts of the zone's memory, all or none. The holder reserves them on the
+//! engines in ascending name order, so that two holders never wait for each other.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use crate::message::{Message, Span};
+use crate::request::{Attempt, Id, Reason};
+use crate::time::Instant;
+use crate::vm;
+
+use super::admission::Denial;
+use super::effect::Effect;
+use super::placement::Choice;
+use super::reducer::{ENGINE_LEASE_MS, Reducer};
+use super::request::{Request, Stage};
+
+/// Time after which an unanswered ask is given up.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time within which the engines must answer reservations.
+const RESERVE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Pause after a denial.
+const DENIED_PAUSE: Duration = Duration::from_millis(250);
+
+/// Age of an allotment from which load reports include it.
+const REPORTED: Duration = Duration::from_secs(1);
+
+/// Time by which reservations outlive the deadline of their request.
+const LEASE_MARGIN_MS: u64 = 5_000;
+
+/// Retry hint without a coordinator.
+const NO_COORDINATOR_RETRY_MS: u64 = 3_000;
+
+/// Engine addresses and tokens of a spanning request.
+pub(super) type Parts = SmallVec<[(SocketAddr, u64); 4]>;
+
+/// The coordinator's allotments and the holder's pauses.
+#[derive(Debug, Default)]
+pub(super) struct Spans {
+    allotted: BTreeMap<Attempt, Allotment>,
+    /// When the next ask may be sent.
+    next_ask: Instant,
+}
+
+#[derive(Debug)]
+struct Allotment {
+    holder: vm::Instance,
+    parts: Vec<(Arc<str>, u64)>,
+    granted: Instant,
+    expires: Option<Instant>,
+}
+
+impl Reducer {
+    /// Returns why a prompt over one engine's memory cannot be served here, if so.
+    pub(super) fn span_denial(&self, request: &Request) -> Option<Denial> {
+        let memory: u64 = self
+            .table
+            .members(request.group)
+            .filter(|(_, target)| target.announcement.spans)
+            .map(|(_, target)| target.announcement.kv_tokens)
+            .sum();
+        if request.cost.kv_tokens > memory {
+            return Some((Reason::FleetTooSmall, None));
+        }
+        (!self.has_coordinator()).then_some((Reason::FleetBusy, Some(NO_COORDINATOR_RETRY_MS)))
+    }
+
+    /// Asks for parts for a waiting spanning request; returns false if it has to wait.
+    pub(super) fn place_span(&mut self, id: Id, effects: &mut Vec<Effect>) -> bool {
+        if self.spans.next_ask > self.now || !self.has_coordinator() {
+            return false;
+        }
+        self.dequeue(id);
+        let Some(request) = self.requests.get_mut(&id) else {
+            return true;
+        };
+        let attempt = request.attempt();
+        request.stage = Stage::Span {
+            attempt,
+            asked: self.now,
+        };
+        let service = Arc::clone(&request.arrival.service);
+        let tokens = request.cost.kv_tokens;
+        if let Some(epoch) = self.held_epoch() {
+            let own = self.settings.vm.clone();
+            let answer = self.allot(&own, attempt, &service, tokens, epoch);
+            self.span(&own, answer, effects);
+        } else if let Some((holder, _)) = self.other_coordinator() {
+            let holder = holder.clone();
+            let ask = Span::Ask {
+                attempt,
+                service,
+                tokens,
+            };
+            self.send(&holder, Message::Span(ask), effects);
+        }
+        true
+    }
+
+    /// Allots memory as coordinator, all parts or none.
+    fn allot(
+        &mut self,
+        holder: &vm::Instance,
+        attempt: Attempt,
+        service: &Arc<str>,
+        tokens: u64,
+        epoch: u64,
+    ) -> Span {
+        let mut possible = 0_u64;
+        let mut free: Vec<(u64, Arc<str>)> = Vec::new();
+        for (_, target) in self.table.iter() {
+            let announcement = &target.announcement;
+            if !announcement.spans || announcement.service != *service {
+                continue;
+            }
+            possible += announcement.kv_tokens;
+            if !target.is_open(self.now) || target.is_cold() {
+                continue;
+            }
+            let allotted: u64 = self
+                .spans
+                .allotted
+                .values()
+                .filter(|allotment| self.now.since(allotment.granted) < REPORTED)
+                .flat_map(|allotment| &allotment.parts)
+                .filter(|(name, _)| *name == announcement.name)
+                .map(|(_, tokens)| tokens)
+                .sum();
+            let memory = announcement
+                .kv_tokens
+                .saturating_sub(target.kv_used())
+                .saturating_sub(allotted);
+            free.push((memory, Arc::clone(&announcement.name)));
+        }
+        // The emptiest targets come first, so that a request spans as few as possible.
+        free.sort_by(|first, second| second.0.cmp(&first.0).then(first.1.cmp(&second.1)));
+        let mut parts = Vec::new();
+        let mut left = tokens;
+        for (memory, name) in free {
+            if left == 0 || memory == 0 {
+                break;
+            }
+            let part = memory.min(left);
+            left -= part;
+            parts.push((name, part));
+        }
+        if left > 0 {
+            return Span::Deny {
+                attempt,
+                possible: possible >= tokens,
+            };
+        }
+        parts.sort();
+        self.spans.allotted.insert(
+            attempt,
+            Allotment {
+                holder: holder.clone(),
+                parts: parts.clone(),
+                granted: self.now,
+                expires: None,
+            },
+        );
+        Span::Grant {
+            attempt,
+            epoch,
+            parts,
+        }
+    }
+
+    /// Takes a message about spanning reservations.
+    pub(super) fn span(&mut self, from: &vm::Instance, span: Span, effects: &mut Vec<Effect>) {
+        if *from != self.settings.vm && self.members.get(from).is_none() {
+            return;
+        }
+        match span {
+            Span::Ask {
+                attempt,
+                service,
+                tokens,
+            } => {
+                let answer = match self.held_epoch() {
+                    Some(epoch) => self.allot(from, attempt, &service, tokens, epoch),
+                    None => Span::Deny {
+                        attempt,
+                        possible: true,
+                    },
+                };
+                self.send(from, Message::Span(answer), effects);
+            }
+            Span::Grant { attempt, parts, .. } => {
+                if !self.reserve_parts(attempt, &parts, effects) {
+                    self.return_span(attempt, effects);
+                }
+            }
+            Span::Deny { attempt, possible } => {
+                if !self.waits_for_span(attempt) {
+                    return;
+                }
+                self.spans.next_ask = self.now + DENIED_PAUSE;
+                if possible {
+                    self.enqueue(attempt.request);
+                } else {
+                    let denial = (Reason::FleetTooSmall, None);
+                    self.deny(attempt.request, denial, effects);
+                }
+            }
+            Span::Return { attempt } => {
+                self.spans.allotted.remove(&attempt);
+            }
+        }
+    }
+
+    fn waits_for_span(&self, attempt: Attempt) -> bool {
+        let request = self.requests.get(&attempt.request);
+        request.is_some_and(|request| {
+            matches!(request.stage, Stage::Span { attempt: asked, .. } if asked == attempt)
+        })
+    }
+
+    fn reserve_parts(
+        &mut self,
+        attempt: Attempt,
+        names: &[(Arc<str>, u64)],
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        if !self.waits_for_span(attempt) {
+            return false;
+        }
+        let mut parts = Parts::new();
+        for (name, tokens) in names {
+            let target = self.target_id(name).and_then(|id| self.table.get(id));
+            if let Some(target) = target.filter(|target| target.is_open(self.now)) {
+                parts.push((target.announcement.address, *tokens));
+            }
+        }
+        let head = names.first().and_then(|(name, _)| self.target_id(name));
+        let (Some(head), true) = (head, parts.len() == names.len()) else {
+            self.enqueue(attempt.request);
+            return false;
+        };
+        let Some(request) = self.requests.get_mut(&attempt.request) else {
+            return false;
+        };
+        let left = request.deadline.since(self.now).as_millis() as u64;
+        effects.push(Effect::Reserve {
+            attempt,
+            parts: parts.to_vec(),
+            lease_ms: left + LEASE_MARGIN_MS,
+        });
+        request.stage = Stage::Reserving {
+            attempt,
+            head,
+            parts,
+            since: self.now,
+        };
+        true
+    }
+
+    /// Takes the result of the reservations and dispatches to the head target.
+    pub(super) fn reserved(&mut self, attempt: Attempt, all: bool, effects: &mut Vec<Effect>) {
+        let id = attempt.request;
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let Stage::Reserving {
+            attempt: waiting,
+            head,
+            parts,
+            ..
+        } = &request.stage
+        else {
+            return;
+        };
+        if *waiting != attempt {
+            return;
+        }
+        let (head, parts) = (*head, parts.clone());
+        let prefill = request.cost.prefill_tokens / parts.len().max(1) as u64;
+        let open = self
+            .table
+            .get(head)
+            .filter(|target| target.is_open(self.now) && target.announcement.address == parts[0].0);
+        let ttft_us =
+            open.map(|target| target.wait_us(self.now, request.class) + target.prefill_us(prefill));
+        let (Some(ttft_us), true, false) = (ttft_us, all, self.zone_out()) else {
+            self.give_up_span(id, effects);
+            self.spans.next_ask = self.now + DENIED_PAUSE;
+            self.enqueue(id);
+            return;
+        };
+        let choice = Choice {
+            target: head,
+            cold: false,
+            ttft_us,
+            prefill_tokens: prefill,
+        };
+        self.dispatch_attempt(id, attempt, choice, None, parts, effects);
+    }
+
+    /// Releases what a request holds or waits for to span targets; returns whether it did.
+    pub(super) fn give_up_span(&mut self, id: Id, effects: &mut Vec<Effect>) -> bool {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return false;
+        };
+        let (attempt, parts) = match &mut request.stage {
+            Stage::Span { attempt, .. } => (*attempt, Parts::new()),
+            Stage::Reserving { attempt, parts, .. } => (*attempt, std::mem::take(parts)),
+            _ => return false,
+        };
+        request.stage = Stage::Queued;
+        self.release_parts(attempt, &parts, effects);
+        true
+    }
+
+    /// Releases the parts of an attempt on the engines and at the coordinator.
+    pub(super) fn release_parts(
+        &mut self,
+        attempt: Attempt,
+        parts: &Parts,
+        effects: &mut Vec<Effect>,
+    ) {
+        if !parts.is_empty() {
+            effects.push(Effect::Unreserve {
+                attempt,
+                parts: parts.iter().map(|&(address, _)| address).collect(),
+            });
+        }
+        self.return_span(attempt, effects);
+    }
+
+    fn return_span(&mut self, attempt: Attempt, effects: &mut Vec<Effect>) {
+        let span = Span::Return { attempt };
+        if self.held_epoch().is_some() {
+            self.spans.allotted.remove(&attempt);
+        } else if let Some((holder, _)) = self.other_coordinator() {
+            let holder = holder.clone();
+            self.send(&holder, Message::Span(span), effects);
+        }
+    }
+
+    pub(super) fn end_span_term(&mut self) {
+        self.spans.allotted.clear();
+    }
+
+    pub(super) fn span_member_gone(&mut self, instance: &vm::Instance) {
+        let expires = self.now + Duration::from_millis(ENGINE_LEASE_MS);
+        for allotment in self.spans.allotted.values_mut() {
+            if allotment.holder == *instance {
+                allotment.expires.get_or_insert(expires);
+            }
+        }
+    }
+
+    /// Gives up asks and reservations that were not answered, and drops expired allotments.
+    pub(super) fn keep_spans(&mut self, effects: &mut Vec<Effect>) {
+        let now = self.now;
+        self.spans
+            .allotted
+            .retain(|_, allotment| allotment.expires.is_none_or(|expires| expires > now));
+        let unanswered: Vec<Id> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| match request.stage {
+                Stage::Span { asked, .. } => now.since(asked) >= ASK_TIMEOUT,
+                Stage::Reserving { since, .. } => now.since(since) >= RESERVE_TIMEOUT,
+                _ => false,
+            })
+            .map(|(&id, _)| id)
+            .collect();
+        for id in unanswered {
+            self.give_up_span(id, effects);
+            self.spans.next_ask = now + DENIED_PAUSE;
+            self.enqueue(id);
+        }
+    }
+}
--- a/core/src/serving/target.rs
+++ b/core/src/serving/target.rs
@@ -1,20 +1,29 @@
-//! Targets of the zone as this VM knows them: announcements, leases, load.
+//! Targets of the zone as this VM knows them: announcements, leases, load, cold state.
 //!
-//! The table keeps the last announcement of each target for one lease. Slots are dense, so that a
-//! placement decision scans a vector; ids are not reused while a request refers to them.
+//! Slots are dense, so that a placement decision scans vectors. A slot can be reused after its
+//! target is gone; a generation number tells the users of an id apart from later ones.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::request::Class;
-use crate::target::{Announcement, Id, State};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::membership::Sent;
+use crate::request::{Attempt, Class};
+use crate::target::{Announcement, Id, State, Turn};
 use crate::time::Instant;
 
 /// Validity of an announcement.
 pub(super) const LEASE: Duration = Duration::from_secs(3);
 
+/// Age up to which a load report may lack work that was sent before the report arrived.
+const REPORT_LAG: Duration = Duration::from_millis(250);
+
+/// First tokens in a row that are late before a target counts as cold.
+const SLOW_FIRST_TOKENS: u8 = 3;
+
 /// A target for status and metrics.
 #[derive(Debug, Clone, PartialEq)]
 pub struct View {
@@ -26,6 +35,8 @@
     pub out: bool,
     /// Whether a second address announces the same name.
     pub conflict: bool,
+    /// Whether the target did not answer a probe since its last sign of life.
+    pub unresponsive: bool,
     /// Attempts of this VM that run on the target.
     pub running: u32,
     /// Attempts of the zone's entry VMs that run on the target.
@@ -38,15 +49,96 @@
 #[derive(Debug)]
 pub(super) struct Target {
     pub announcement: Announcement,
-    pub group: Vec<u32>,
+    /// Tells the users of a reused slot or of a restarted target apart.
+    pub generation: u64,
+    pub groups: Vec<u32>,
     pub lease_until: Instant,
-    pub reported_at: Instant,
     pub out: bool,
     pub conflict: Option<(SocketAddr, Instant)>,
-    /// Attempts of this VM.
+    /// Whether the target gets only its cold budget.
+    pub cold: Cold,
+    /// Work that this VM sent.
+    pub own: Work,
+    /// Work that the other entry VMs of the zone sent.
+    pub peers: Work,
+    /// Prompt tokens before this VM's next dispatch, as of `backlog_at`.
+    backlog: f64,
+    backlog_at: Instant,
+    /// This VM's dispatches that the last load report may lack.
+    recent: VecDeque<Recent>,
+    /// First tokens in a row that were late.
+    slow: u8,
+    /// Until when the target gets no new work because it did not answer.
+    pub unresponsive_until: Option<Instant>,
+    /// Cold credits of this VM that were asked for and not granted yet.
+    pub asks: u32,
+    /// Until when this VM asks for no further cold credit after a denial.
+    pub denied_until: Instant,
+}
+
+/// Work of entry VMs on one target.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct Work {
     pub running: u32,
-    /// Prompt tokens of this VM's attempts before their first token, by class.
+    pub long: u32,
+    /// Prompt tokens before their first token, by class.
     pub unprefilled: [u64; 4],
+    /// Prompt tokens sent since the last load report.
+    pub since: u64,
+}
+
+impl Work {
+    fn add(&mut self, other: &Self) {
+        self.running += other.running;
+        self.long += other.long;
+        self.since += other.since;
+        for (sum, tokens) in self.unprefilled.iter_mut().zip(other.unprefilled) {
+            *sum += tokens;
+        }
+    }
+
+    fn subtract(&mut self, other: &Self) {
+        self.running = self.running.saturating_sub(other.running);
+        self.long = self.long.saturating_sub(other.long);
+        self.since = self.since.saturating_sub(other.since);
+        for (sum, tokens) in self.unprefilled.iter_mut().zip(other.unprefilled) {
+            *sum = sum.saturating_sub(tokens);
+        }
+    }
+}
+
+impl From<&Sent> for Work {
+    fn from(sent: &Sent) -> Self {
+        Self {
+            running: sent.running,
+            long: sent.long,
+            unprefilled: sent.unprefilled,
+            since: sent.tokens,
+        }
+    }
+}
+
+/// A dispatch that the last load report may lack.
+#[derive(Debug)]
+struct Recent {
+    sent: Instant,
+    attempt: Attempt,
+    tokens: u64,
+    kv_tokens: u64,
+}
+
+/// Cold state of one incarnation, agreed on in the zone: the higher turn wins, odd turns are warm.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Cold {
+    pub turn: u64,
+    /// Whether the turn is only derived from the first announcement seen by this process.
+    pub assumed: bool,
+}
+
+impl Cold {
+    pub const fn is_cold(self) -> bool {
+        self.turn.is_multiple_of(2)
+    }
 }
 
 /// Targets that serve one service and model.
@@ -54,7 +146,27 @@
 pub(super) struct Group {
     pub service: Arc<str>,
     pub model: Option<Arc<str>>,
+    /// Members in the order in which they join the set of long-taking targets. The order depends
+    /// on names only, so that all entry VMs agree on the set.
     pub targets: Vec<Id>,
+    /// Number of targets in the set of long-taking targets.
+    pub long_targets: usize,
+    /// Since when a smaller set would do.
+    pub shrink_since: Option<Instant>,
+    /// Target kept free of other work for a long request that has waited long.
+    pub reserved: Option<(Id, crate::request::Id)>,
+    /// Waiting requests by class.
+    pub waiting: [u32; 4],
+    /// Prompt tokens of waiting requests by class.
+    pub waiting_tokens: [u64; 4],
+    /// Mean time on a target by class, microseconds; zero before the first answer.
+    pub service_us: [f64; 4],
+    /// Time of the last arrival of a short or medium request.
+    pub last_short: Option<Instant>,
+    /// Mean number of generated tokens; zero before the first answer.
+    pub generated_tokens: f64,
+    /// Next position of the rotation, for the baseline policy.
+    pub cursor: usize,
 }
 
 /// What an announcement changed.
@@ -87,6 +199,7 @@
     free: Vec<Id>,
     names: BTreeMap<Arc<str>, Id>,
     groups: Vec<Group>,
+    generation: u64,
 }
 
 impl Table {
@@ -100,6 +213,7 @@
         let Some(&id) = self.names.get(&announcement.name) else {
             return Change::Joined(self.insert(now, announcement, lease_until));
         };
+        let generation = self.next_generation();
         let Some(target) = self.slots[id.0 as usize].as_mut() else {
             return Change::Stale;
         };
@@ -121,8 +235,15 @@
         let regroup = announcement.models != known.models || announcement.service != known.service;
         let before = known.state;
         target.announcement = announcement;
-        target.lease_until = lease_until;
-        target.reported_at = now;
+        target.lease_until = target.lease_until.max(lease_until);
+        if restarted {
+            target.reset(generation);
+            target.cold = Cold {
+                turn: 0,
+                assumed: false,
+            };
+        }
+        target.report(now);
         if regroup {
             self.leave_groups(id);
             self.join_groups(id);
@@ -134,18 +255,35 @@
         }
     }
 
+    fn next_generation(&mut self) -> u64 {
+        self.generation += 1;
+        self.generation
+    }
+
     fn insert(&mut self, now: Instant, announcement: Announcement, lease_until: Instant) -> Id {
         let name = Arc::clone(&announcement.name);
-        let target = Target {
-            announcement,
-            group: Vec::new(),
+        let mut target = Target {
+            generation: self.next_generation(),
+            groups: Vec::new(),
             lease_until,
-            reported_at: now,
             out: false,
             conflict: None,
-            running: 0,
-            unprefilled: [0; 4],
+            cold: Cold {
+                turn: u64::from(announcement.state != State::Cold),
+                assumed: true,
+            },
+            own: Work::default(),
+            peers: Work::default(),
+            backlog: 0.0,
+            backlog_at: now,
+            recent: VecDeque::new(),
+            slow: 0,
+            unresponsive_until: None,
+            asks: 0,
+            denied_until: now,
+            announcement,
         };
+        target.report(now);
         let id = if let Some(id) = self.free.pop() {
             self.slots[id.0 as usize] = Some(target);
             id
@@ -171,15 +309,17 @@
         let Some(target) = self.slots[id.0 as usize].as_mut() else {
             return;
         };
-        for group in target.group.drain(..) {
-            self.groups[group as usize]
-                .targets
-                .retain(|&member| member != id);
+        for group in target.groups.drain(..) {
+            let group = &mut self.groups[group as usize];
+            group.targets.retain(|&member| member != id);
+            if group.reserved.is_some_and(|(reserved, _)| reserved == id) {
+                group.reserved = None;
+            }
         }
     }
 
     fn join_groups(&mut self, id: Id) {
-        let Some(target) = self.slots[id.0 as usize].as_mut() else {
+        let Some(target) = self.slots[id.0 as usize].as_ref() else {
             return;
         };
         let service = Arc::clone(&target.announcement.service);
@@ -197,26 +337,38 @@
                 .iter()
                 .position(|group| group.service == service && group.model == model);
             let index = found.unwrap_or_else(|| {
-                self.groups.push(Group {
-                    service: Arc::clone(&service),
-                    model,
-                    targets: Vec::new(),
-                });
+                self.groups.push(Group::new(Arc::clone(&service), model));
                 self.groups.len() - 1
             });
-            let members = &mut self.groups[index].targets;
-            if !members.contains(&id) {
-                members.push(id);
-                members.sort_unstable();
-                if let Some(target) = self.slots[id.0 as usize].as_mut() {
-                    target.group.push(index as u32);
-                }
+            if self.groups[index].targets.contains(&id) {
+                continue;
+            }
+            let mut members = std::mem::take(&mut self.groups[index].targets);
+            members.push(id);
+            members.sort_by_cached_key(|&member| {
+                let name = self.get(member).map(|target| &target.announcement.name);
+                name.map(|name| (xxh3_64(name.as_bytes()), Arc::clone(name)))
+            });
+            self.groups[index].targets = members;
+            if let Some(target) = self.slots[id.0 as usize].as_mut() {
+                target.groups.push(index as u32);
             }
         }
     }
 
+    /// Returns the index of the targets that serve a service and model, and adds an empty group if
+    /// there is none.
+    pub fn group_or_insert(&mut self, service: &Arc<str>, model: Option<&Arc<str>>) -> u32 {
+        if let Some(index) = self.group_index(service, model.map(|name| &**name)) {
+            return index;
+        }
+        self.groups
+            .push(Group::new(Arc::clone(service), model.cloned()));
+        self.groups.len() as u32 - 1
+    }
+
     /// Returns the index of the targets that serve a service and model.
-    pub fn group(&self, service: &str, model: Option<&str>) -> Option<u32> {
+    pub fn group_index(&self, service: &str, model: Option<&str>) -> Option<u32> {
         let found = self
             .groups
             .iter()
@@ -224,9 +376,35 @@
         Some(found as u32)
     }
 
-    /// Returns the targets of a group.
-    pub fn members(&self, group: u32) -> &[Id] {
-        &self.groups[group as usize].targets
+    /// Returns a group by index.
+    pub fn group(&self, index: u32) -> &Group {
+        &self.groups[index as usize]
+    }
+
+    /// Returns a group by index.
+    pub fn group_mut(&mut self, index: u32) -> &mut Group {
+        &mut self.groups[index as usize]
+    }
+
+    /// Returns all groups.
+    pub fn groups(&self) -> &[Group] {
+        &self.groups
+    }
+
+    /// Iterates over the targets of a group.
+    pub fn members(&self, group: u32) -> impl Iterator<Item = (Id, &Target)> {
+        let members = &self.groups[group as usize].targets;
+        members.iter().filter_map(|&id| Some((id, self.get(id)?)))
+    }
+
+    /// Returns the KV memory of a group's largest target; plain services hold anything.
+    pub fn largest_memory(&self, group: u32) -> u64 {
+        let members = self.members(group);
+        let memory = members.map(|(_, target)| match target.announcement.kv_tokens {
+            0 => u64::MAX,
+            tokens => tokens,
+        });
+        memory.max().unwrap_or(0)
     }
 
     /// Returns a target by id.
@@ -239,6 +417,22 @@
         self.slots.get_mut(id.0 as usize)?.as_mut()
     }
 
+    /// Returns a target by id, if it is still the one of this generation.
+    pub fn same_mut(&mut self, id: Id, generation: u64) -> Option<&mut Target> {
+        self.get_mut(id)
+            .filter(|target| target.generation == generation)
+    }
+
+    /// Returns the id of a name.
+    pub fn id(&self, name: &str) -> Option<Id> {
+        self.names.get(name).copied()
+    }
+
+    /// Returns the number of targets.
+    pub fn len(&self) -> usize {
+        self.names.len()
+    }
+
     /// Iterates over all targets in the order of their ids.
     pub fn iter(&self) -> impl Iterator<Item = (Id, &Target)> {
         self.slots
@@ -247,6 +441,14 @@
             .filter_map(|(index, slot)| Some((Id(index as u32), slot.as_ref()?)))
     }
 
+    /// Iterates over all targets in the order of their ids.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (Id, &mut Target)> {
+        self.slots
+            .iter_mut()
+            .enumerate()
+            .filter_map(|(index, slot)| Some((Id(index as u32), slot.as_mut()?)))
+    }
+
     /// Returns the targets whose lease ended.
     pub fn expired(&self, now: Instant) -> Vec<Id> {
         self.iter()
@@ -254,27 +456,277 @@
             .map(|(id, _)| id)
             .collect()
     }
+
+    /// Returns the cold states that this process knows for certain.
+    pub fn turns(&self) -> Vec<Turn> {
+        self.iter()
+            .filter(|(_, target)| !target.cold.assumed)
+            .map(|(_, target)| Turn {
+                target: Arc::clone(&target.announcement.name),
+                incarnation: target.announcement.incarnation,
+                turn: target.cold.turn,
+            })
+            .collect()
+    }
+
+    /// Returns a digest of [`Self::turns`] that does not depend on the order of targets.
+    pub fn turns_digest(&self) -> u64 {
+        self.iter()
+            .filter(|(_, target)| !target.cold.assumed)
+            .fold(0, |digest, (_, target)| {
+                let incarnation = target.announcement.incarnation;
+                let state = incarnation.rotate_left(32) ^ target.cold.turn;
+                let name = target.announcement.name.as_bytes();
+                digest ^ xxh3_64_with_seed(name, state)
+            })
+    }
+
+    /// Replaces what a peer sent to targets; `known` holds what was counted for it before.
+    pub fn replace_peer_work(&mut self, known: &mut Vec<(Id, u64, Work)>, sent: &[Sent]) {
+        for (id, generation, work) in known.drain(..) {
+            if let Some(target) = self.same_mut(id, generation) {
+                target.peers.subtract(&work);
+            }
+        }
+        for entry in sent {
+            let Some(id) = self.id(&entry.target) else {
+                continue;
+            };
+            if let Some(target) = self.get_mut(id) {
+                let work = Work::from(entry);
+                target.peers.add(&work);
+                known.push((id, target.generation, work));
+            }
+        }
+    }
+}
+
+impl Group {
+    const fn new(service: Arc<str>, model: Option<Arc<str>>) -> Self {
+        Self {
+            service,
+            model,
+            targets: Vec::new(),
+            long_targets: 1,
+            shrink_since: None,
+            reserved: None,
+            waiting: [0; 4],
+            waiting_tokens: [0; 4],
+            service_us: [0.0; 4],
+            last_short: None,
+            generated_tokens: 0.0,
+            cursor: 0,
+        }
+    }
 }
 
 impl Target {
-    /// Returns whether the target may get new work.
-    pub fn open(&self, now: Instant) -> bool {
-        !self.out && self.announcement.state != State::Draining && self.lease_until > now
+    fn reset(&mut self, generation: u64) {
+        self.generation = generation;
+        self.own = Work::default();
+        self.peers = Work::default();
+        self.backlog = 0.0;
+        self.recent.clear();
+        self.slow = 0;
+        self.unresponsive_until = None;
+        self.conflict = None;
+        self.asks = 0;
+    }
+
+    /// Takes the load report of the last announcement.
+    fn report(&mut self, now: Instant) {
+        let since = now - REPORT_LAG;
+        while self
+            .recent
+            .front()
+            .is_some_and(|recent| recent.sent < since)
+        {
+            self.recent.pop_front();
+        }
+        self.own.since = self.recent.iter().map(|recent| recent.tokens).sum();
+        self.backlog = (self.announcement.load.prefill_tokens + self.own.since) as f64;
+        self.backlog_at = now;
+    }
+
+    fn rate_per_us(&self) -> f64 {
+        self.announcement.prefill_tokens_per_s as f64 / 1e6
+    }
+
+    fn backlog(&self, now: Instant) -> f64 {
+        let elapsed_us = (now.as_micros().saturating_sub(self.backlog_at.as_micros())) as f64;
+        (self.backlog - elapsed_us * self.rate_per_us()).max(0.0)
+    }
+
+    /// Counts an attempt that is sent now.
+    pub fn sent(
+        &mut self,
+        now: Instant,
+        attempt: Attempt,
+        class: Class,
+        tokens: u64,
+        kv_tokens: u64,
+    ) {
+        self.backlog = self.backlog(now) + tokens as f64;
+        self.backlog_at = now;
+        self.own.running += 1;
+        self.own.long += u32::from(class >= Class::Long);
+        self.own.unprefilled[class as usize] += tokens;
+        self.own.since += tokens;
+        self.recent.push_back(Recent {
+            sent: now,
+            attempt,
+            tokens,
+            kv_tokens,
+        });
+    }
+
+    /// Counts the first token of an attempt of this VM.
+    pub fn prefilled(&mut self, attempt: Attempt, class: Class, tokens: u64) {
+        let unprefilled = &mut self.own.unprefilled[class as usize];
+        *unprefilled = unprefilled.saturating_sub(tokens);
+        for recent in &mut self.recent {
+            if recent.attempt == attempt {
+                self.own.since = self.own.since.saturating_sub(recent.tokens);
+                recent.tokens = 0;
+            }
+        }
+    }
+
+    /// Counts the end of an attempt of this VM.
+    pub fn ended(&mut self, attempt: Attempt, class: Class) {
+        self.own.running = self.own.running.saturating_sub(1);
+        if class >= Class::Long {
+            self.own.long = self.own.long.saturating_sub(1);
+        }
+        self.recent.retain(|recent| recent.attempt != attempt);
+    }
+
+    /// Counts whether a first token was late; returns whether the target counts as cold by now.
+    pub const fn first_token(&mut self, late: bool) -> bool {
+        if late {
+            self.slow += 1;
+        } else {
+            self.slow = 0;
+        }
+        if self.slow >= SLOW_FIRST_TOKENS {
+            self.slow = 0;
+            return true;
+        }
+        false
+    }
+
+    /// Returns whether the target may get new work, apart from its cold state.
+    pub fn is_open(&self, now: Instant) -> bool {
+        !self.out
+            && self.announcement.state != State::Draining
+            && self.lease_until > now
+            && self.unresponsive_until.is_none_or(|until| until <= now)
+    }
+
+    /// Returns whether the target gets only its cold budget.
+    pub fn is_cold(&self) -> bool {
+        self.announcement.state == State::Cold || self.cold.is_cold()
+    }
+
+    /// Returns the running attempts of all entry VMs of the zone.
+    pub const fn zone_running(&self) -> u32 {
+        self.own.running + self.peers.running
+    }
+
+    /// Returns the long attempts of all entry VMs of the zone.
+    pub const fn zone_long(&self) -> u32 {
+        self.own.long + self.peers.long
+    }
+
+    /// Returns the prompt tokens of long requests before their first token.
+    pub const fn unprefilled_long(&self) -> u64 {
+        self.own.unprefilled[2]
+            + self.own.unprefilled[3]
+            + self.peers.unprefilled[2]
+            + self.peers.unprefilled[3]
+    }
+
+    /// Returns the KV memory in use, with dispatches that the report lacks, tokens.
+    pub fn kv_used(&self) -> u64 {
+        let recent: u64 = self.recent.iter().map(|recent| recent.kv_tokens).sum();
+        self.announcement.load.kv_tokens_used + recent + self.peers.since
     }
 
     /// Predicts the wait before the prefill of a new request, in microseconds.
-    pub fn wait_us(&self, now: Instant, class: Class) -> u64 {
-        let rate = self.announcement.prefill_tokens_per_s;
+    ///
+    /// Engines prefill by priority, so that only work of the same or a higher class counts, plus
+    /// reported work of which no entry VM knows the class.
+    pub fn wait_us(&self, now: Instant, class: Class) -> f64 {
+        let rate = self.rate_per_us();
+        if rate <= 0.0 {
+            return 0.0;
+        }
+        let total = self.backlog(now) + self.peers.since as f64;
+        let mut known = 0;
+        let mut ahead = 0;
+        for index in 0..4 {
+            let tokens = self.own.unprefilled[index] + self.peers.unprefilled[index];
+            known += tokens;
+            if index <= class as usize {
+                ahead += tokens;
+            }
+        }
+        let known = known as f64;
+        let ahead = ahead as f64;
+        let tokens = if total >= known {
+            ahead + (total - known)
+        } else {
+            ahead * total / known
+        };
+        tokens / rate
+    }
+
+    /// Predicts the prefill time of a prompt, in microseconds.
+    pub fn prefill_us(&self, tokens: u64) -> f64 {
+        let rate = self.rate_per_us();
+        if rate <= 0.0 {
+            0.0
+        } else {
+            tokens as f64 / rate
+        }
+    }
+
+    /// Predicts the time to generate tokens, in microseconds.
+    pub fn decode_us(&self, tokens: u64) -> f64 {
+        let rate = self.announcement.decode_tokens_per_s;
         if rate == 0 {
-            return 0;
+            0.0
+        } else {
+            tokens as f64 * 1e6 / rate as f64
+        }
+    }
+
+    /// Returns the work of this VM for a heartbeat, if there is any.
+    pub fn sent_by_own(&self) -> Option<Sent> {
+        if self.own == Work::default() {
+            return None;
+        }
+        Some(Sent {
+            target: Arc::clone(&self.announcement.name),
+            running: self.own.running,
+            since_seq: self.announcement.seq,
+            tokens: self.own.since,
+            long: self.own.long,
+            unprefilled: self.own.unprefilled,
+        })
+    }
+
+    /// Returns the target for status and metrics.
+    pub fn view(&self, now: Instant) -> View {
+        View {
+            announcement: self.announcement.clone(),
+            cold: self.is_cold(),
+            out: self.out,
+            conflict: self.conflict.is_some(),
+            unresponsive: self.unresponsive_until.is_some_and(|until| until > now),
+            running: self.own.running,
+            zone_running: self.zone_running(),
+            wait_us: self.wait_us(now, Class::Short) as u64,
         }
-        let drained = now.since(self.reported_at).as_micros() as u64 * rate / 1_000_000;
-        let reported = self
-            .announcement
-            .load
-            .prefill_tokens
-            .saturating_sub(drained);
-        let own: u64 = self.unprefilled[..=class as usize].iter().sum();
-        (reported.max(own)) * 1_000_000 / rate
     }
 }
--- /dev/null
+++ b/core/src/serving/verify.rs
@@ -0,0 +1,438 @@
+//! An independent checker of the serving reducer's invariants.
+//!
+//! It sees the events and effects of one reducer and nothing of its state, and keeps its own record
+//! of requests, attempts, targets and credits. It is used by tests and fuzzing.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::inventory::Kind;
+use crate::ledger::{Answer, Call};
+use crate::message::{Credit, Message};
+use crate::registry::Config;
+use crate::request::{Attempt, End, Id, Outcome};
+use crate::target::{Announcement, State};
+use crate::time::Instant;
+
+use super::effect::{Dispatch, Effect, Notice};
+use super::event::Event;
+use super::settings::Settings;
+
+/// Time after its deadline within which a request must have its final outcome; events arrive at
+/// least every 20 ms.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(100);
+
+/// Longest time limit without rules.
+const DEADLINE_MAX: Duration = Duration::from_mins(10);
+
+/// A broken invariant.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Violation {
+    /// An attempt of a request that is not live.
+    UnknownRequest(Attempt),
+    /// The same attempt was dispatched twice.
+    RepeatedAttempt(Attempt),
+    /// A second attempt while the first had not ended.
+    ConcurrentAttempt(Attempt),
+    /// A request that must run at most once was dispatched without a claim.
+    Unclaimed(Attempt),
+    /// A request that must run at most once was dispatched again although it may have run.
+    RunTwice(Attempt),
+    /// A request without permission to repeat was dispatched again although it may have run.
+    Repeated(Attempt),
+    /// A resume of an attempt that was not dispatched, or at another engine.
+    WrongResume(Attempt),
+    /// A dispatch to a target that is not announced under this address.
+    UnknownTarget(Attempt),
+    /// A dispatch to a target that drains.
+    Draining(Attempt),
+    /// A dispatch to a target that operators took out.
+    TargetOut(Attempt),
+    /// A dispatch in a zone that operators took out.
+    ZoneOut(Attempt),
+    /// A dispatch to a cold target without a credit.
+    NoCredit(Attempt),
+    /// A second final effect, or one for an unknown request.
+    Ended(Id),
+    /// `not_run` for a request that may have run.
+    FalseRefusal(Id),
+    /// `answered` for a request without a whole answer.
+    FalseAnswer(Id),
+    /// A request without a final outcome after its deadline.
+    Overdue(Id),
+    /// A request that ended while an attempt still holds engine memory.
+    Leak(Attempt),
+    /// A whole answer that is not passed on as the final outcome.
+    LostAnswer(Id),
+    /// The ledger's claim was not followed by a record of the outcome.
+    Unrecorded(Id),
+    /// A hand-over of a request that was handed over already.
+    SecondHop(Id),
+}
+
+#[derive(Debug)]
+struct Request {
+    deadline: Instant,
+    at_most_once: bool,
+    repeatable: bool,
+    hop: bool,
+    claim_sent: bool,
+    claimed: bool,
+    recorded: bool,
+    uncertain: bool,
+    whole: bool,
+    handed_over: bool,
+    current: Option<Attempt>,
+}
+
+#[derive(Debug)]
+struct Sent {
+    target: Arc<str>,
+    address: SocketAddr,
+    engine: bool,
+    /// Attempt that the engine knows.
+    base: Attempt,
+}
+
+/// Follows one reducer.
+#[derive(Debug)]
+pub struct Verifier {
+    settings: Settings,
+    config: Option<Arc<Config>>,
+    targets: BTreeMap<Arc<str>, Announcement>,
+    requests: BTreeMap<Id, Request>,
+    ended: BTreeSet<Id>,
+    sent: BTreeMap<Attempt, Sent>,
+    /// Attempts that the engines may hold and whose cancel is still to come.
+    held: BTreeMap<Attempt, SocketAddr>,
+    granted: BTreeSet<Attempt>,
+    coordinator: bool,
+}
+
+impl Verifier {
+    /// Creates the verifier of a reducer with these settings.
+    pub const fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            config: None,
+            targets: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            ended: BTreeSet::new(),
+            sent: BTreeMap::new(),
+            held: BTreeMap::new(),
+            granted: BTreeSet::new(),
+            coordinator: false,
+        }
+    }
+
+    /// Checks what the reducer asked for in answer to an event.
+    pub fn observe(
+        &mut self,
+        now: Instant,
+        event: &Event,
+        effects: &[Effect],
+    ) -> Result<(), Violation> {
+        self.note(now, event);
+        for effect in effects {
+            self.check(now, effect)?;
+        }
+        if let Event::Ended {
+            attempt,
+            end: End::Whole { .. },
+        } = event
+            && let Some(request) = self.requests.get(&attempt.request)
+            && request.whole
+        {
+            return Err(Violation::LostAnswer(attempt.request));
+        }
+        let overdue = self
+            .requests
+            .iter()
+            .find(|(_, request)| request.deadline + DEADLINE_MARGIN < now);
+        overdue.map_or(Ok(()), |(&id, _)| Err(Violation::Overdue(id)))
+    }
+
+    /// Returns the attempts that engines may hold without a cancel; none once all requests ended.
+    pub fn held(&self) -> impl Iterator<Item = Attempt> {
+        self.held.keys().copied()
+    }
+
+    fn note(&mut self, now: Instant, event: &Event) {
+        match event {
+            Event::Announced(announcement) => self.announced(announcement),
+            Event::Arrived(arrival) => {
+                let known = self.requests.contains_key(&arrival.id);
+                if known || self.ended.contains(&arrival.id) {
+                    return;
+                }
+                let limit = self.limit(arrival.prompt_tokens);
+                let limit = arrival.deadline.map_or(limit, |asked| asked.min(limit));
+                let request = Request {
+                    deadline: now + limit,
+                    at_most_once: arrival.at_most_once,
+                    repeatable: arrival.repeatable,
+                    hop: arrival.handed_over,
+                    claim_sent: false,
+                    claimed: false,
+                    recorded: false,
+                    uncertain: false,
+                    whole: false,
+                    handed_over: false,
+                    current: None,
+                };
+                self.requests.insert(arrival.id, request);
+            }
+            Event::Ended { attempt, end } => self.attempt_ended(*attempt, end),
+            Event::HandedOver { request, end } => {
+                if let Some(request) = self.requests.get_mut(request)
+                    && request.handed_over
+                {
+                    request.handed_over = false;
+                    match end {
+                        End::Whole { .. } => request.whole = true,
+                        End::NotRun { .. } => {}
+                        End::Lost | End::Broken => request.uncertain = true,
+                    }
+                }
+            }
+            Event::Ledger {
+                request,
+                answer: Answer::Claimed,
+            } => {
+                if let Some(request) = self.requests.get_mut(request) {
+                    request.claimed = true;
+                }
+            }
+            Event::Ledger {
+                request,
+                answer: Answer::InFlight | Answer::Conflict | Answer::Finished { .. },
+            } => {
+                if let Some(request) = self.requests.get_mut(request)
+                    && !request.claimed
+                {
+                    // The key belongs to another request; nothing may be recorded.
+                    request.claim_sent = false;
+                }
+            }
+            Event::Received {
+                message: Message::Targets(announcements),
+                ..
+            } => {
+                for announcement in announcements {
+                    self.announced(announcement);
+                }
+            }
+            Event::Received {
+                message: Message::Credit(Credit::Grant { attempt, .. }),
+                ..
+            } => {
+                self.granted.insert(*attempt);
+            }
+            _ => {}
+        }
+    }
+
+    fn limit(&self, prompt_tokens: u64) -> Duration {
+        let Some(config) = &self.config else {
+            return DEADLINE_MAX;
+        };
+        let deadlines = &config.inventory.rules.deadlines;
+        let entry = deadlines
+            .iter()
+            .find(|entry| prompt_tokens <= entry.prompt_tokens_max)
+            .or(deadlines.last());
+        entry.map_or(DEADLINE_MAX, |entry| Duration::from_millis(entry.ms))
+    }
+
+    fn announced(&mut self, announcement: &Announcement) {
+        if announcement.zone != self.settings.zone {
+            return;
+        }
+        if let Some(known) = self.targets.get(&announcement.name) {
+            let order = |entry: &Announcement| (entry.incarnation, entry.seq);
+            let moved = announcement.incarnation == known.incarnation
+                && announcement.address != known.address;
+            if order(announcement) <= order(known) || moved {
+                return;
+            }
+        }
+        let name = Arc::clone(&announcement.name);
+        self.targets.insert(name, announcement.clone());
+    }
+
+    fn attempt_ended(&mut self, attempt: Attempt, end: &End) {
+        let Some(request) = self.requests.get_mut(&attempt.request) else {
+            return;
+        };
+        if request.current != Some(attempt) {
+            return;
+        }
+        let base = self.sent.get(&attempt).map_or(attempt, |sent| sent.base);
+        request.current = None;
+        match end {
+            End::Whole { .. } => {
+                request.whole = true;
+                self.held.remove(&base);
+            }
+            // A refused resume says nothing about the attempt that it continues.
+            End::NotRun { .. } if base == attempt => {}
+            End::NotRun { .. } | End::Lost | End::Broken => request.uncertain = true,
+        }
+    }
+
+    fn check(&mut self, now: Instant, effect: &Effect) -> Result<(), Violation> {
+        match effect {
+            Effect::Dispatch(dispatch) => self.check_dispatch(now, dispatch),
+            Effect::Abort(attempt) => {
+                if let Some(request) = self.requests.get_mut(&attempt.request)
+                    && request.current == Some(*attempt)
+                {
+                    request.current = None;
+                    request.uncertain = true;
+                }
+                Ok(())
+            }
+            Effect::Cancel { address, attempt } => {
+                if self.held.get(attempt) == Some(address) {
+                    self.held.remove(attempt);
+                }
+                Ok(())
+            }
+            Effect::HandOver { request: id, .. } => {
+                let Some(request) = self.requests.get_mut(id) else {
+                    return Err(Violation::Ended(*id));
+                };
+                if request.hop || request.handed_over || request.uncertain {
+                    return Err(Violation::SecondHop(*id));
+                }
+                request.handed_over = true;
+                Ok(())
+            }
+            Effect::Ledger { request, call } => {
+                if let Some(request) = self.requests.get_mut(request) {
+                    match call {
+                        Call::Begin { .. } => request.claim_sent = true,
+                        Call::Finish { .. } => request.recorded = true,
+                    }
+                }
+                Ok(())
+            }
+            Effect::Respond(refusal) => self.check_end(refusal.request, refusal.outcome),
+            Effect::Complete(id) => self.check_end(*id, Outcome::Answered),
+            Effect::Replay { request: id, .. } => {
+                let request = self.requests.remove(id).ok_or(Violation::Ended(*id))?;
+                self.ended.insert(*id);
+                let foreign = request.at_most_once && !request.claimed;
+                foreign.then_some(()).ok_or(Violation::FalseAnswer(*id))
+            }
+            Effect::InForce(config) => {
+                self.config = Some(Arc::clone(config));
+                Ok(())
+            }
+            Effect::Notice(Notice::CoordinatorGained(_)) => {
+                self.coordinator = true;
+                Ok(())
+            }
+            Effect::Notice(Notice::CoordinatorLost(_)) => {
+                self.coordinator = false;
+                Ok(())
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn check_dispatch(&mut self, now: Instant, dispatch: &Dispatch) -> Result<(), Violation> {
+        let attempt = dispatch.attempt;
+        let request = self
+            .requests
+            .get_mut(&attempt.request)
+            .ok_or(Violation::UnknownRequest(attempt))?;
+        if self.sent.contains_key(&attempt) {
+            return Err(Violation::RepeatedAttempt(attempt));
+        }
+        if request.deadline < now {
+            return Err(Violation::Overdue(attempt.request));
+        }
+        if request.current.is_some() || request.handed_over || request.whole {
+            return Err(Violation::ConcurrentAttempt(attempt));
+        }
+        request.current = Some(attempt);
+        if let Some((base, _)) = dispatch.resume {
+            let sent = self
+                .sent
+                .get(&base)
+                .filter(|sent| sent.engine && sent.address == dispatch.address)
+                .filter(|_| self.held.contains_key(&base))
+                .ok_or(Violation::WrongResume(attempt))?;
+            let resumed = Sent {
+                target: Arc::clone(&sent.target),
+                base: sent.base,
+                ..*sent
+            };
+            self.sent.insert(attempt, resumed);
+            return Ok(());
+        }
+        if request.at_most_once && !request.claimed {
+            return Err(Violation::Unclaimed(attempt));
+        }
+        if request.uncertain && request.at_most_once {
+            return Err(Violation::RunTwice(attempt));
+        }
+        if request.uncertain && !request.repeatable {
+            return Err(Violation::Repeated(attempt));
+        }
+        let target = self
+            .targets
+            .get(&dispatch.target)
+            .filter(|target| target.address == dispatch.address)
+            .ok_or(Violation::UnknownTarget(attempt))?;
+        if target.state == State::Draining {
+            return Err(Violation::Draining(attempt));
+        }
+        if let Some(config) = &self.config {
+            if config.targets_out.contains(&dispatch.target) {
+                return Err(Violation::TargetOut(attempt));
+            }
+            if config.zones_out.contains(&self.settings.zone) {
+                return Err(Violation::ZoneOut(attempt));
+            }
+        }
+        let credit = self.granted.contains(&attempt) || self.coordinator;
+        if target.state == State::Cold && !credit {
+            return Err(Violation::NoCredit(attempt));
+        }
+        let engine = target.kind == Kind::Engine;
+        if engine {
+            self.held.insert(attempt, dispatch.address);
+        }
+        let sent = Sent {
+            target: Arc::clone(&dispatch.target),
+            address: dispatch.address,
+            engine,
+            base: attempt,
+        };
+        self.sent.insert(attempt, sent);
+        Ok(())
+    }
+
+    fn check_end(&mut self, id: Id, outcome: Outcome) -> Result<(), Violation> {
+        let request = self.requests.remove(&id).ok_or(Violation::Ended(id))?;
+        self.ended.insert(id);
+        // An outcome that the ledger reported for the key of another request is passed on as is.
+        let foreign = request.at_most_once && !request.claimed && !request.claim_sent;
+        let may_have_run = request.uncertain || request.current.is_some() || request.handed_over;
+        if outcome == Outcome::NotRun && (may_have_run || request.whole) {
+            return Err(Violation::FalseRefusal(id));
+        }
+        if outcome == Outcome::Answered && !request.whole && !foreign {
+            return Err(Violation::FalseAnswer(id));
+        }
+        if request.claim_sent && !request.recorded {
+            return Err(Violation::Unrecorded(id));
+        }
+        let leak = self.held.keys().find(|attempt| attempt.request == id);
+        leak.map_or(Ok(()), |&attempt| Err(Violation::Leak(attempt)))
+    }
+}
--- a/core/src/target.rs
+++ b/core/src/target.rs
@@ -99,3 +99,14 @@
     #[serde(default)]
     pub load: Load,
 }
+
+/// Cold state of one incarnation of a target, agreed on in its zone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Turn {
+    /// Target name.
+    pub target: Arc<str>,
+    /// Target incarnation.
+    pub incarnation: u64,
+    /// Grows with each change; even while cold, odd while warm. The higher number wins.
+    pub turn: u64,
+}
--- a/core/tests/common/mod.rs
+++ b/core/tests/common/mod.rs
@@ -14,6 +14,7 @@
 use primrosepin_core::request::{Arrival, Attempt, End, Id, Outcome, Reason};
 use primrosepin_core::serving::effect::{Dispatch, Effect};
 use primrosepin_core::serving::event::Event;
+use primrosepin_core::serving::verify::Verifier;
 use primrosepin_core::serving::{Policy, Reducer, Settings};
 use primrosepin_core::target::{Announcement, Budget, Load, Model, State};
 use primrosepin_core::time::Instant;
@@ -157,15 +158,20 @@
     pub reducer: Reducer,
     pub now: Instant,
     pub log: Vec<Effect>,
+    pub verifier: Verifier,
+    sent: usize,
 }
 
 impl Host {
     pub fn new(settings: Settings) -> Self {
         let now = Instant::from_micros(1_000_000);
+        let settings_copy = settings.clone();
         Self {
             reducer: Reducer::new(settings, 7, now),
             now,
             log: Vec::new(),
+            verifier: Verifier::new(settings_copy),
+            sent: 0,
         }
     }
 
@@ -178,7 +184,10 @@
 
     pub fn apply(&mut self, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
+        let seen = event.clone();
         self.reducer.apply(self.now, event, &mut effects);
+        let verdict = self.verifier.observe(self.now, &seen, &effects);
+        assert_eq!(verdict, Ok(()), "{seen:?} led to {effects:?}");
         self.log.extend(effects.iter().cloned());
         effects
     }
@@ -235,3 +244,96 @@
         number,
     }
 }
+
+/// Entry VMs of one zone that exchange messages without delay unless cut off.
+pub struct Fleet {
+    pub hosts: Vec<Host>,
+    pub cut: Vec<usize>,
+}
+
+impl Fleet {
+    /// Configured VMs `e1`, `e2`, ... that all vote.
+    pub fn new(count: u16) -> Self {
+        let names: Vec<String> = (1..=count).map(|number| format!("e{number}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        let config = Arc::new(config(1, &names));
+        let hosts = names.iter().zip(1..).map(|(name, port)| {
+            let mut settings = settings(name, port);
+            settings.seeds = vec![address(1)];
+            settings.other_zones = vec![address(900)];
+            let mut host = Host::new(settings);
+            host.apply(Event::Configured(Arc::clone(&config)));
+            host
+        });
+        Self {
+            hosts: hosts.collect(),
+            cut: Vec::new(),
+        }
+    }
+
+    pub fn deliver(&mut self) {
+        for _ in 0..20 {
+            let mut mail = Vec::new();
+            for (index, host) in self.hosts.iter_mut().enumerate() {
+                let from = host.reducer.settings().vm.clone();
+                for effect in &host.log[host.sent..] {
+                    if let Effect::Send { to, message, .. } = effect
+                        && !self.cut.contains(&index)
+                    {
+                        mail.push((from.clone(), *to, message.clone()));
+                    }
+                }
+                host.sent = host.log.len();
+            }
+            if mail.is_empty() {
+                return;
+            }
+            for (from, to, message) in mail {
+                for (index, host) in self.hosts.iter_mut().enumerate() {
+                    if host.reducer.settings().address.peers == to && !self.cut.contains(&index) {
+                        host.apply(Event::Received {
+                            from: from.clone(),
+                            message: message.clone(),
+                        });
+                    }
+                }
+            }
+        }
+    }
+
+    pub fn pass(&mut self, ms: u64) {
+        for _ in 0..ms / 20 {
+            for host in &mut self.hosts {
+                host.pass(20);
+            }
+            self.deliver();
+        }
+    }
+
+    /// Lets time pass while targets announce themselves at the first VM every 200 ms.
+    pub fn pass_with(&mut self, ms: u64, targets: &mut [Announcement]) {
+        for _ in 0..ms / 200 {
+            for target in targets.iter_mut() {
+                target.seq += 1;
+                self.hosts[0].announce(target.clone());
+            }
+            self.deliver();
+            self.pass(200);
+        }
+    }
+
+    pub fn coordinators(&self) -> Vec<usize> {
+        let hosts = self.hosts.iter().enumerate();
+        hosts
+            .filter(|(_, host)| host.reducer.held_epoch().is_some())
+            .map(|(index, _)| index)
+            .collect()
+    }
+
+    pub fn arrive(&mut self, index: usize, arrival: Arrival) -> Vec<Dispatch> {
+        let before = self.hosts[index].log.len();
+        self.hosts[index].arrive(arrival);
+        self.deliver();
+        dispatches(&self.hosts[index].log[before..])
+    }
+}
