--- /dev/null
+++ b/cli/tests/cli/status.rs
@@ -0,0 +1,57 @@
+//! What `status` says about states of a deployment.
+
+use primrosepin_cli::status::{Status, findings};
+use serde_json::{Value, json};
+
+fn shown(status: &Value) -> String {
+    let status = Status::new(status).expect("status");
+    let lines = findings(&status).into_iter().map(|finding| {
+        let mark = if finding.problem { "!" } else { "-" };
+        format!("{mark} {}\n    {}\n", finding.what, finding.advice)
+    });
+    lines.collect()
+}
+
+fn vm(name: &str, zone: &str, version: u64, state: &str) -> Value {
+    json!({ "name": name, "zone": zone, "version": version, "state": state })
+}
+
+fn replica(name: &str, voter: bool, reachable: bool) -> Value {
+    json!({ "name": name, "voter": voter, "reachable": reachable })
+}
+
+/// Guards against alarms in a healthy deployment.
+#[test]
+fn healthy() {
+    let status = json!({
+        "version": 7, "leader": "control-1",
+        "replicas": [replica("control-1", true, true), replica("control-2", true, true)],
+        "vms": [vm("entry-1", "a", 7, "ok"), vm("entry-2", "b", 8, "ok")],
+    });
+    assert_eq!(shown(&status), "");
+}
+
+/// Guards against problems that are not reported, or reported without what to do.
+#[test]
+fn problems() {
+    let status = json!({
+        "version": 7, "leader": "control-1",
+        "replicas": [
+            replica("control-1", true, true), replica("control-2", true, true),
+            replica("control-3", true, false), replica("control-4", false, true),
+        ],
+        "vms": [
+            vm("entry-1", "a", 6, "ok"), vm("entry-2", "a", 7, "gone"),
+            vm("entry-3", "b", 1, "gone"), vm("entry-4", "c", 7, "suspect"),
+            vm("entry-5", "c", 7, "draining"),
+        ],
+        "zones_out": ["c"], "targets_out": ["worker-1"],
+    });
+    insta::assert_snapshot!(shown(&status));
+}
+
+/// Guards against a lost quorum that looks like an idle deployment.
+#[test]
+fn no_leader_and_no_configuration() {
+    insta::assert_snapshot!(shown(&json!({ "version": 0, "leader": null })));
+}
