core, store: Add the replicated log, the registry and the synced store

The control replicas need durable shared state that survives crashes and changes of leader.

- registry: configuration with base versions and remembered outcomes, history, ledger with expiry, order issuers with fencing numbers and weight-store permits.

--- /dev/null
+++ b/core/src/consensus/member.rs
@@ -0,0 +1,84 @@
+//! Members of a control deployment.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::vm;
+
+/// Random id of a replica, stored with its votes.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Id(pub u64);
+
+/// A replica that belongs to the deployment.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Id of the replica.
+    pub id: Id,
+    /// Name of its VM.
+    pub vm: vm::Name,
+    /// QUIC address.
+    pub address: SocketAddr,
+    /// Whether the replica votes and counts for a quorum; a learner does neither.
+    pub voter: bool,
+}
+
+/// All replicas of a deployment.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Members {
+    /// Random id of the deployment; zero before it is founded.
+    pub deployment: u64,
+    /// Voters and learners.
+    pub list: Vec<Member>,
+    /// Ids that were replaced, so that they are never admitted again; the last ones are kept.
+    pub removed: Vec<Id>,
+}
+
+/// Replaced ids that are kept. The design size loses about 26 VMs a day of all kinds.
+const MAX_REMOVED: usize = 256;
+
+impl Members {
+    /// Returns the member with an id.
+    pub fn get(&self, id: Id) -> Option<&Member> {
+        self.list.iter().find(|member| member.id == id)
+    }
+
+    /// Removes members for good.
+    pub(super) fn remove<F>(&mut self, chosen: F)
+    where
+        F: Fn(&Member) -> bool,
+    {
+        let removed = self.list.extract_if(.., |member| chosen(member));
+        self.removed.extend(removed.map(|member| member.id));
+        let excess = self.removed.len().saturating_sub(MAX_REMOVED);
+        self.removed.drain(..excess);
+    }
+
+    /// Returns the voters.
+    pub fn voters(&self) -> impl Iterator<Item = &Member> {
+        self.list.iter().filter(|member| member.voter)
+    }
+
+    /// Returns whether an id is a voter.
+    pub fn is_voter(&self, id: Id) -> bool {
+        self.voters().any(|member| member.id == id)
+    }
+
+    /// Returns the number of voters that make a quorum.
+    pub fn quorum(&self) -> usize {
+        self.voters().count() / 2 + 1
+    }
+
+    /// Returns the highest value that a quorum of voters reaches; none without voters.
+    pub fn quorum_value<T, F>(&self, value: F) -> Option<T>
+    where
+        T: Ord + Copy,
+        F: Fn(&Member) -> T,
+    {
+        let mut values: Vec<T> = self.voters().map(value).collect();
+        values.sort_unstable_by(|a, b| b.cmp(a));
+        values.get(self.quorum() - 1).copied()
+    }
+}
--- a/core/src/consensus/message.rs
+++ b/core/src/consensus/message.rs
@@ -1,9 +1,13 @@
 //! Messages between control replicas.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
+use super::{Id, Members};
+use crate::vm;
+
 /// An entry of the replicated log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -11,13 +15,59 @@
     pub term: u64,
     /// Position in the log, from 1.
     pub index: u64,
-    /// Encoded payload.
-    pub payload: Arc<[u8]>,
+    /// Content.
+    pub payload: Payload,
+}
+
+/// Content of an entry.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Payload {
+    /// First entry of a leader; commits the entries of earlier terms.
+    Start,
+    /// Replaces the members.
+    Members(Members),
+    /// Encoded command for the state machine.
+    Command(Arc<[u8]>),
+}
+
+impl Payload {
+    /// Returns the approximate encoded size, bytes.
+    pub(super) fn size(&self) -> usize {
+        match self {
+            Self::Start => 32,
+            Self::Members(members) => 64 + members.list.len() * 64,
+            Self::Command(bytes) => 32 + bytes.len(),
+        }
+    }
 }
 
 /// A message between control replicas.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Message {
+pub struct Message {
+    /// Deployment of the sender; zero if it has none yet.
+    pub deployment: u64,
+    /// Sender.
+    pub from: Id,
+    /// Receiver; zero if the sender does not know it. Another replica ignores the message.
+    pub to: Id,
+    /// Address of the sender for answers.
+    pub address: SocketAddr,
+    /// Content.
+    pub body: Body,
+}
+
+/// Content of a message between control replicas.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
+    /// Asks to join the deployment, to found one, or to learn a new address.
+    Join {
+        /// VM name of the sender.
+        vm: vm::Name,
+        /// Whether the sender has no data.
+        blank: bool,
+        /// Whether the sender may found a deployment.
+        bootstrap: bool,
+    },
     /// Asks for a vote, or whether a vote would be given.
     VoteAsk {
         /// Term of the candidate.
@@ -29,9 +79,9 @@
         /// Term of the candidate's last entry.
         last_term: u64,
     },
-    /// Answers [`Message::VoteAsk`].
+    /// Answers [`Body::VoteAsk`].
     VoteAnswer {
-        /// Term of the voter.
+        /// Term of the vote if it is given, else the term of the voter.
         term: u64,
         /// Whether the answer is to a probe.
         pre: bool,
@@ -53,7 +103,7 @@
         /// Identifies the heartbeat round for the leader's quorum check.
         round: u64,
     },
-    /// Answers [`Message::Append`].
+    /// Answers [`Body::Append`] and the last part of a snapshot.
     AppendAnswer {
         /// Term of the follower.
         term: u64,
@@ -64,7 +114,7 @@
         /// Round answered.
         round: u64,
     },
-    /// Replaces the receiver's state.
+    /// A part of a snapshot that replaces the receiver's state.
     Snapshot {
         /// Term of the leader.
         term: u64,
@@ -72,9 +122,33 @@
         index: u64,
         /// Term at that index.
         index_term: u64,
-        /// Voters and learners at that index, encoded.
-        members: Arc<[u8]>,
-        /// State machine, encoded.
-        state: Arc<[u8]>,
+        /// Members at that index.
+        members: Members,
+        /// Position of the part, bytes.
+        offset: u64,
+        /// Length of the whole state, bytes.
+        total: u64,
+        /// The part of the encoded state machine.
+        part: Arc<[u8]>,
+        /// Identifies the heartbeat round for the leader's quorum check.
+        round: u64,
+    },
+    /// Answers a part of a snapshot that is not the last.
+    SnapshotAnswer {
+        /// Term of the follower.
+        term: u64,
+        /// Last index that the snapshot covers.
+        index: u64,
+        /// Length received without gap, bytes.
+        offset: u64,
+        /// Round answered.
+        round: u64,
+    },
+    /// The leader shuts down; another voter starts an election at once.
+    Resign {
+        /// Term of the leader.
+        term: u64,
+        /// Voter that starts the election.
+        heir: Id,
     },
 }
--- /dev/null
+++ b/core/src/consensus/snapshot.rs
@@ -0,0 +1,20 @@
+//! Snapshots of the state machine.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::Members;
+
+/// State of a replica up to an index.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Last index that the snapshot covers; zero for the founding.
+    pub index: u64,
+    /// Term at that index.
+    pub term: u64,
+    /// Members at that index.
+    pub members: Members,
+    /// Encoded state machine; empty for the founding.
+    pub state: Arc<[u8]>,
+}
--- /dev/null
+++ b/core/src/registry/ledgers.rs
@@ -0,0 +1,217 @@
+//! The ledger of requests that must run at most once.
+//!
+//! A key is claimed by one request until that request records `not_run`, or until the entry is
+//! forgotten after the retention period. An entry whose holder never reported reads as finished
+//! with outcome `unknown` once its time is over.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::ledger::{Answer, Call, Key, Response};
+use crate::request::{self, Outcome};
+use crate::vm;
+
+/// Response bodies kept, bytes. Above it the responses that will be forgotten first are dropped;
+/// their outcomes stay. It bounds the state machine's memory and snapshot size.
+pub const MAX_RESPONSE_BYTES: usize = 32 * 1024 * 1024;
+
+/// Largest recorded body, bytes.
+const MAX_BODY_BYTES: usize = 64 * 1024;
+
+/// Longest time that an entry may stay in flight, milliseconds. The longest deadline is 600 s; the
+/// limit keeps a faulty caller from claiming a key for ever.
+const MAX_EXPIRES_MS: u64 = 3_600_000;
+
+/// State of a claimed key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+enum Status {
+    /// May be running until this time.
+    Running { until_ms: u64 },
+    /// Ended.
+    Ended {
+        outcome: Outcome,
+        response: Option<Response>,
+    },
+}
+
+/// A claimed key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Entry {
+    holder: vm::Instance,
+    request: request::Id,
+    content: u64,
+    forget_ms: u64,
+    status: Status,
+}
+
+/// Claimed keys with the order in which they are forgotten.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub(super) struct Table {
+    entries: BTreeMap<Key, Entry>,
+    forget: BTreeSet<(u64, Key)>,
+    /// Entries that hold a response, in the order in which responses are dropped.
+    responses: BTreeSet<(u64, Key)>,
+    response_bytes: usize,
+}
+
+impl Table {
+    /// Returns the number of entries.
+    pub(super) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Forgets entries whose retention is over.
+    pub(super) fn expire(&mut self, now_ms: u64) {
+        while let Some((at, _)) = self.forget.first() {
+            if *at > now_ms {
+                break;
+            }
+            if let Some((_, key)) = self.forget.pop_first() {
+                self.remove(&key);
+            }
+        }
+    }
+
+    /// Runs a call.
+    pub(super) fn call(&mut self, now_ms: u64, retention_ms: u64, call: &Call) -> Answer {
+        match call {
+            Call::Begin {
+                key,
+                holder,
+                request,
+                expires_ms,
+                content,
+            } => {
+                if let Some(entry) = self.entries.get(key) {
+                    if entry.content != *content {
+                        return Answer::Conflict;
+                    }
+                    return match &entry.status {
+                        Status::Running { until_ms } if *until_ms <= now_ms => Answer::Finished {
+                            outcome: Outcome::Unknown,
+                            response: None,
+                        },
+                        Status::Running { .. }
+                            if entry.holder == *holder && entry.request == *request =>
+                        {
+                            Answer::Claimed
+                        }
+                        Status::Running { .. } => Answer::InFlight,
+                        Status::Ended { outcome, response } => Answer::Finished {
+                            outcome: *outcome,
+                            response: response.clone(),
+                        },
+                    };
+                }
+                let until_ms = now_ms.saturating_add((*expires_ms).min(MAX_EXPIRES_MS));
+                let forget_ms = until_ms.saturating_add(retention_ms);
+                self.forget.insert((forget_ms, key.clone()));
+                self.entries.insert(
+                    key.clone(),
+                    Entry {
+                        holder: holder.clone(),
+                        request: *request,
+                        content: *content,
+                        forget_ms,
+                        status: Status::Running { until_ms },
+                    },
+                );
+                Answer::Claimed
+            }
+            Call::Finish {
+                key,
+                holder,
+                request,
+                outcome,
+                response,
+            } => self.finish(
+                now_ms,
+                retention_ms,
+                key,
+                holder,
+                *request,
+                *outcome,
+                response.as_ref(),
+            ),
+        }
+    }
+
+    fn finish(
+        &mut self,
+        now_ms: u64,
+        retention_ms: u64,
+        key: &Key,
+        holder: &vm::Instance,
+        request: request::Id,
+        outcome: Outcome,
+        response: Option<&Response>,
+    ) -> Answer {
+        // A resent `not_run` finds the key released already.
+        let Some(entry) = self.entries.get_mut(key) else {
+            return Answer::Recorded;
+        };
+        if entry.holder != *holder || entry.request != request {
+            return Answer::InFlight;
+        }
+        // The first record of a run stands.
+        if let Status::Ended {
+            outcome: first,
+            response,
+        } = &entry.status
+        {
+            return if *first == outcome {
+                Answer::Recorded
+            } else {
+                Answer::Finished {
+                    outcome: *first,
+                    response: response.clone(),
+                }
+            };
+        }
+        if outcome == Outcome::NotRun {
+            self.remove(key);
+            return Answer::Recorded;
+        }
+        self.forget.remove(&(entry.forget_ms, key.clone()));
+        entry.forget_ms = now_ms.saturating_add(retention_ms);
+        self.forget.insert((entry.forget_ms, key.clone()));
+        let response = response.filter(|response| response.body.len() <= MAX_BODY_BYTES);
+        if let Some(response) = response {
+            self.responses.insert((entry.forget_ms, key.clone()));
+            self.response_bytes += response.body.len();
+        }
+        entry.status = Status::Ended {
+            outcome,
+            response: response.cloned(),
+        };
+        while self.response_bytes > MAX_RESPONSE_BYTES
+            && let Some((_, key)) = self.responses.pop_first()
+        {
+            if let Some(Entry {
+                status: Status::Ended { response, .. },
+                ..
+            }) = self.entries.get_mut(&key)
+                && let Some(response) = response.take()
+            {
+                self.response_bytes -= response.body.len();
+            }
+        }
+        Answer::Recorded
+    }
+
+    fn remove(&mut self, key: &Key) {
+        let Some(entry) = self.entries.remove(key) else {
+            return;
+        };
+        self.forget.remove(&(entry.forget_ms, key.clone()));
+        if let Status::Ended {
+            response: Some(response),
+            ..
+        } = entry.status
+        {
+            self.responses.remove(&(entry.forget_ms, key.clone()));
+            self.response_bytes -= response.body.len();
+        }
+    }
+}
--- a/core/src/registry.rs
+++ b/core/src/registry/mod.rs
@@ -1,4 +1,14 @@
 //! The replicated state machine of control: configuration, ledger, order issuers.
+//!
+//! [`State`] changes only through [`State::apply`], which depends on nothing but the state and the
+//! command, so that replicas that applied the same log are equal. Time comes from the commands; the
+//! state keeps the highest time it has seen, so that it never goes backwards when the leader changes.
+
+mod history;
+mod ledgers;
+mod orders;
+mod outcomes;
+mod state;
 
 use std::sync::Arc;
 
@@ -7,6 +17,12 @@
 use crate::inventory::Inventory;
 use crate::ledger;
 
+pub use history::{Change, Kind};
+pub use ledgers::MAX_RESPONSE_BYTES;
+pub use orders::{CLOCK_BOUND_MS, TRANSIT_BOUND_MS};
+pub use outcomes::MAX_OUTCOMES;
+pub use state::State;
+
 /// The configuration in force.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Config {
@@ -27,6 +43,11 @@
     Apply {
         /// Identifies the operator's call; a resend gets the first outcome.
         id: Arc<str>,
+        /// Wall-clock time at the leader.
+        now_ms: u64,
+        /// Hash of the document as the operator sent it; tells a resend from another change that
+        /// uses the same id.
+        content: u64,
         /// Version that the operator edited.
         base: u64,
         /// New inventory.
@@ -36,6 +57,8 @@
     SetOut {
         /// Identifies the operator's call.
         id: Arc<str>,
+        /// Wall-clock time at the leader.
+        now_ms: u64,
         /// What is taken out or brought back.
         subject: Subject,
         /// Whether it is out.
@@ -70,6 +93,21 @@
     },
 }
 
+impl Command {
+    /// Sets the time of the command. The leader does so when it takes the command into its log.
+    #[must_use]
+    pub fn with_now_ms(mut self, at: u64) -> Self {
+        match &mut self {
+            Self::Apply { now_ms, .. }
+            | Self::SetOut { now_ms, .. }
+            | Self::Ledger { now_ms, .. }
+            | Self::Issue { now_ms, .. } => *now_ms = at,
+            Self::Complete { .. } => {}
+        }
+        self
+    }
+}
+
 /// Subject of [`Command::SetOut`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Subject {
@@ -94,6 +132,8 @@
     },
     /// The change names an unknown zone.
     Unknown,
+    /// The id was used for another change.
+    Reused,
     /// Answer of the ledger.
     Ledger(ledger::Answer),
     /// The order may be sent with this fencing number after the wait.
--- /dev/null
+++ b/core/src/registry/state.rs
@@ -0,0 +1,211 @@
+//! State of the replicated state machine.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Change, Command, Config, Kind, Outcome, Subject};
+use super::{history, ledgers, orders, outcomes};
+use crate::inventory::{Inventory, Rules};
+
+/// State of the replicated state machine.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    now_ms: u64,
+    config: Option<Arc<Config>>,
+    history: history::Log,
+    outcomes: outcomes::Memory,
+    ledger: ledgers::Table,
+    orders: orders::Table,
+}
+
+impl State {
+    /// Returns the configuration in force; none before the first change.
+    pub fn config(&self) -> Option<&Arc<Config>> {
+        self.config.as_ref()
+    }
+
+    /// Returns the version in force; zero before the first change.
+    pub fn version(&self) -> u64 {
+        self.config.as_ref().map_or(0, |config| config.version)
+    }
+
+    /// Returns the last accepted changes, oldest first.
+    pub fn history(&self) -> &VecDeque<Change> {
+        self.history.changes()
+    }
+
+    /// Returns the number of ledger entries.
+    pub fn ledger_entries(&self) -> usize {
+        self.ledger.len()
+    }
+
+    /// Returns the highest time seen in a command, milliseconds of wall-clock time.
+    pub fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
+    /// Applies a committed command.
+    pub fn apply(&mut self, command: &Command) -> Outcome {
+        match command {
+            Command::Apply {
+                id,
+                now_ms,
+                content,
+                base,
+                inventory,
+            } => {
+                self.advance(*now_ms);
+                let content = content.rotate_left(1) ^ base;
+                if let Some(outcome) = self.outcomes.get(id, content) {
+                    return outcome;
+                }
+                let outcome = self.replace(id, *base, inventory);
+                self.outcomes.record(id, content, &outcome);
+                outcome
+            }
+            Command::SetOut {
+                id,
+                now_ms,
+                subject,
+                out,
+            } => {
+                self.advance(*now_ms);
+                let content = subject.content(*out);
+                if let Some(outcome) = self.outcomes.get(id, content) {
+                    return outcome;
+                }
+                let outcome = self.set_out(id, subject, *out);
+                self.outcomes.record(id, content, &outcome);
+                outcome
+            }
+            Command::Ledger { now_ms, call } => {
+                self.advance(*now_ms);
+                let retention_ms = self
+                    .rules()
+                    .map_or_else(
+                        || Rules::default().ledger_retention_s,
+                        |rules| rules.ledger_retention_s,
+                    )
+                    .saturating_mul(1_000);
+                Outcome::Ledger(self.ledger.call(self.now_ms, retention_ms, call))
+            }
+            Command::Issue {
+                id,
+                now_ms,
+                target,
+                issuer,
+                loads,
+                lease_ms,
+            } => {
+                self.advance(*now_ms);
+                let permits = self.rules().map_or_else(
+                    || Rules::default().weight_store_loads,
+                    |rules| rules.weight_store_loads,
+                );
+                self.orders
+                    .issue(self.now_ms, permits, id, target, issuer, *loads, *lease_ms)
+            }
+            Command::Complete { id } => self.orders.complete(id),
+        }
+    }
+
+    fn advance(&mut self, now_ms: u64) {
+        self.now_ms = self.now_ms.max(now_ms);
+        self.ledger.expire(self.now_ms);
+    }
+
+    fn rules(&self) -> Option<&Rules> {
+        self.config.as_ref().map(|config| &config.inventory.rules)
+    }
+
+    fn replace(&mut self, id: &Arc<str>, base: u64, inventory: &Inventory) -> Outcome {
+        let version = self.version();
+        if base != version {
+            return Outcome::Conflict { version };
+        }
+        let zones_out = self.config.as_ref().map_or_else(Vec::new, |config| {
+            let known = |name: &&Arc<str>| inventory.zones.iter().any(|zone| zone.name == **name);
+            config.zones_out.iter().filter(known).cloned().collect()
+        });
+        let targets_out = self
+            .config
+            .as_ref()
+            .map_or_else(Vec::new, |config| config.targets_out.clone());
+        self.accept(
+            id,
+            Kind::Inventory,
+            Config {
+                version: version + 1,
+                inventory: inventory.clone(),
+                zones_out,
+                targets_out,
+            },
+        )
+    }
+
+    fn set_out(&mut self, id: &Arc<str>, subject: &Subject, out: bool) -> Outcome {
+        let Some(config) = &self.config else {
+            return Outcome::Unknown;
+        };
+        let mut next = Config::clone(config);
+        let (list, name, kind) = match subject {
+            Subject::Zone(name) => {
+                if !next.inventory.zones.iter().any(|zone| zone.name == *name) {
+                    return Outcome::Unknown;
+                }
+                let name = Arc::clone(name);
+                (
+                    &mut next.zones_out,
+                    Arc::clone(&name),
+                    Kind::Zone { name, out },
+                )
+            }
+            Subject::Target(name) => {
+                let name = Arc::clone(name);
+                (
+                    &mut next.targets_out,
+                    Arc::clone(&name),
+                    Kind::Target { name, out },
+                )
+            }
+        };
+        if list.contains(&name) == out {
+            return Outcome::Accepted {
+                version: next.version,
+            };
+        }
+        if out {
+            list.push(name);
+            list.sort_unstable();
+        } else {
+            list.retain(|other| *other != name);
+        }
+        next.version += 1;
+        self.accept(id, kind, next)
+    }
+
+    fn accept(&mut self, id: &Arc<str>, kind: Kind, config: Config) -> Outcome {
+        let version = config.version;
+        self.config = Some(Arc::new(config));
+        self.history.push(Change {
+            version,
+            id: Arc::clone(id),
+            at_ms: self.now_ms,
+            kind,
+        });
+        Outcome::Accepted { version }
+    }
+}
+
+impl Subject {
+    /// Hash that tells a resend from another change with the same id.
+    fn content(&self, out: bool) -> u64 {
+        let (kind, name) = match self {
+            Self::Zone(name) => (0, name),
+            Self::Target(name) => (2, name),
+        };
+        xxhash_rust::xxh3::xxh3_64_with_seed(name.as_bytes(), kind + u64::from(out))
+    }
+}
--- /dev/null
+++ b/store/src/folder.rs
@@ -0,0 +1,125 @@
+//! The folder of a store.
+
+use std::fs::{self, File, OpenOptions, TryLockError};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+use crate::Error;
+
+const SEGMENT_PREFIX: &str = "log-";
+const SNAPSHOT_PREFIX: &str = "snapshot-";
+const TEMPORARY: &str = "temporary";
+
+/// The folder of a store.
+#[derive(Debug)]
+pub(crate) struct Folder {
+    path: PathBuf,
+    /// Holds the lock until the store is dropped.
+    _lock: File,
+}
+
+/// Adds action and path to an I/O error.
+pub(crate) fn at<'p>(
+    action: &'static str,
+    path: &'p Path,
+) -> impl FnOnce(io::Error) -> Error + use<'p> {
+    move |source| Error::Io {
+        action,
+        path: path.to_owned(),
+        source,
+    }
+}
+
+impl Folder {
+    /// Opens and locks the folder, creating it if it is missing.
+    pub(crate) fn open(path: &Path) -> Result<Self, Error> {
+        fs::create_dir_all(path).map_err(at("create", path))?;
+        if let Some(parent) = path.parent().filter(|parent| parent.exists()) {
+            sync_folder(parent)?;
+        }
+        let lock_path = path.join("lock");
+        let lock = OpenOptions::new()
+            .create(true)
+            .truncate(false)
+            .write(true)
+            .open(&lock_path)
+            .map_err(at("open", &lock_path))?;
+        match lock.try_lock() {
+            Ok(()) => {}
+            Err(TryLockError::WouldBlock) => return Err(Error::Locked { path: lock_path }),
+            Err(TryLockError::Error(source)) => return Err(at("lock", &lock_path)(source)),
+        }
+        Ok(Self {
+            path: path.to_owned(),
+            _lock: lock,
+        })
+    }
+
+    /// Returns the folder's path.
+    pub(crate) fn path(&self) -> &Path {
+        &self.path
+    }
+
+    /// Returns the path of a segment.
+    pub(crate) fn segment(&self, number: u64) -> PathBuf {
+        self.path.join(format!("{SEGMENT_PREFIX}{number:016x}"))
+    }
+
+    /// Returns the path of a snapshot.
+    pub(crate) fn snapshot(&self, number: u64) -> PathBuf {
+        self.path.join(format!("{SNAPSHOT_PREFIX}{number:016x}"))
+    }
+
+    /// Returns the numbers of segments and snapshots, ascending.
+    pub(crate) fn list(&self) -> Result<(Vec<u64>, Vec<u64>), Error> {
+        let mut segments = Vec::new();
+        let mut snapshots = Vec::new();
+        for entry in fs::read_dir(&self.path).map_err(at("list", &self.path))? {
+            let name = entry.map_err(at("list", &self.path))?.file_name();
+            let Some(name) = name.to_str() else {
+                continue;
+            };
+            let number = |prefix| u64::from_str_radix(name.strip_prefix(prefix)?, 16).ok();
+            if let Some(number) = number(SEGMENT_PREFIX) {
+                segments.push(number);
+            } else if let Some(number) = number(SNAPSHOT_PREFIX) {
+                snapshots.push(number);
+            }
+        }
+        segments.sort_unstable();
+        snapshots.sort_unstable();
+        Ok((segments, snapshots))
+    }
+
+    /// Writes a file under a temporary name, syncs it and renames it, so that the name never stands for
+    /// a part of the content.
+    pub(crate) fn write(&self, path: &Path, parts: &[&[u8]]) -> Result<(), Error> {
+        let temporary = self.path.join(TEMPORARY);
+        let mut file = File::create(&temporary).map_err(at("create", &temporary))?;
+        for part in parts {
+            file.write_all(part).map_err(at("write", &temporary))?;
+        }
+        file.sync_all().map_err(at("sync", &temporary))?;
+        fs::rename(&temporary, path).map_err(at("rename to", path))?;
+        self.sync()
+    }
+
+    /// Syncs the folder's names.
+    pub(crate) fn sync(&self) -> Result<(), Error> {
+        sync_folder(&self.path)
+    }
+}
+
+/// Removes a file; its name may come back after a crash.
+pub(crate) fn remove(path: &Path) -> Result<(), Error> {
+    match fs::remove_file(path) {
+        Err(error) if error.kind() != io::ErrorKind::NotFound => Err(at("remove", path)(error)),
+        _ => Ok(()),
+    }
+}
+
+fn sync_folder(path: &Path) -> Result<(), Error> {
+    File::open(path)
+        .and_then(|folder| folder.sync_all())
+        .map_err(at("sync", path))
+}
