--- a/bench/src/cluster.rs
+++ b/bench/src/cluster.rs
@@ -440,7 +440,11 @@
     /// Starts a control replica from its settings.
     pub async fn start_control(&mut self, number: usize) -> eyre::Result<()> {
         let control = &mut self.controls[number];
-        let server = primrosepin_control::Server::start(control.settings.clone()).await?;
+        let options = primrosepin_control::Options {
+            seed: Some(self.spec.seed ^ (0x4000 + number as u64)),
+            ..primrosepin_control::Options::default()
+        };
+        let server = primrosepin_control::Server::start(control.settings.clone(), options).await?;
         control.admin = control.settings.listen.admin;
         control.server = Some(server);
         Ok(())
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -6,12 +6,14 @@
 
 pub mod audit;
 pub mod caller;
+pub mod changes;
 pub mod clock;
 pub mod cluster;
 pub mod load;
 pub mod plot;
 pub mod progress;
 pub mod quickstart;
+pub mod relay;
 pub mod report;
 pub mod scenario;
 pub mod workload;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,7 +7,7 @@
 use eyre::WrapErr;
 use primrosepin_bench::report::{Report, compare};
 use primrosepin_bench::scenario::{self, Scenario};
-use primrosepin_bench::{plot, quickstart};
+use primrosepin_bench::{changes, plot, quickstart, relay};
 use primrosepin_core::serving::Policy;
 
 /// Load driver, experiments, tables, plots and JSON reports
@@ -23,7 +23,8 @@
         #[bpaf(argument("FILE"))]
         json: Option<PathBuf>,
     },
-    /// Runs an experiment: mixed-lengths, zone-out, cold-start, failover, overload, long-only
+    /// Runs an experiment: mixed-lengths, zone-out, cold-start, failover, overload, long-only,
+    /// relay, config
     #[bpaf(command)]
     Run {
         /// Placement: length, round-robin, least-load
@@ -148,7 +149,11 @@
                 load,
                 controls,
             };
-            let report = scenario::run(parse_scenario(&scenario)?, &options).await?;
+            let report = match scenario.as_str() {
+                "relay" => relay::run(&options).await?,
+                "config" => changes::run(&options).await?,
+                name => scenario::run(parse_scenario(name)?, &options).await?,
+            };
             print!("{}", report.table());
             write(json.as_deref(), &report)?;
         }
--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
+use crate::scenario::{Options, policy_name};
+
 /// Upper ends of the prompt-length buckets, tokens.
 pub const BUCKETS: [u64; 6] = [2_000, 4_000, 8_000, 32_000, 128_000, 1_000_000];
 
@@ -65,7 +67,7 @@
 }
 
 /// Calls up to one prompt length.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Bucket {
     /// Longest prompt.
     pub prompt_tokens_max: u64,
@@ -165,6 +167,38 @@
 }
 
 impl Report {
+    /// Creates a report of a scenario that has figures of its own only.
+    pub fn empty(
+        scenario: &str,
+        options: &Options,
+        actions: Vec<(f64, String)>,
+        extra: Value,
+    ) -> Self {
+        let bucket = |prompt_tokens_max| Bucket {
+            prompt_tokens_max,
+            ..Bucket::default()
+        };
+        Self {
+            scenario: scenario.into(),
+            policy: policy_name(options.policy).into(),
+            seed: options.seed,
+            duration_s: options.duration_s,
+            speed: options.speed,
+            buckets: BUCKETS.map(bucket).to_vec(),
+            short: bucket(4_000),
+            token_gap_ms: Percentiles::default(),
+            plain: bucket(0),
+            goodput_tokens_per_s: 0.0,
+            answered_share: 0.0,
+            counters: Counters::default(),
+            codes: BTreeMap::new(),
+            seconds: Vec::new(),
+            points: Vec::new(),
+            actions,
+            extra,
+        }
+    }
+
     /// Returns the table for people.
     pub fn table(&self) -> String {
         use std::fmt::Write;
