control: Serve configuration and ledger from a replicated log

A control process had no code. Server runs one replica: a node thread with reducer, store and state machine, a task for messages from other processes, and the operators' HTTP calls. Commands reach the leader from any replica.

--- /dev/null
+++ b/control/src/admin.rs
@@ -0,0 +1,487 @@
+//! Operators' HTTP calls.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::header::{self, HeaderValue};
+use actix_http::{HttpMessage, HttpService, Method, Request, Response, StatusCode};
+use actix_rt::net::TcpListener;
+use actix_service::{Service, ServiceFactory, fn_service};
+use bytes::BytesMut;
+use eyre::eyre;
+use futures_util::StreamExt;
+use primrosepin_core::consensus::Role;
+use primrosepin_core::registry::{Change, Command, Config, Outcome, Subject};
+use primrosepin_telemetry::metrics::Metrics;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+use crate::node::Decision;
+use crate::proposer::Proposer;
+use crate::seen::Signs;
+
+/// Largest body, bytes. A command with it must fit into one frame between replicas.
+const MAX_BODY_BYTES: usize = 12 * 1024 * 1024;
+
+/// Time for the headers of a request.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Time for the body of a request.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Time to commit a change. A new leader takes up to 2 s.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Longest call id; ids are kept for a day of changes.
+const MAX_ID_BYTES: usize = 128;
+
+/// Time that this replica may lag behind a conflicting version that it reports.
+const CATCH_UP: Duration = Duration::from_secs(1);
+
+/// Pause after a failed accept, for example without free file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What the calls need.
+#[derive(Debug)]
+pub(crate) struct Admin {
+    pub(crate) proposer: Proposer,
+    pub(crate) signs: Arc<Signs>,
+    pub(crate) keys_sha256: Vec<Arc<str>>,
+    pub(crate) vm: Arc<str>,
+    pub(crate) metrics: Metrics,
+}
+
+/// An answer before it is written.
+struct Answer {
+    status: StatusCode,
+    body: Value,
+}
+
+impl Answer {
+    fn new(status: StatusCode, body: Value) -> Self {
+        Self { status, body }
+    }
+
+    fn error(status: StatusCode, code: &str, message: &str) -> Self {
+        let body = json!({ "error": { "code": code, "message": message } });
+        Self { status, body }
+    }
+}
+
+/// Body of `POST /v1/config/apply`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Apply {
+    id: Arc<str>,
+    base: u64,
+    inventory: String,
+}
+
+/// Body of `POST /v1/zones/{name}` and `POST /v1/targets/{name}`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SetOut {
+    id: Arc<str>,
+    out: bool,
+}
+
+/// Serves calls until `stopping`, then finishes those that are running.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    admin: Rc<Admin>,
+    mut stopping: watch::Receiver<bool>,
+) -> eyre::Result<()> {
+    let goodbye = stopping.clone();
+    let service = HttpService::build()
+        .client_request_timeout(HEADER_TIMEOUT)
+        .graceful_shutdown_signal(move || {
+            let mut stopping = goodbye.clone();
+            async move {
+                // Fails only when the process ends, which closes the connection as well.
+                let _ = stopping.wait_for(|stopping| *stopping).await;
+            }
+        })
+        .h1(fn_service(move |request: Request| {
+            let admin = Rc::clone(&admin);
+            async move { Ok::<_, Infallible>(admin.answer(request).await) }
+        }));
+    let service = service
+        .new_service(())
+        .await
+        .map_err(|()| eyre!("cannot create the HTTP service"))?;
+    let service = Rc::new(service);
+    let (done, mut all_done) = tokio::sync::mpsc::channel::<()>(1);
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopping.wait_for(|stopping| *stopping) => break,
+        };
+        match accepted {
+            Ok((stream, peer)) => {
+                let service = Rc::clone(&service);
+                let done = done.clone();
+                actix_rt::spawn(async move {
+                    if let Err(error) = service.call((stream, Some(peer))).await {
+                        log::debug!("connection of {peer} ended: {error}");
+                    }
+                    drop(done);
+                });
+            }
+            Err(error) => {
+                log::warn!("cannot accept a connection: {error}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    drop(listener);
+    drop(done);
+    // Ends when the last connection has dropped its sender; a silent one is left after the time of a
+    // change.
+    let _ = timeout(CHANGE_TIMEOUT, all_done.recv()).await;
+    Ok(())
+}
+
+impl Admin {
+    async fn answer(&self, mut request: Request) -> Response<String> {
+        if request.method() == Method::GET && request.path() == "/metrics" {
+            return match self.metrics.text() {
+                Ok(text) => write(StatusCode::OK, Metrics::CONTENT_TYPE, text),
+                Err(error) => write(
+                    StatusCode::INTERNAL_SERVER_ERROR,
+                    "text/plain",
+                    error.to_string(),
+                ),
+            };
+        }
+        let answer = if self.is_operator(&request) {
+            self.route(&mut request).await
+        } else {
+            Answer::error(
+                StatusCode::UNAUTHORIZED,
+                "unauthorized",
+                "expected the bearer key of an operator",
+            )
+        };
+        write(answer.status, "application/json", answer.body.to_string())
+    }
+
+    fn is_operator(&self, request: &Request) -> bool {
+        let key = request
+            .headers()
+            .get(header::AUTHORIZATION)
+            .and_then(|value| value.to_str().ok())
+            .and_then(|value| value.strip_prefix("Bearer "));
+        let Some(key) = key else {
+            return false;
+        };
+        let hash = format!("{:x}", Sha256::digest(key.trim().as_bytes()));
+        self.keys_sha256
+            .iter()
+            .any(|known| known.eq_ignore_ascii_case(&hash))
+    }
+
+    async fn route(&self, request: &mut Request) -> Answer {
+        let path = request.path().to_owned();
+        let segments: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+        let get = request.method() == Method::GET;
+        let post = request.method() == Method::POST;
+        match segments[..] {
+            ["v1", "config"] if get => Answer::new(StatusCode::OK, self.document()),
+            ["v1", "config", "history"] if get => {
+                let state = self.proposer.shared.state();
+                let history: Vec<Value> = state.history().iter().map(change).collect();
+                Answer::new(StatusCode::OK, json!({ "history": history }))
+            }
+            ["v1", "status"] | ["status"] if get => Answer::new(StatusCode::OK, self.status()),
+            ["v1", "config", "apply"] if post => match body::<Apply>(request).await {
+                Ok(apply) => self.apply(apply).await,
+                Err(answer) => answer,
+            },
+            ["v1", kind @ ("zones" | "targets"), name] if post => {
+                let Some(name) = percent_decode(name).filter(|name| !name.is_empty()) else {
+                    return Answer::error(
+                        StatusCode::BAD_REQUEST,
+                        "invalid_name",
+                        "the name in the path is not valid",
+                    );
+                };
+                match body::<SetOut>(request).await {
+                    Ok(set) if kind == "zones" => {
+                        self.set_out(Subject::Zone(name.into()), set).await
+                    }
+                    Ok(set) => self.set_out(Subject::Target(name.into()), set).await,
+                    Err(answer) => answer,
+                }
+            }
+            _ => Answer::error(
+                StatusCode::NOT_FOUND,
+                "not_found",
+                "no such call; see docs/operators.md",
+            ),
+        }
+    }
+
+    async fn apply(&self, apply: Apply) -> Answer {
+        let Apply {
+            id,
+            base,
+            inventory,
+        } = apply;
+        if let Some(answer) = check_id(&id) {
+            return answer;
+        }
+        let digest = Sha256::digest(inventory.as_bytes());
+        let content = digest
+            .iter()
+            .take(8)
+            .fold(0, |hash, byte| (hash << 8) | u64::from(*byte));
+        let inventory = match primrosepin_config::inventory::parse(&inventory, "inventory") {
+            Ok(inventory) => inventory,
+            Err(error) => {
+                return Answer::error(
+                    StatusCode::UNPROCESSABLE_ENTITY,
+                    "invalid_inventory",
+                    &error.to_string(),
+                );
+            }
+        };
+        let command = Command::Apply {
+            id: Arc::clone(&id),
+            now_ms: 0,
+            content,
+            base,
+            inventory,
+        };
+        self.change(id, command).await
+    }
+
+    async fn set_out(&self, subject: Subject, set: SetOut) -> Answer {
+        let SetOut { id, out } = set;
+        if let Some(answer) = check_id(&id) {
+            return answer;
+        }
+        let command = Command::SetOut {
+            id: Arc::clone(&id),
+            now_ms: 0,
+            subject,
+            out,
+        };
+        self.change(id, command).await
+    }
+
+    /// Proposes a change and turns what became of it into an answer.
+    async fn change(&self, id: Arc<str>, command: Command) -> Answer {
+        match self.proposer.submit(command, CHANGE_TIMEOUT).await {
+            Decision::Decided(Outcome::Accepted { version }) => {
+                log::info!("change {id} accepted as version {version}");
+                Answer::new(
+                    StatusCode::OK,
+                    json!({ "outcome": "accepted", "id": id, "version": version }),
+                )
+            }
+            Decision::Decided(Outcome::Conflict { version }) => {
+                self.catch_up(version).await;
+                let mut body = self.document();
+                body["error"] = json!({
+                    "code": "conflict",
+                    "message": format!("another change came first; version {version} is in force"),
+                });
+                Answer::new(StatusCode::CONFLICT, body)
+            }
+            Decision::Decided(Outcome::Unknown) => Answer::error(
+                StatusCode::NOT_FOUND,
+                "unknown_zone",
+                "the zone is not in the configuration in force",
+            ),
+            Decision::Decided(Outcome::Reused) => Answer::error(
+                StatusCode::UNPROCESSABLE_ENTITY,
+                "id_reused",
+                "the id was used for another change",
+            ),
+            Decision::NotAccepted => Answer::error(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "not_accepted",
+                "the change is certainly not accepted; control has no leader or no quorum",
+            ),
+            Decision::Decided(_) | Decision::Unknown => Answer::error(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "unknown",
+                "the change may have been accepted; resend it with the same id",
+            ),
+        }
+    }
+
+    /// Waits until this replica has applied a version, so that a conflict shows it.
+    async fn catch_up(&self, version: u64) {
+        let mut changes = self.proposer.shared.watch();
+        let reached = changes.wait_for(|_| self.proposer.shared.state().version() >= version);
+        // After the time the older version is shown.
+        let _ = timeout(CATCH_UP, reached).await;
+    }
+
+    fn document(&self) -> Value {
+        let config = self.proposer.shared.state().config().cloned();
+        match config.as_deref() {
+            Some(Config {
+                version,
+                inventory,
+                zones_out,
+                targets_out,
+            }) => json!({
+                "version": version,
+                "inventory": inventory,
+                "zones_out": zones_out,
+                "targets_out": targets_out,
+            }),
+            None => json!({
+                "version": 0,
+                "inventory": primrosepin_core::inventory::Inventory::default(),
+                "zones_out": [],
+                "targets_out": [],
+            }),
+        }
+    }
+
+    fn status(&self) -> Value {
+        let shared = &self.proposer.shared;
+        let view = shared.view();
+        let config = shared.state().config().cloned();
+        let replicas: Vec<Value> = view
+            .members
+            .list
+            .iter()
+            .map(|member| {
+                json!({
+                    "vm": member.vm,
+                    "address": member.address,
+                    "voter": member.voter,
+                    "reachable": member.vm == self.vm || self.signs.is_reachable(&member.vm),
+                })
+            })
+            .collect();
+        let zones = config.iter().flat_map(|config| &config.inventory.zones);
+        let vms: Vec<Value> = zones
+            .flat_map(|zone| zone.entries.iter().map(|name| (name, &zone.name)))
+            .map(|(name, zone)| {
+                let (version, state) = self.signs.vm(name);
+                json!({ "vm": name, "zone": zone, "version": version, "state": state })
+            })
+            .collect();
+        json!({
+            "version": config.as_ref().map_or(0, |config| config.version),
+            "vm": self.vm,
+            "role": match view.role {
+                Role::Blank => "blank",
+                Role::Follower => "follower",
+                Role::PreCandidate | Role::Candidate => "candidate",
+                Role::Leader => "leader",
+            },
+            "term": view.term,
+            "applied": view.applied,
+            "leader": view.leader.as_ref().map(|(vm, _)| vm),
+            "failure": view.failure,
+            "replicas": replicas,
+            "vms": vms,
+            "zones_out": config.as_ref().map_or(&[][..], |config| &config.zones_out),
+            "targets_out": config.as_ref().map_or(&[][..], |config| &config.targets_out),
+        })
+    }
+}
+
+fn change(change: &Change) -> Value {
+    json!({
+        "version": change.version,
+        "id": change.id,
+        "at_ms": change.at_ms,
+        "change": change.kind,
+    })
+}
+
+fn check_id(id: &str) -> Option<Answer> {
+    let valid =
+        !id.is_empty() && id.len() <= MAX_ID_BYTES && id.bytes().all(|b| b.is_ascii_graphic());
+    (!valid).then(|| {
+        Answer::error(
+            StatusCode::BAD_REQUEST,
+            "invalid_id",
+            "expected an id of 1 to 128 printable characters",
+        )
+    })
+}
+
+/// Reads and parses a body.
+async fn body<T>(request: &mut Request) -> Result<T, Answer>
+where
+    T: for<'de> Deserialize<'de>,
+{
+    let read = async {
+        let mut body = BytesMut::new();
+        let mut payload = request.take_payload();
+        while let Some(part) = payload.next().await {
+            let part = part.map_err(|error| {
+                Answer::error(
+                    StatusCode::BAD_REQUEST,
+                    "broken_body",
+                    &format!("the body broke off: {error}"),
+                )
+            })?;
+            if body.len() + part.len() > MAX_BODY_BYTES {
+                return Err(Answer::error(
+                    StatusCode::PAYLOAD_TOO_LARGE,
+                    "body_too_large",
+                    &format!("the body is larger than {MAX_BODY_BYTES} bytes"),
+                ));
+            }
+            body.extend_from_slice(&part);
+        }
+        Ok(body)
+    };
+    let body = match timeout(BODY_TIMEOUT, read).await {
+        Ok(body) => body?,
+        Err(_) => {
+            return Err(Answer::error(
+                StatusCode::REQUEST_TIMEOUT,
+                "slow_body",
+                "the body did not arrive in time",
+            ));
+        }
+    };
+    serde_json::from_slice(&body).map_err(|error| {
+        Answer::error(
+            StatusCode::BAD_REQUEST,
+            "invalid_body",
+            &format!("the body is not valid: {error}"),
+        )
+    })
+}
+
+fn write(status: StatusCode, content_type: &'static str, body: String) -> Response<String> {
+    let mut response = Response::with_body(status, body);
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, HeaderValue::from_static(content_type));
+    response
+}
+
+/// Decodes a segment of a path.
+fn percent_decode(segment: &str) -> Option<String> {
+    let mut bytes = Vec::with_capacity(segment.len());
+    let mut rest = segment.as_bytes();
+    while let Some((first, after)) = rest.split_first() {
+        rest = after;
+        if *first == b'%' {
+            let (digits, after) = rest.split_at_checked(2)?;
+            let digits = std::str::from_utf8(digits).ok()?;
+            bytes.push(u8::from_str_radix(digits, 16).ok()?);
+            rest = after;
+        } else {
+            bytes.push(*first);
+        }
+    }
+    String::from_utf8(bytes).ok()
+}
--- /dev/null
+++ b/control/src/disk.rs
@@ -0,0 +1,142 @@
+//! Content of the data folder.
+//!
+//! State, entries and snapshots are encoded with `postcard` after one byte for the version of the
+//! format.
+
+use std::fs;
+use std::path::Path;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use eyre::{WrapErr, bail, ensure};
+use primrosepin_core::consensus::{Durable, Entry, Id, Snapshot};
+use primrosepin_store::{Error, Recovered, Settings, Store};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Version of the format on the disk.
+const FORMAT: u8 = 1;
+
+/// Prefix of folders that keep damaged files.
+const DAMAGED: &str = "damaged-";
+
+/// An opened data folder.
+#[derive(Debug)]
+pub(crate) struct Disk {
+    pub(crate) store: Store,
+    pub(crate) durable: Durable,
+    pub(crate) snapshot: Option<Snapshot>,
+    pub(crate) entries: Vec<Entry>,
+    /// Whether the replica had data that was damaged, so that it must not found a deployment.
+    pub(crate) damaged: bool,
+}
+
+/// Encodes a value.
+pub(crate) fn encode<T>(value: &T) -> eyre::Result<Vec<u8>>
+where
+    T: Serialize,
+{
+    Ok(postcard::to_extend(value, vec![FORMAT])?)
+}
+
+/// Decodes a value.
+pub(crate) fn decode<T>(bytes: &[u8]) -> eyre::Result<T>
+where
+    T: DeserializeOwned,
+{
+    match bytes.split_first() {
+        Some((&FORMAT, rest)) => Ok(postcard::from_bytes(rest)?),
+        Some((format, _)) => bail!("format {format} is not known, expected {FORMAT}"),
+        None => bail!("empty value"),
+    }
+}
+
+impl Disk {
+    /// Opens the data folder. Damaged files are set aside if other replicas have the data; the replica
+    /// then joins under a new id.
+    pub(crate) fn open(folder: &Path, replicas: usize) -> eyre::Result<Self> {
+        match Self::read(folder) {
+            Err(error) if is_damage(&error) && replicas > 1 => {
+                log::error!("{error}; the replica joins again without data");
+                set_aside(folder)?;
+                Self::read(folder)
+            }
+            result => result,
+        }
+    }
+
+    fn read(folder: &Path) -> eyre::Result<Self> {
+        let (mut store, recovered) = Store::open(&Settings::new(folder.to_owned()))?;
+        let Recovered {
+            state,
+            snapshot,
+            entries,
+            cut_bytes,
+        } = recovered;
+        if cut_bytes > 0 {
+            log::warn!("a torn write of {cut_bytes} bytes at the end of the log was cut off");
+        }
+        let snapshot = snapshot.map(|snapshot| decode::<Snapshot>(&snapshot.body));
+        let entries = entries.iter().map(|(_, body)| decode::<Entry>(body));
+        let durable = if let Some(state) = state.filter(|state| !state.is_empty()) {
+            decode(&state)?
+        } else {
+            let durable = Durable {
+                id: Id(rand::random::<u64>() | 1),
+                ..Durable::default()
+            };
+            store.append(Some(&encode(&durable)?), [])?;
+            durable
+        };
+        let disk = Self {
+            store,
+            durable,
+            snapshot: snapshot.transpose()?,
+            entries: entries.collect::<eyre::Result<_>>()?,
+            damaged: has_damaged(folder)?,
+        };
+        if disk.durable.founded && disk.snapshot.is_none() {
+            return Err(Error::Corrupt {
+                path: folder.to_owned(),
+                offset: 0,
+                reason: "the snapshot is missing",
+            }
+            .into());
+        }
+        ensure!(
+            disk.durable.founded || disk.snapshot.is_none(),
+            "{} has a snapshot but no identity",
+            folder.display()
+        );
+        Ok(disk)
+    }
+}
+
+fn is_damage(error: &eyre::Report) -> bool {
+    matches!(error.downcast_ref::<Error>(), Some(Error::Corrupt { .. }))
+}
+
+fn has_damaged(folder: &Path) -> eyre::Result<bool> {
+    for entry in fs::read_dir(folder)? {
+        if entry?.file_name().to_string_lossy().starts_with(DAMAGED) {
+            return Ok(true);
+        }
+    }
+    Ok(false)
+}
+
+/// Moves all files into a folder of their own, for analysis. The folder comes first: while it exists the
+/// replica founds no deployment.
+fn set_aside(folder: &Path) -> eyre::Result<()> {
+    let at_ms = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis();
+    let damaged = folder.join(format!("{DAMAGED}{at_ms}"));
+    fs::create_dir(&damaged).wrap_err_with(|| format!("cannot create {}", damaged.display()))?;
+    fs::File::open(folder)?.sync_all()?;
+    for entry in fs::read_dir(folder)? {
+        let entry = entry?;
+        if entry.file_type()?.is_file() && entry.file_name() != "lock" {
+            fs::rename(entry.path(), damaged.join(entry.file_name()))?;
+        }
+    }
+    fs::File::open(folder)?.sync_all()?;
+    Ok(())
+}
--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -1,1 +1,26 @@
-//! Control process: replicated configuration and ledger on VMs with a disk
+//! Control process: replicated configuration and ledger on VMs with a disk.
+//!
+//! A [`Server`] is one replica. Three parts share its [`shared::Shared`] state:
+//!
+//! - the node thread owns the consensus reducer, the store and the state machine; it alone writes to
+//!   the disk, and merges all waiting writes into one sync;
+//! - the peers task answers messages from other processes;
+//! - the admin task answers operators' HTTP calls.
+//!
+//! Invariants:
+//! - An outcome is reported only after the command is committed by a quorum and applied.
+//! - `not_accepted` is reported only if no copy of the command can be committed later; in all other
+//!   cases without an outcome the answer is `unknown`.
+//! - After an error of the store the replica acknowledges nothing until it has read its disk again.
+
+mod admin;
+mod disk;
+mod meters;
+mod node;
+mod peers;
+mod proposer;
+mod seen;
+mod server;
+mod shared;
+
+pub use server::{Addresses, Options, Server};
--- /dev/null
+++ b/control/src/peers.rs
@@ -0,0 +1,146 @@
+//! Messages from other processes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use primrosepin_core::consensus::{self, Body, Id};
+use primrosepin_core::ledger::{Answer, Call};
+use primrosepin_core::message::Message;
+use primrosepin_core::registry::{Command, Outcome};
+use primrosepin_core::vm;
+use primrosepin_transport::{Endpoint, Incoming, Role};
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use crate::node::{Decision, Input};
+use crate::proposer::Proposer;
+use crate::seen::Signs;
+
+/// Time to commit a ledger call. The entry VM waits one second and then asks another replica.
+const LEDGER_TIMEOUT: Duration = Duration::from_millis(950);
+
+/// Interval at which replicas tell each other which entry VMs they heard from.
+const SEEN_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Answers messages until the endpoint closes.
+pub(crate) async fn receive(
+    proposer: Proposer,
+    signs: Arc<Signs>,
+    mut incoming: mpsc::Receiver<Incoming>,
+) {
+    while let Some(message) = incoming.recv().await {
+        let Incoming {
+            from,
+            role,
+            message,
+            reply,
+            ..
+        } = message;
+        match message {
+            Message::Consensus(message) if role == Role::Control => {
+                if let Body::Seen(seen) = message.body {
+                    signs.merge(from.name, seen);
+                } else if proposer.node.send(Input::Received(message)).is_err() {
+                    return;
+                }
+            }
+            Message::ConfigPull { have } => {
+                if role == Role::Entry {
+                    signs.record(from.name, have);
+                }
+                let config = proposer.shared.state().config().cloned();
+                let version = config.as_ref().map_or(0, |config| config.version);
+                let answer = match config {
+                    Some(config) if version > have => Message::ConfigPush(config),
+                    _ => Message::ConfigPull { have: version },
+                };
+                if let Some(reply) = reply {
+                    actix_rt::spawn(reply.send(answer));
+                }
+            }
+            Message::Ledger(call) => {
+                let Some(reply) = reply else {
+                    continue;
+                };
+                let (Call::Begin { holder, .. } | Call::Finish { holder, .. }) = &call;
+                if holder.name != from.name {
+                    log::warn!("{} sent a ledger call of {}", from.name, holder.name);
+                    actix_rt::spawn(reply.send(Message::LedgerAnswer(Answer::Unavailable)));
+                    continue;
+                }
+                let proposer = proposer.clone();
+                actix_rt::spawn(async move {
+                    let command = Command::Ledger { now_ms: 0, call };
+                    let answer = match proposer.submit(command, LEDGER_TIMEOUT).await {
+                        Decision::Decided(Outcome::Ledger(answer)) => answer,
+                        _ => Answer::Unavailable,
+                    };
+                    reply.send(Message::LedgerAnswer(answer)).await;
+                });
+            }
+            Message::Propose(command) => {
+                let Some(reply) = reply else {
+                    continue;
+                };
+                let allowed = role == Role::Control || is_order(&command, &from);
+                let proposer = proposer.clone();
+                actix_rt::spawn(async move {
+                    let decision = match (allowed, role) {
+                        (false, _) => Decision::NotAccepted,
+                        // The sender already looked for the leader; passing on could go in circles.
+                        (true, Role::Control) => proposer.propose(command).await,
+                        (true, Role::Entry) => proposer.submit(command, LEDGER_TIMEOUT).await,
+                    };
+                    let outcome = match decision {
+                        Decision::Decided(outcome) => Some(outcome),
+                        Decision::Unknown => Some(Outcome::Undecided),
+                        Decision::NotAccepted => None,
+                    };
+                    reply.send(Message::Proposed(outcome)).await;
+                });
+            }
+            _ => log::debug!("message from {} ignored", from.name),
+        }
+    }
+}
+
+/// Returns whether an entry VM may propose a command: engine orders that it issues itself.
+fn is_order(command: &Command, from: &vm::Instance) -> bool {
+    match command {
+        Command::Issue { issuer, .. } => issuer.name == from.name,
+        Command::Complete { .. } => true,
+        Command::Apply { .. } | Command::SetOut { .. } | Command::Ledger { .. } => false,
+    }
+}
+
+/// Tells the other replicas which entry VMs this one heard from.
+pub(crate) async fn spread_seen(proposer: Proposer, signs: Arc<Signs>, own: SocketAddr) {
+    loop {
+        sleep(SEEN_INTERVAL).await;
+        let seen = signs.take_fresh();
+        let members = proposer.shared.view().members;
+        for member in members.list.iter().filter(|member| member.address != own) {
+            let message = consensus::Message {
+                deployment: members.deployment,
+                from: Id(0),
+                to: member.id,
+                address: own,
+                body: Body::Seen(seen.clone()),
+            };
+            proposer
+                .endpoint
+                .send(member.address, Message::Consensus(message));
+        }
+    }
+}
+
+/// Sends the node's messages.
+pub(crate) async fn send(
+    endpoint: Endpoint,
+    mut outgoing: mpsc::UnboundedReceiver<(SocketAddr, Message)>,
+) {
+    while let Some((to, message)) = outgoing.recv().await {
+        endpoint.send(to, message);
+    }
+}
--- /dev/null
+++ b/control/src/shared.rs
@@ -0,0 +1,77 @@
+//! State that the parts of a replica share.
+
+use std::net::SocketAddr;
+use std::sync::{PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
+
+use primrosepin_core::consensus::{Members, Role};
+use primrosepin_core::registry::State;
+use primrosepin_core::vm;
+use tokio::sync::watch;
+
+/// What the node shows of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct View {
+    pub(crate) role: Role,
+    pub(crate) term: u64,
+    /// Name and address of the leader.
+    pub(crate) leader: Option<(vm::Name, SocketAddr)>,
+    pub(crate) members: Members,
+    pub(crate) applied: u64,
+    /// Why the replica acknowledges nothing.
+    pub(crate) failure: Option<String>,
+}
+
+/// State that the parts of a replica share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    state: RwLock<State>,
+    view: watch::Sender<View>,
+}
+
+impl Shared {
+    pub(crate) fn new() -> Self {
+        let view = View {
+            role: Role::Blank,
+            term: 0,
+            leader: None,
+            members: Members::default(),
+            applied: 0,
+            failure: None,
+        };
+        Self {
+            state: RwLock::default(),
+            view: watch::Sender::new(view),
+        }
+    }
+
+    /// Returns the state machine.
+    pub(crate) fn state(&self) -> RwLockReadGuard<'_, State> {
+        self.state.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the state machine for the node thread.
+    pub(crate) fn state_mut(&self) -> RwLockWriteGuard<'_, State> {
+        self.state.write().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the node's view.
+    pub(crate) fn view(&self) -> View {
+        self.view.borrow().clone()
+    }
+
+    /// Publishes the node's view.
+    pub(crate) fn show(&self, view: View) {
+        self.view.send_if_modified(|shown| {
+            let changed = *shown != view;
+            if changed {
+                *shown = view;
+            }
+            changed
+        });
+    }
+
+    /// Returns a receiver of changes of the view.
+    pub(crate) fn watch(&self) -> watch::Receiver<View> {
+        self.view.subscribe()
+    }
+}
--- /dev/null
+++ b/control/tests/server/main.rs
@@ -0,0 +1,4 @@
+//! Control replicas over real sockets.
+
+mod single;
+mod support;
--- /dev/null
+++ b/control/tests/server/support.rs
@@ -0,0 +1,210 @@
+//! Control replicas over real sockets, an operator's client and an entry VM's endpoint.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use primrosepin_config::settings::{Control, ControlListen, Log, Replica, Tls};
+use primrosepin_control::{Options, Server};
+use primrosepin_core::message::Message;
+use primrosepin_core::vm::{Incarnation, Instance};
+use primrosepin_transport::keys::Authority;
+use primrosepin_transport::{Endpoint, Role, Settings};
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+
+/// Key of the operator in all tests.
+pub const KEY: &str = "operator-key";
+
+/// An inventory with two zones, as an operator writes it.
+pub const INVENTORY: &str = r#"{
+  // Written by hand.
+  "zones": [
+    {"name": "trnava-a", "region": "sk-west", "entries": ["entry-1"]},
+    {"name": "nitra-b", "region": "sk-west", "entries": ["entry-2"]},
+  ],
+  "services": [
+    {"name": "kolo-lm", "kind": "engine", "models": ["m"],
+     "announce_keys_sha256": ["e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"]},
+  ],
+  "organisations": [
+    {"name": "club",
+     "keys_sha256": ["2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae"]},
+  ],
+}"#;
+
+/// Replicas of one deployment.
+pub struct Deployment {
+    pub authority: Authority,
+    pub folder: tempfile::TempDir,
+    pub replicas: Vec<Replica>,
+}
+
+impl Deployment {
+    /// Prepares `count` replicas with free addresses.
+    pub fn new(count: usize) -> Self {
+        // The sockets are held until all addresses are known, so that no two are equal.
+        let sockets: Vec<UdpSocket> = (0..count)
+            .map(|_| UdpSocket::bind("127.0.0.1:0").unwrap())
+            .collect();
+        let replicas = sockets
+            .iter()
+            .enumerate()
+            .map(|(index, socket)| Replica {
+                vm: format!("control-{index}").into(),
+                peers: socket.local_addr().unwrap(),
+            })
+            .collect();
+        Self {
+            authority: Authority::new().unwrap(),
+            folder: tempfile::tempdir().unwrap(),
+            replicas,
+        }
+    }
+
+    /// Returns the data folder of a replica.
+    pub fn data(&self, index: usize) -> std::path::PathBuf {
+        self.folder.path().join(format!("control-{index}"))
+    }
+
+    /// Starts a replica.
+    pub async fn start(&self, index: usize) -> Server {
+        let Replica { vm, peers } = self.replicas[index].clone();
+        let identity = self.authority.issue(&vm, Role::Control).unwrap();
+        let none = Path::new("").to_owned();
+        let settings = Control {
+            vm,
+            zone: "trnava-a".into(),
+            listen: ControlListen {
+                admin: "127.0.0.1:0".parse().unwrap(),
+                peers,
+            },
+            replicas: self.replicas.clone(),
+            data: self.data(index),
+            bootstrap: true,
+            tls: Tls {
+                authority: none.clone(),
+                certificate: none.clone(),
+                key: none,
+            },
+            operator_keys_sha256: vec![format!("{:x}", Sha256::digest(KEY)).into()],
+            log: Log::default(),
+        };
+        let options = Options {
+            seed: Some(index as u64),
+            identity: Some(identity),
+        };
+        Server::start(settings, options).await.unwrap()
+    }
+
+    /// Starts an endpoint of an entry VM.
+    pub fn entry(&self, name: &str) -> Endpoint {
+        let settings = Settings {
+            bind: "127.0.0.1:0".parse().unwrap(),
+            identity: self.authority.issue(name, Role::Entry).unwrap(),
+            instance: instance(name),
+        };
+        Endpoint::start(settings).unwrap().0
+    }
+}
+
+/// Returns the process of an entry VM.
+pub fn instance(name: &str) -> Instance {
+    Instance {
+        name: name.into(),
+        incarnation: Incarnation(1),
+    }
+}
+
+/// Sends an operator's call; returns status and body.
+pub async fn call(
+    admin: SocketAddr,
+    method: awc::http::Method,
+    path: &str,
+    key: &str,
+    body: Option<Value>,
+) -> (u16, Value) {
+    let client = awc::Client::builder()
+        .timeout(Duration::from_secs(20))
+        .finish();
+    let request = client
+        .request(method, format!("http://{admin}{path}"))
+        .insert_header(("authorization", format!("Bearer {key}")));
+    let sent = match body {
+        Some(body) => request.send_json(&body).await,
+        None => request.send().await,
+    };
+    let mut response = sent.unwrap();
+    let bytes = response.body().limit(64 * 1024 * 1024).await.unwrap();
+    let text = String::from_utf8(bytes.to_vec()).unwrap();
+    let value = serde_json::from_str(&text).unwrap_or(Value::String(text));
+    (response.status().as_u16(), value)
+}
+
+/// Gets a document as the operator.
+pub async fn get(admin: SocketAddr, path: &str) -> Value {
+    let (status, body) = call(admin, awc::http::Method::GET, path, KEY, None).await;
+    assert_eq!(status, 200, "{path}: {body}");
+    body
+}
+
+/// Posts a change as the operator.
+pub async fn post(admin: SocketAddr, path: &str, body: Value) -> (u16, Value) {
+    call(admin, awc::http::Method::POST, path, KEY, Some(body)).await
+}
+
+/// Posts a change until its outcome is known, as the client of the operators does.
+pub async fn settle(admin: SocketAddr, path: &str, body: &Value) -> (u16, Value) {
+    loop {
+        let (status, answer) = post(admin, path, body.clone()).await;
+        if status != 503 {
+            return (status, answer);
+        }
+    }
+}
+
+/// Returns the body of an apply call.
+pub fn apply(id: &str, base: u64, inventory: &str) -> Value {
+    json!({ "id": id, "base": base, "inventory": inventory })
+}
+
+/// Calls control until there is an answer.
+pub async fn ask<F, T>(endpoint: &Endpoint, to: &[SocketAddr], message: Message, wanted: F) -> T
+where
+    F: Fn(Message) -> Option<T>,
+{
+    loop {
+        for address in to {
+            let answer = endpoint
+                .call(*address, message.clone(), Duration::from_secs(2))
+                .await;
+            if let Some(found) = answer.ok().and_then(&wanted) {
+                return found;
+            }
+        }
+    }
+}
+
+/// Waits until a condition holds.
+pub async fn until<F>(mut condition: F)
+where
+    F: AsyncFnMut() -> bool,
+{
+    while !condition().await {
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Returns the peers' addresses of servers.
+pub fn peers(servers: &[&Server]) -> Vec<SocketAddr> {
+    servers
+        .iter()
+        .map(|server| server.addresses().peers)
+        .collect()
+}
+
+/// Shared text of a name.
+pub fn name(text: &str) -> Arc<str> {
+    text.into()
+}
--- a/core/src/consensus/message.rs
+++ b/core/src/consensus/message.rs
@@ -144,6 +144,8 @@
         /// Round answered.
         round: u64,
     },
+    /// What the sender knows of entry VMs, for status only; the reducer ignores it.
+    Seen(Vec<Seen>),
     /// The leader shuts down; another voter starts an election at once.
     Resign {
         /// Term of the leader.
@@ -152,3 +154,14 @@
         heir: Id,
     },
 }
+
+/// The last sign of an entry VM.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seen {
+    /// Name of the entry VM.
+    pub vm: vm::Name,
+    /// Configuration version in force there.
+    pub version: u64,
+    /// Age of the sign, milliseconds.
+    pub age_ms: u64,
+}
--- a/core/src/consensus/mod.rs
+++ b/core/src/consensus/mod.rs
@@ -41,6 +41,6 @@
 pub use effect::{Durable, Effect};
 pub use event::Event;
 pub use member::{Id, Member, Members};
-pub use message::{Body, Entry, Message, Payload};
+pub use message::{Body, Entry, Message, Payload, Seen};
 pub use reducer::{Reducer, Role, Settings};
 pub use snapshot::Snapshot;
--- a/core/src/consensus/reducer.rs
+++ b/core/src/consensus/reducer.rs
@@ -713,7 +713,7 @@
             return;
         }
         match body {
-            Body::Join { .. } => {}
+            Body::Join { .. } | Body::Seen(_) => {}
             Body::VoteAsk {
                 term,
                 pre,
--- a/core/src/registry/mod.rs
+++ b/core/src/registry/mod.rs
@@ -134,6 +134,8 @@
     Unknown,
     /// The id was used for another change.
     Reused,
+    /// The command may have been taken into the log; a resend gives its outcome.
+    Undecided,
     /// Answer of the ledger.
     Ledger(ledger::Answer),
     /// The order may be sent with this fencing number after the wait.
