--- a/bench/src/audit.rs
+++ b/bench/src/audit.rs
@@ -88,12 +88,17 @@
         let limit_us = call.deadline_ms * 1000 + DEADLINE_SLACK_US;
         counters.late_past_deadline += u64::from(call.end_us - call.due_us > limit_us);
     }
-    let records = evidence.engine_records.iter().chain(&evidence.plain_records);
+    let records = evidence
+        .engine_records
+        .iter()
+        .chain(&evidence.plain_records);
     for record in records {
         let late = evidence.removals.iter().any(|removal| {
             removal.targets.contains(&record.target)
                 && record.received_us > removal.from_us + REMOVAL_US
-                && removal.until_us.is_none_or(|until_us| record.received_us < until_us)
+                && removal
+                    .until_us
+                    .is_none_or(|until_us| record.received_us < until_us)
         });
         counters.work_after_removal += u64::from(late);
     }
@@ -203,7 +208,9 @@
             continue;
         };
         let alone_ms = model.ttft_alone_ms(prompt_tokens);
-        let index = buckets.iter().position(|bucket| prompt_tokens <= bucket.max);
+        let index = buckets
+            .iter()
+            .position(|bucket| prompt_tokens <= bucket.max);
         let last = buckets.len() - 1;
         buckets[index.unwrap_or(last)].add(call, alone_ms);
         if prompt_tokens <= short.max {
--- a/bench/src/caller.rs
+++ b/bench/src/caller.rs
@@ -124,7 +124,13 @@
 }
 
 /// Sends a call and follows it to its end.
-pub async fn send(client: &Client, route: &Route, entry: SocketAddr, call: Call, due_us: u64) -> Seen {
+pub async fn send(
+    client: &Client,
+    route: &Route,
+    entry: SocketAddr,
+    call: Call,
+    due_us: u64,
+) -> Seen {
     let deadline_ms = route.deadline_ms(call.kind);
     let mut seen = Seen {
         call,
@@ -204,7 +210,8 @@
         Some(value.to_owned())
     };
     seen.outcome = header("x-primrosepin-outcome").and_then(|text| Outcome::parse(&text));
-    let is_stream = header("content-type").is_some_and(|kind| kind.starts_with("text/event-stream"));
+    let is_stream =
+        header("content-type").is_some_and(|kind| kind.starts_with("text/event-stream"));
     if is_stream {
         // The outcome of a stream is its final event.
         seen.outcome = None;
--- a/bench/src/changes.rs
+++ b/bench/src/changes.rs
@@ -179,7 +179,13 @@
 }
 
 /// Watches the version in force at one entry VM.
-async fn observe(http: Client, entry: usize, admin: SocketAddr, log: Rc<RefCell<Log>>, end: Rc<Cell<bool>>) {
+async fn observe(
+    http: Client,
+    entry: usize,
+    admin: SocketAddr,
+    log: Rc<RefCell<Log>>,
+    end: Rc<Cell<bool>>,
+) {
     let mut last = 0;
     while !end.get() {
         let sent = http
@@ -235,7 +241,11 @@
         .collect();
     let begin_us = now_us();
     let half_us = options.duration_s * 500_000;
-    let controls: Vec<_> = cluster.controls.iter().map(|control| control.admin).collect();
+    let controls: Vec<_> = cluster
+        .controls
+        .iter()
+        .map(|control| control.admin)
+        .collect();
     let operators: Vec<_> = (0..OPERATORS)
         .map(|number| {
             let mut operator = Operator {
@@ -252,7 +262,10 @@
                 while !stop.get() {
                     if now_us() < begin_us + half_us {
                         let factor = -operator.random.random::<f64>().max(1e-9).ln();
-                        sleep(Duration::from_secs_f64((pause_s * factor).min(pause_s * 3.0))).await;
+                        sleep(Duration::from_secs_f64(
+                            (pause_s * factor).min(pause_s * 3.0),
+                        ))
+                        .await;
                     }
                     operator.change(format!("op-{seed}-{number}-{count}")).await;
                     count += 1;
@@ -275,7 +288,10 @@
         }
         if entry_restarts.first().is_some_and(|(at, _)| *at <= share) {
             let number = entry_restarts.remove(0).1 % cluster.entries.len();
-            actions.push((second as f64, format!("restart {}", cluster.entries[number].name)));
+            actions.push((
+                second as f64,
+                format!("restart {}", cluster.entries[number].name),
+            ));
             progress.note(&format!("at {second} s: restart entry {number}"));
             cluster.stop_entry(number).await?;
             cluster.start_entry(number).await?;
@@ -289,7 +305,13 @@
     for operator in operators {
         operator.await?;
     }
-    let last = log.borrow().accepted.keys().last().copied().unwrap_or(first);
+    let last = log
+        .borrow()
+        .accepted
+        .keys()
+        .last()
+        .copied()
+        .unwrap_or(first);
     let until_us = now_us() + LAST_MS * 1000;
     let everywhere = || {
         let log = log.borrow();
@@ -313,10 +335,7 @@
 }
 
 fn figures(log: &Log, first: u64, half_us: u64, last_in_force: bool) -> Value {
-    let halves = [
-        ("paced", 0, half_us),
-        ("fast", half_us, u64::MAX),
-    ];
+    let halves = [("paced", 0, half_us), ("fast", half_us, u64::MAX)];
     let mut phases = serde_json::Map::new();
     for (name, from_us, to_us) in halves {
         let mut in_force = Collector::new(1e3);
--- a/bench/src/cluster.rs
+++ b/bench/src/cluster.rs
@@ -72,7 +72,9 @@
     /// The first user: 15 engines, 3 plain targets, 6 entry VMs in 3 zones.
     pub fn kolo(policy: Policy, seed: u64) -> Self {
         Self {
-            zones: ["trnava-a", "nitra-b", "senec-c"].map(String::from).to_vec(),
+            zones: ["trnava-a", "nitra-b", "senec-c"]
+                .map(String::from)
+                .to_vec(),
             region: "sk-west".into(),
             entries_per_zone: 2,
             controls: 3,
@@ -95,7 +97,9 @@
     /// The second user: 20 engines, 3 plain targets, 9 entry VMs in 3 zones.
     pub fn kasturi(policy: Policy, seed: u64) -> Self {
         Self {
-            zones: ["surat-a", "surat-b", "bharuch-c"].map(String::from).to_vec(),
+            zones: ["surat-a", "surat-b", "bharuch-c"]
+                .map(String::from)
+                .to_vec(),
             region: "guj-west".into(),
             entries_per_zone: 3,
             engine_service: "weave-llm".into(),
@@ -577,8 +581,11 @@
         }
         let base = self.version().await;
         let text = serde_json::to_string(inventory)?;
-        self.change("/v1/config/apply", json!({ "base": base, "inventory": text }))
-            .await
+        self.change(
+            "/v1/config/apply",
+            json!({ "base": base, "inventory": text }),
+        )
+        .await
     }
 
     /// Returns the configuration version in force at control; zero if there is none.
--- a/bench/src/load.rs
+++ b/bench/src/load.rs
@@ -29,10 +29,7 @@
 
     /// Replaces the entry VMs.
     pub fn set(&self, entries: Vec<SocketAddr>) {
-        *self
-            .entries
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = entries;
+        *self.entries.lock().unwrap_or_else(PoisonError::into_inner) = entries;
     }
 
     fn pick(&self, draw: u64) -> Option<SocketAddr> {
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -94,7 +94,9 @@
     [Policy::Length, Policy::RoundRobin, Policy::LeastLoad]
         .into_iter()
         .find(|policy| scenario::policy_name(*policy) == name)
-        .ok_or_else(|| eyre::eyre!("unknown policy {name:?}; expected length, round-robin, least-load"))
+        .ok_or_else(|| {
+            eyre::eyre!("unknown policy {name:?}; expected length, round-robin, least-load")
+        })
 }
 
 fn parse_scenario(name: &str) -> eyre::Result<Scenario> {
--- a/bench/src/progress.rs
+++ b/bench/src/progress.rs
@@ -21,7 +21,8 @@
     pub fn new(total: u64) -> Self {
         let bar = std::io::stderr().is_terminal().then(|| {
             let bar = ProgressBar::new(total);
-            if let Ok(style) = ProgressStyle::with_template("{elapsed} [{bar:40}] {pos}/{len} {msg}")
+            if let Ok(style) =
+                ProgressStyle::with_template("{elapsed} [{bar:40}] {pos}/{len} {msg}")
             {
                 bar.set_style(style);
             }
--- a/bench/src/relay.rs
+++ b/bench/src/relay.rs
@@ -146,7 +146,9 @@
         // The name in parentheses may hold spaces; user and system time are fields 14 and 15.
         let fields = stat.rsplit_once(") ").map_or("", |(_, rest)| rest);
         let times = fields.split(' ').skip(11).take(2);
-        ticks += times.filter_map(|time| time.parse::<f64>().ok()).sum::<f64>();
+        ticks += times
+            .filter_map(|time| time.parse::<f64>().ok())
+            .sum::<f64>();
     }
     Ok(ticks / TICKS_PER_S)
 }
@@ -195,7 +197,7 @@
                     while let Some(Ok(bytes)) = response.next().await {
                         let events = bytes.windows(2).filter(|pair| pair == b"\n\n").count();
                         // Fails only after the measurement.
-                        drop(sender.send(events as u64));
+                        let _ = sender.send(events as u64);
                     }
                 });
             }
--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -199,16 +199,9 @@
         }
     }
 
-    /// Returns the table for people.
-    pub fn table(&self) -> String {
+    fn write_calls(&self, out: &mut String) {
         use std::fmt::Write;
-        let mut out = String::new();
         // Writing to a string cannot fail.
-        let _ = writeln!(
-            out,
-            "{} policy={} seed={} duration={}s speed={}",
-            self.scenario, self.policy, self.seed, self.duration_s, self.speed
-        );
         let _ = writeln!(
             out,
             "{:>12} {:>6} {:>8} {:>10} {:>10} {:>10} {:>8} {:>8} {:>8}",
@@ -218,7 +211,10 @@
             .buckets
             .iter()
             .map(|bucket| (bucket.prompt_tokens_max.to_string(), bucket))
-            .chain([("short<=4000".into(), &self.short), ("plain".into(), &self.plain)]);
+            .chain([
+                ("short<=4000".into(), &self.short),
+                ("plain".into(), &self.plain),
+            ]);
         for (name, bucket) in named {
             let (ttft, slowdown) = (bucket.ttft_ms, bucket.slowdown);
             let _ = writeln!(
@@ -242,6 +238,21 @@
         );
         let counters = serde_json::to_value(self.counters).unwrap_or_default();
         let _ = writeln!(out, "{}", flat(&counters));
+    }
+
+    /// Returns the table for people.
+    pub fn table(&self) -> String {
+        use std::fmt::Write;
+        let mut out = String::new();
+        // Writing to a string cannot fail.
+        let _ = writeln!(
+            out,
+            "{} policy={} seed={} duration={}s speed={}",
+            self.scenario, self.policy, self.seed, self.duration_s, self.speed
+        );
+        if self.buckets.iter().any(|bucket| bucket.sent > 0) {
+            self.write_calls(&mut out);
+        }
         if !self.codes.is_empty() {
             let codes = serde_json::to_value(&self.codes).unwrap_or_default();
             let _ = writeln!(out, "codes: {}", flat(&codes));
--- a/bench/src/scenario.rs
+++ b/bench/src/scenario.rs
@@ -127,25 +127,94 @@
                 fault(0.3, 0, Fault::GoCold { silent: false }),
                 fault(0.3, 4, Fault::GoCold { silent: true }),
                 (0.5, Action::Target(8, true)),
-                fault(0.6, 2, Fault::Die { for_ms: 2_000, cold: true }),
+                fault(
+                    0.6,
+                    2,
+                    Fault::Die {
+                        for_ms: 2_000,
+                        cold: true,
+                    },
+                ),
                 (0.7, Action::Target(8, false)),
             ],
             Self::Failover => vec![
-                fault(0.1, 0, Fault::Die { for_ms: 5_000, cold: true }),
+                fault(
+                    0.1,
+                    0,
+                    Fault::Die {
+                        for_ms: 5_000,
+                        cold: true,
+                    },
+                ),
                 fault(0.2, 1, Fault::Stall { for_ms: 6_000 }),
                 fault(0.3, 2, Fault::Silence),
-                fault(0.35, 3, Fault::Cut { after_events: 3, count: 5 }),
+                fault(
+                    0.35,
+                    3,
+                    Fault::Cut {
+                        after_events: 3,
+                        count: 5,
+                    },
+                ),
                 fault(0.4, 4, Fault::Cross { count: 3 }),
-                fault(0.45, 5, Fault::Refuse { proof: true, run: false, count: 5 }),
-                fault(0.5, 6, Fault::Refuse { proof: false, run: true, count: 3 }),
-                (0.5, Action::PlainFault(0, Fault::Cut { after_events: 0, count: 3 })),
+                fault(
+                    0.45,
+                    5,
+                    Fault::Refuse {
+                        proof: true,
+                        run: false,
+                        count: 5,
+                    },
+                ),
+                fault(
+                    0.5,
+                    6,
+                    Fault::Refuse {
+                        proof: false,
+                        run: true,
+                        count: 3,
+                    },
+                ),
+                (
+                    0.5,
+                    Action::PlainFault(
+                        0,
+                        Fault::Cut {
+                            after_events: 0,
+                            count: 3,
+                        },
+                    ),
+                ),
                 fault(0.55, 7, Fault::DropEvent { count: 3 }),
                 fault(0.55, 8, Fault::DuplicateEvent { count: 3 }),
-                fault(0.6, 9, Fault::Late { by_ms: 3_000, count: 3 }),
-                (0.6, Action::PlainFault(1, Fault::Die { for_ms: 3_000, cold: true })),
+                fault(
+                    0.6,
+                    9,
+                    Fault::Late {
+                        by_ms: 3_000,
+                        count: 3,
+                    },
+                ),
+                (
+                    0.6,
+                    Action::PlainFault(
+                        1,
+                        Fault::Die {
+                            for_ms: 3_000,
+                            cold: true,
+                        },
+                    ),
+                ),
                 fault(0.65, 10, Fault::LieLoad { factor: 0.0 }),
                 (0.7, Action::RestartEntry(1)),
-                fault(0.8, 11, Fault::Die { for_ms: 3_000, cold: true }),
+                fault(
+                    0.8,
+                    11,
+                    Fault::Die {
+                        for_ms: 3_000,
+                        cold: true,
+                    },
+                ),
                 (0.85, Action::PlainFault(2, Fault::Cross { count: 2 })),
             ],
         }
