--- a/entry/src/driver.rs
+++ b/entry/src/driver.rs
@@ -17,7 +17,7 @@
 
 use crate::node::Node;
 use crate::outlet::Final;
-use crate::{attempt, engine, handover, ledger};
+use crate::{attempt, engine, handover, ledger, reconcile};
 
 /// Longest time between two events for the reducer.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
@@ -138,6 +138,9 @@
             Effect::Probe { target, address } => {
                 actix_rt::spawn(engine::probe(Rc::clone(node), target, address));
             }
+            Effect::Reconcile { address, live, .. } => {
+                actix_rt::spawn(reconcile::run(self.client.clone(), address, live));
+            }
             Effect::Send { to, message, .. } => {
                 node.endpoint.send(to, message);
             }
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -20,6 +20,7 @@
 mod listen;
 mod node;
 mod outlet;
+mod reconcile;
 mod reply;
 mod scan;
 mod server;
--- a/tests/src/world/engines.rs
+++ b/tests/src/world/engines.rs
@@ -1,12 +1,13 @@
 //! Engines: attempts, tokens, reservations and faults.
 
-use super::{ANNOUNCE, DOWN, Delivery, Stage, World};
+use super::{ANNOUNCE, DOWN, Delivery, Stage, World, instance};
 use crate::engine::{ANSWER_TOKENS, Held, PREFILL_TOKENS_PER_S, TOKEN_INTERVAL};
 use crate::promise::Promise;
 use primrosepin_core::request::{Attempt, End};
 use primrosepin_core::serving::effect::Dispatch;
 use primrosepin_core::serving::event::Event;
 use primrosepin_core::target::State;
+use primrosepin_core::vm::Instance;
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -314,4 +315,38 @@
             },
         );
     }
+
+    /// Releases what belongs to processes that are not in `live`, and ends their streams.
+    pub(super) fn reconcile(&mut self, engine: usize, live: &[Instance]) {
+        let is_live = |owner: (usize, u64)| live.contains(&instance(owner.0, owner.1));
+        let gone: Vec<_> = self.engines[engine]
+            .held
+            .iter()
+            .filter(|(_, held)| !is_live(held.owner))
+            .map(|(attempt, held)| (*attempt, held.clone()))
+            .collect();
+        for (attempt, held) in gone {
+            self.engines[engine].held.remove(&attempt);
+            if held.finished {
+                continue;
+            }
+            let end = if held.next == 0 {
+                End::Lost
+            } else {
+                End::Broken
+            };
+            let delay = self.latency();
+            self.push_after(
+                delay,
+                Delivery::Node {
+                    node: held.owner.0,
+                    incarnation: held.owner.1,
+                    event: Event::Ended { attempt, end },
+                },
+            );
+        }
+        self.engines[engine]
+            .reserved
+            .retain(|_, (_, owner)| is_live(*owner));
+    }
 }
--- a/tests/src/world/mod.rs
+++ b/tests/src/world/mod.rs
@@ -36,6 +36,9 @@
 /// Time within which an operator's order must keep new work away.
 const OUT_BOUND: Duration = Duration::from_secs(3);
 
+/// Lease of what an engine holds for a process that no longer reads it.
+const ENGINE_LEASE: Duration = Duration::from_secs(10);
+
 /// Time past the deadline for the tick that notices it.
 const DEADLINE_SLACK: Duration = Duration::from_millis(100);
 
@@ -182,6 +185,7 @@
         call: ledger::Call,
     },
     Return(usize),
+    LeasesExpire(usize),
 }
 
 /// A deployment in virtual time.
@@ -489,6 +493,14 @@
                     },
                 );
             }
+            Delivery::LeasesExpire(node) => {
+                let incarnation = self.nodes[node].incarnation;
+                let current = |owner: (usize, u64)| owner.0 != node || owner.1 >= incarnation;
+                for engine in &mut self.engines {
+                    engine.held.retain(|_, held| current(held.owner));
+                    engine.reserved.retain(|_, (_, owner)| current(*owner));
+                }
+            }
             Delivery::Return(engine) => {
                 if self.engines[engine]
                     .dead_until
--- a/tests/src/world/node.rs
+++ b/tests/src/world/node.rs
@@ -1,6 +1,8 @@
 //! Entry VMs: their events, effects and messages.
 
-use super::{Delivery, Stage, TICK, World, address, control_address, instance, zone_name};
+use super::{
+    Delivery, ENGINE_LEASE, Stage, TICK, World, address, control_address, instance, zone_name,
+};
 use crate::engine::ANSWER_TOKENS;
 use crate::promise::Promise;
 use primrosepin_core::message::{Credit, Message, Span};
@@ -57,10 +59,7 @@
         self.nodes[index].reducer = None;
         self.nodes[index].incarnation += 1;
         // The engines drop what nobody reads when its lease passes.
-        for engine in &mut self.engines {
-            engine.held.retain(|_, held| held.owner.0 != index);
-            engine.reserved.retain(|_, (_, owner)| owner.0 != index);
-        }
+        self.push_after(ENGINE_LEASE, Delivery::LeasesExpire(index));
     }
 
     pub(super) fn resume(&mut self, index: usize) {
@@ -193,6 +192,11 @@
                     },
                 );
             }
+            Effect::Reconcile { address, live, .. } => {
+                if let Some(engine) = self.engine_at(address) {
+                    self.reconcile(engine, &live);
+                }
+            }
             Effect::Send { to, message, .. } => self.transmit(index, to, &message),
             Effect::InForce(config) => {
                 if config.version < self.nodes[index].versions {
