core: Test policy and zone behaviour; fix lease elections and stale backlog

Cause: candidates that asked for a vacant lease in the same tick voted for themselves for ever, and a target that was faster than announced kept its predicted backlog after its first tokens. Change: a candidate gives its own vote up when a round fails and waits by rank; a first token bounds the backlog by what is not prefilled yet. Tests of policy and of several VMs in one zone.

--- a/core/src/serving/coordinator.rs
+++ b/core/src/serving/coordinator.rs
@@ -33,6 +33,12 @@
 /// Delay between the candidates of a vacant lease, so that their asks rarely collide.
 const CANDIDATE_STEP: Duration = Duration::from_millis(250);
 
+/// Random part of the pause between asks, milliseconds.
+const ASK_JITTER_MS: u64 = 100;
+
+/// Time within which votes are expected.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Interval of summaries to other zones.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -161,7 +167,28 @@
         }
     }
 
+    /// Ends a round without a majority. The own vote is free again, because late votes for the
+    /// round are not counted.
+    fn give_up_ask(&mut self) {
+        self.lease.ask = None;
+        let own = &self.settings.vm;
+        if self
+            .lease
+            .granted
+            .as_ref()
+            .is_some_and(|(holder, ..)| holder == own)
+        {
+            self.lease.granted = None;
+        }
+    }
+
     fn stand_for_lease(&mut self, effects: &mut Vec<Effect>) {
+        if let Some(ask) = &self.lease.ask {
+            if self.now.since(ask.asked) < ASK_TIMEOUT {
+                return;
+            }
+            self.give_up_ask();
+        }
         let claimed = self
             .members
             .known
@@ -183,12 +210,13 @@
             .filter(|&name| *name < self.settings.vm.name)
             .filter(|&name| self.members.known.contains_key(name))
             .count();
-        let turn = self.lease.vacant_since + CANDIDATE_STEP * rank as u32;
-        if turn > self.now || self.lease.next_ask > self.now {
+        let vacant_since = self.lease.vacant_since.max(self.lease.abstain_until);
+        let delay = CANDIDATE_STEP * rank as u32;
+        if vacant_since + delay > self.now || self.lease.next_ask > self.now {
             return;
         }
-        let pause_ms = 400 + self.rng.next_u64() % 400;
-        self.lease.next_ask = self.now + Duration::from_millis(pause_ms);
+        let pause = Duration::from_millis(self.rng.next_u64() % ASK_JITTER_MS);
+        self.lease.next_ask = self.now + CANDIDATE_STEP + delay + pause;
         self.ask_for_lease(self.lease.highest + 1, effects);
     }
 
@@ -269,7 +297,12 @@
                 self.send(from, Message::Vote(answer), effects);
             }
             Vote::Grant { epoch, round } => self.count_vote(from, epoch, round, effects),
-            Vote::Deny { epoch, .. } => self.lease.highest = self.lease.highest.max(epoch),
+            Vote::Deny { epoch, round } => {
+                self.lease.highest = self.lease.highest.max(epoch);
+                if round == self.lease.round && self.held_epoch().is_none() {
+                    self.give_up_ask();
+                }
+            }
         }
     }
 
--- a/core/src/serving/target.rs
+++ b/core/src/serving/target.rs
@@ -584,6 +584,11 @@
     pub fn prefilled(&mut self, attempt: Attempt, class: Class, tokens: u64) {
         let unprefilled = &mut self.own.unprefilled[class as usize];
         *unprefilled = unprefilled.saturating_sub(tokens);
+        // An engine that is faster than announced has no more left than what is not prefilled yet.
+        let own = self.own.unprefilled.iter().sum::<u64>();
+        let peers = self.peers.unprefilled.iter().sum::<u64>();
+        let left = (self.backlog - tokens as f64).max((own + peers) as f64);
+        self.backlog = self.backlog.min(left);
         for recent in &mut self.recent {
             if recent.attempt == attempt {
                 self.own.since = self.own.since.saturating_sub(recent.tokens);
--- /dev/null
+++ b/core/tests/serving_policy.rs
@@ -0,0 +1,293 @@
+//! Placement, sharing and admission at one entry VM.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::*;
+use primrosepin_core::request::{Id, Outcome, Reason};
+use primrosepin_core::serving::Policy;
+use primrosepin_core::serving::effect::Effect;
+use primrosepin_core::serving::event::Event;
+
+fn fleet(host: &mut Host, count: u16) {
+    for number in 0..count {
+        host.announce(engine(&format!("t{number:02}"), 101 + number));
+    }
+}
+
+/// Guards against short requests that queue behind a long prefill while other targets are free, and
+/// against long work that spreads over all targets.
+#[test]
+fn short_avoids_long() {
+    let mut host = Host::alone();
+    fleet(&mut host, 6);
+    host.arrive(prompt(1, 1_000));
+    let mut long = Vec::new();
+    for id in 10..13 {
+        long.extend(dispatches(&host.arrive(prompt(id, 100_000))));
+    }
+    assert!(
+        !long.is_empty() && long.len() <= 3,
+        "long work is bounded: {long:?}"
+    );
+    for id in 20..40 {
+        let short = dispatched(&host.arrive(prompt(id, 1_000)));
+        assert!(long.iter().all(|long| long.target != short.target));
+        host.end(short.attempt, WHOLE);
+    }
+}
+
+/// Guards against several VMs that all choose the same target on one report: equal targets must be
+/// chosen about equally often.
+#[test]
+fn near_equal_targets_share() {
+    let mut host = Host::alone();
+    fleet(&mut host, 10);
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    for id in 0..400 {
+        let sent = dispatched(&host.arrive(prompt(id, 100)));
+        *counts.entry(sent.target.to_string()).or_default() += 1;
+        host.apply(Event::Progress {
+            attempt: sent.attempt,
+            tokens: 1,
+        });
+        host.end(sent.attempt, WHOLE);
+    }
+    assert_eq!(counts.len(), 10);
+    assert!(
+        counts.values().all(|&count| (15..=80).contains(&count)),
+        "{counts:?}"
+    );
+}
+
+/// Guards against load reports that hide what was sent after them: a burst must spread.
+#[test]
+fn own_dispatches_count() {
+    let mut host = Host::alone();
+    fleet(&mut host, 4);
+    let mut targets: Vec<_> = (0..4)
+        .map(|id| dispatched(&host.arrive(prompt(id, 4_000))).target)
+        .collect();
+    targets.sort();
+    targets.dedup();
+    assert_eq!(targets.len(), 4);
+}
+
+/// Guards against starvation of long requests by a steady stream of medium ones.
+#[test]
+fn long_is_not_starved() {
+    let mut host = Host::alone();
+    let mut target = engine("t", 101);
+    target.max_running = 4;
+    host.announce(target.clone());
+    let mut running = Vec::new();
+    let mut served = None;
+    for id in 0..3 {
+        let sent = dispatches(&host.arrive(prompt(id, 30_000)));
+        running.extend(sent.iter().map(|sent| sent.attempt));
+    }
+    host.arrive(prompt(1_000, 350_000));
+    for step in 0..160_u64 {
+        let mut effects = host.pass(500);
+        target.seq += 1;
+        target.load.kv_tokens_used = 100_000;
+        effects.extend(host.announce(target.clone()));
+        for attempt in running.clone() {
+            effects.extend(host.apply(Event::Progress { attempt, tokens: 1 }));
+        }
+        if step % 4 == 0 && !running.is_empty() {
+            effects.extend(host.end(running.remove(0), WHOLE));
+        }
+        effects.extend(host.arrive(prompt(10 + u128::from(step), 30_000)));
+        for sent in dispatches(&effects) {
+            if sent.attempt.request == Id(1_000) {
+                served = Some(step);
+            }
+            running.push(sent.attempt);
+        }
+        if running.is_empty() {
+            target.load.kv_tokens_used = 0;
+        }
+        if served.is_some() {
+            break;
+        }
+    }
+    assert!(served.is_some(), "the long request was never placed");
+}
+
+/// Guards against an organisation with many requests that keeps the others waiting, and against
+/// idle targets while only one organisation has work.
+#[test]
+fn organisations_share() {
+    let mut host = Host::alone();
+    let mut target = engine("t", 101);
+    target.max_running = 2;
+    host.announce(target);
+    let mut running: Vec<_> = Vec::new();
+    for id in 0..40 {
+        running.extend(dispatches(&host.arrive(prompt(id, 1_000))));
+    }
+    assert_eq!(running.len(), 2, "one organisation may use all slots");
+    for id in 100..110 {
+        let mut arrival = prompt(id, 1_000);
+        arrival.organisation = "red".into();
+        host.arrive(arrival);
+    }
+    let mut order = Vec::new();
+    while order.len() < 20 {
+        let done = running.remove(0);
+        host.apply(Event::Progress {
+            attempt: done.attempt,
+            tokens: 1,
+        });
+        let next = dispatches(&host.end(done.attempt, WHOLE));
+        order.extend(next.iter().map(|sent| sent.attempt.request.0 >= 100));
+        running.extend(next);
+    }
+    let red = order.iter().take(12).filter(|&&red| red).count();
+    assert!(red >= 6, "{order:?}");
+}
+
+/// Guards against a concurrency limit that is not enforced, or that refuses instead of queueing.
+#[test]
+fn organisation_limit() {
+    let mut host = Host::new(settings("e1", 1));
+    let mut config = config(1, &["e1"]);
+    config.inventory.organisations[0].max_running = 2;
+    host.apply(Event::Configured(Arc::new(config)));
+    fleet(&mut host, 4);
+    let mut sent = Vec::new();
+    let mut refused = 0;
+    for id in 0..40 {
+        let effects = host.arrive(prompt(id, 1_000));
+        sent.extend(dispatches(&effects));
+        let limit = (Outcome::NotRun, Reason::OrganisationLimit);
+        refused += u32::from(refusal(&effects) == Some(limit));
+    }
+    assert_eq!(sent.len(), 2);
+    assert!(refused > 0 && host.reducer.waiting() == 16);
+    let effects = host.end(sent[0].attempt, WHOLE);
+    assert_eq!(dispatches(&effects).len(), 1);
+}
+
+/// Guards against overload that makes every answer late: what cannot finish is refused at once, with
+/// a retry hint, and admitted work stays within what the fleet can finish.
+#[test]
+fn overload_is_refused_early() {
+    let mut host = Host::alone();
+    fleet(&mut host, 2);
+    let mut hints = 0;
+    for id in 0..200 {
+        let effects = host.arrive(prompt(id, 30_000));
+        hints += effects
+            .iter()
+            .filter(|effect| {
+                matches!(effect, Effect::Respond(refusal)
+                if refusal.reason == Reason::FleetBusy && refusal.retry_after_ms.is_some())
+            })
+            .count();
+    }
+    // Two targets prefill 40,000 tokens/s, so that 80 requests take 60 s.
+    let live = host.reducer.live();
+    assert!((60..=84).contains(&live), "{live} of 200 admitted");
+    assert_eq!(hints, 200 - live);
+}
+
+/// Guards against retry storms: retries stay within the budget.
+#[test]
+fn retry_budget() {
+    let mut host = Host::alone();
+    fleet(&mut host, 8);
+    for id in 0..200 {
+        let mut pending = dispatches(&host.arrive(prompt(id, 100)));
+        while let Some(sent) = pending.pop() {
+            let busy = primrosepin_core::request::End::NotRun { busy: true };
+            pending = dispatches(&host.end(sent.attempt, busy));
+        }
+    }
+    let counters = host.reducer.counters();
+    assert!(counters.retries <= 10 + 20, "{} retries", counters.retries);
+    assert!(counters.retries_over_budget > 0);
+}
+
+/// Guards against prefix hints that are ignored: a repeated prompt goes where its prefix is cached.
+#[test]
+fn cached_prefix_attracts() {
+    let mut host = Host::alone();
+    fleet(&mut host, 8);
+    let mut arrival = prompt(1, 30_000);
+    arrival.prefix = [11, 12, 13].into_iter().collect();
+    let first = dispatched(&host.arrive(arrival.clone()));
+    host.apply(Event::Progress {
+        attempt: first.attempt,
+        tokens: 1,
+    });
+    host.end(
+        first.attempt,
+        primrosepin_core::request::End::Whole {
+            prompt_tokens: 30_000,
+            cached_tokens: 0,
+            generated_tokens: 10,
+        },
+    );
+    for id in 2..8 {
+        arrival.id = Id(id);
+        let sent = dispatched(&host.arrive(arrival.clone()));
+        assert_eq!(sent.target, first.target);
+        host.now = host.now + Duration::from_millis(50);
+        host.apply(Event::Progress {
+            attempt: sent.attempt,
+            tokens: 1,
+        });
+        host.end(
+            sent.attempt,
+            primrosepin_core::request::End::Whole {
+                prompt_tokens: 30_000,
+                cached_tokens: 29_000,
+                generated_tokens: 10,
+            },
+        );
+    }
+}
+
+/// Guards against baselines that secretly use the product's policy.
+#[test]
+fn baselines() {
+    for policy in [Policy::RoundRobin, Policy::LeastLoad] {
+        let mut settings = settings("e1", 1);
+        settings.policy = policy;
+        let mut host = Host::new(settings);
+        host.apply(Event::Configured(Arc::new(config(1, &["e1"]))));
+        fleet(&mut host, 3);
+        let sent: Vec<_> = (0..3)
+            .map(|id| dispatched(&host.arrive(prompt(id, 100_000))))
+            .collect();
+        assert!(sent.iter().all(|sent| sent.priority == 0));
+        let mut targets: Vec<_> = sent.into_iter().map(|sent| sent.target).collect();
+        targets.sort();
+        targets.dedup();
+        assert_eq!(
+            targets.len(),
+            3,
+            "{policy:?} uses all targets for long work"
+        );
+    }
+}
+
+/// Guards against histories that cannot be replayed: equal seeds and events give equal effects.
+#[test]
+fn replay_is_exact() {
+    let run = || {
+        let mut host = Host::alone();
+        fleet(&mut host, 9);
+        for id in 0..100 {
+            host.arrive(prompt(id, 500 * (id as u64 % 90)));
+            host.pass(20);
+        }
+        host.log
+    };
+    assert_eq!(run(), run());
+}
--- /dev/null
+++ b/core/tests/serving_zone.rs
@@ -0,0 +1,392 @@
+//! Several entry VMs of one zone.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::*;
+use primrosepin_core::membership::Override;
+use primrosepin_core::message::{Credit, Message};
+use primrosepin_core::request::{End, Outcome, Reason};
+use primrosepin_core::serving::effect::{Effect, Notice};
+use primrosepin_core::serving::event::Event;
+use primrosepin_core::target::{Announcement, Budget, State};
+use primrosepin_core::zone::{Capacity, Summary};
+
+fn cold(name: &str, port: u16) -> Announcement {
+    Announcement {
+        state: State::Cold,
+        cold_budget: Budget {
+            requests: 2,
+            tokens: 8_000,
+        },
+        ..engine(name, port)
+    }
+}
+
+/// Guards against VMs that do not find each other, keep the dead, or never see them return.
+#[test]
+fn members_come_and_go() {
+    let mut fleet = Fleet::new(3);
+    fleet.pass(1_000);
+    assert!(
+        fleet
+            .hosts
+            .iter()
+            .all(|host| host.reducer.members().len() == 2)
+    );
+    fleet.cut = vec![2];
+    fleet.pass(1_500);
+    let alive = |fleet: &Fleet| {
+        let members = fleet.hosts[0].reducer.members();
+        members.iter().filter(|member| member.alive).count()
+    };
+    assert_eq!(
+        (fleet.hosts[0].reducer.members().len(), alive(&fleet)),
+        (2, 1)
+    );
+    fleet.pass(2_000);
+    assert_eq!(fleet.hosts[0].reducer.members().len(), 1);
+    fleet.cut.clear();
+    fleet.pass(1_000);
+    assert_eq!(alive(&fleet), 2);
+}
+
+/// Guards against a configuration that stays at one VM or reverts.
+#[test]
+fn configuration_spreads_and_never_reverts() {
+    let mut fleet = Fleet::new(3);
+    fleet.pass(500);
+    fleet.hosts[1].apply(Event::Configured(Arc::new(config(5, &["e1", "e2", "e3"]))));
+    fleet.deliver();
+    fleet.pass(1_000);
+    fleet.hosts[1].apply(Event::Configured(Arc::new(config(4, &["e1"]))));
+    fleet.pass(1_000);
+    for host in &fleet.hosts {
+        assert_eq!(host.reducer.config().map(|config| config.version), Some(5));
+    }
+}
+
+/// Guards against targets that only the VM knows at which they announce themselves, and against new
+/// work at other VMs for a target that left.
+#[test]
+fn announcements_spread() {
+    let mut fleet = Fleet::new(3);
+    fleet.pass(1_000);
+    let mut targets = [engine("t1", 101)];
+    fleet.pass_with(1_000, &mut targets);
+    assert!(
+        fleet
+            .hosts
+            .iter()
+            .all(|host| host.reducer.target_count() == 1)
+    );
+    targets[0].state = State::Draining;
+    targets[0].seq += 1;
+    fleet.hosts[0].announce(targets[0].clone());
+    fleet.deliver();
+    assert!(fleet.arrive(2, prompt(1, 1_000)).is_empty());
+    fleet.pass(3_200);
+    assert!(
+        fleet
+            .hosts
+            .iter()
+            .all(|host| host.reducer.target_count() == 0)
+    );
+}
+
+/// Guards against two coordinators at one time, none at all, and epochs that do not grow.
+#[test]
+fn one_coordinator() {
+    let mut fleet = Fleet::new(3);
+    fleet.pass(2_900);
+    assert!(
+        fleet.coordinators().is_empty(),
+        "voters abstain after their start"
+    );
+    fleet.pass(1_500);
+    let first = fleet.coordinators();
+    assert_eq!(first.len(), 1);
+    let epoch = fleet.hosts[first[0]].reducer.held_epoch();
+    fleet.pass(10_000);
+    assert_eq!(fleet.coordinators(), first, "the lease is renewed");
+    assert_eq!(fleet.hosts[first[0]].reducer.held_epoch(), epoch);
+    fleet.cut = first.clone();
+    let mut second = Vec::new();
+    for _ in 0..500 {
+        fleet.pass(20);
+        second = fleet.coordinators();
+        assert!(second.len() <= 1, "two coordinators at one time");
+    }
+    assert_eq!(second.len(), 1);
+    assert_ne!(first, second);
+    assert!(fleet.hosts[second[0]].reducer.held_epoch() > epoch);
+    fleet.cut = vec![0, 1];
+    fleet.pass(4_000);
+    assert!(
+        fleet.coordinators().is_empty(),
+        "a minority must not coordinate"
+    );
+}
+
+/// Guards against a cold budget that each VM uses up on its own, and against targets that never
+/// become warm.
+#[test]
+fn cold_budget_over_all_vms() {
+    let mut fleet = Fleet::new(3);
+    let mut targets = [cold("t1", 101)];
+    fleet.pass_with(6_000, &mut targets);
+    let mut sent = Vec::new();
+    let mut id = 0;
+    for _ in 0..5 {
+        for index in 0..3 {
+            id += 1;
+            let found = fleet.arrive(index, prompt(id, 1_000));
+            sent.extend(found.into_iter().map(|sent| (index, sent)));
+        }
+    }
+    fleet.pass_with(400, &mut targets);
+    let total = |fleet: &Fleet| -> u64 {
+        let counters = fleet.hosts.iter().map(|host| host.reducer.counters());
+        counters.map(|counters| counters.dispatched).sum()
+    };
+    assert_eq!(total(&fleet), 2, "the budget is 2 requests for the zone");
+    // Good first tokens double the budget.
+    let finish_all = |fleet: &mut Fleet| {
+        for index in 0..3 {
+            let all = dispatches(&fleet.hosts[index].log);
+            for sent in all {
+                let attempt = sent.attempt;
+                fleet.hosts[index].apply(Event::Progress { attempt, tokens: 1 });
+                fleet.hosts[index].end(attempt, WHOLE);
+            }
+        }
+        fleet.deliver();
+    };
+    finish_all(&mut fleet);
+    fleet.pass_with(600, &mut targets);
+    assert_eq!(total(&fleet), 6, "the second set may have 4 requests");
+}
+
+/// Guards against work beyond the budget after the coordinator is lost: the next one counts what the
+/// members hold, and what the lost one may hold until it must have run out.
+#[test]
+fn credits_survive_the_coordinator() {
+    let mut fleet = Fleet::new(3);
+    let mut targets = [cold("t1", 101)];
+    targets[0].cold_budget.requests = 1;
+    fleet.pass_with(6_000, &mut targets);
+    let first = fleet.coordinators()[0];
+    let other = (first + 1) % 3;
+    let sent = fleet.arrive(other, prompt(1, 1_000));
+    assert_eq!(sent.len(), 1);
+    fleet.cut = vec![first];
+    for _ in 0..5 {
+        for target in &mut targets {
+            target.seq += 1;
+            for host in &mut fleet.hosts {
+                host.announce(target.clone());
+            }
+        }
+        fleet.hosts[other].apply(Event::Progress {
+            attempt: sent[0].attempt,
+            tokens: 1,
+        });
+        fleet.pass(1_000);
+    }
+    let second = fleet.coordinators();
+    assert!(second.len() == 1 && second[0] != first);
+    let third = (0..3)
+        .find(|&index| index != first && index != other)
+        .expect("third VM");
+    assert!(fleet.arrive(third, prompt(2, 1_000)).is_empty());
+    fleet.hosts[other].end(sent[0].attempt, WHOLE);
+    fleet.deliver();
+    for _ in 0..13 {
+        for host in &mut fleet.hosts {
+            targets[0].seq += 1;
+            host.announce(targets[0].clone());
+        }
+        assert_eq!(fleet.hosts[third].reducer.counters().dispatched, 0);
+        fleet.pass(1_000);
+        if fleet.hosts[third].reducer.counters().dispatched == 1 {
+            break;
+        }
+    }
+    fleet.pass(1_000);
+    assert_eq!(
+        fleet.hosts[third].reducer.counters().dispatched,
+        1,
+        "credits resume"
+    );
+}
+
+/// Guards against a target that one VM found cold and the others keep loading.
+#[test]
+fn cold_state_spreads() {
+    let mut fleet = Fleet::new(3);
+    let mut targets = [engine("t1", 101)];
+    fleet.pass_with(6_000, &mut targets);
+    assert!(
+        fleet
+            .hosts
+            .iter()
+            .all(|host| !host.reducer.targets()[0].cold)
+    );
+    for id in 0..3 {
+        let sent = fleet.arrive(1, prompt(id, 100));
+        fleet.pass_with(1_600, &mut targets);
+        let attempt = sent[0].attempt;
+        fleet.hosts[1].apply(Event::Progress { attempt, tokens: 1 });
+        fleet.hosts[1].end(attempt, WHOLE);
+    }
+    let turned = Effect::Notice(Notice::TargetCold("t1".into()));
+    assert!(fleet.hosts[1].log.contains(&turned));
+    fleet.pass_with(600, &mut targets);
+    assert!(
+        fleet
+            .hosts
+            .iter()
+            .all(|host| host.reducer.targets()[0].cold)
+    );
+}
+
+/// Guards against VMs that do not see each other's work on a target: together they stay within its
+/// slots.
+#[test]
+fn slots_over_all_vms() {
+    let mut fleet = Fleet::new(3);
+    let mut targets = [engine("t1", 101)];
+    fleet.pass_with(2_000, &mut targets);
+    let mut id = 0;
+    for _ in 0..8 {
+        for index in 0..3 {
+            id += 1;
+            fleet.arrive(index, prompt(id, 10));
+        }
+        fleet.pass_with(200, &mut targets);
+    }
+    let views: Vec<u32> = fleet
+        .hosts
+        .iter()
+        .map(|host| host.reducer.targets()[0].running)
+        .collect();
+    assert!((8..=10).contains(&views.iter().sum::<u32>()), "{views:?}");
+}
+
+fn summary(zone: &str, sequence: u64) -> Summary {
+    Summary {
+        zone: zone.into(),
+        sequence,
+        epoch: 1,
+        services: vec![Capacity {
+            service: "lm".into(),
+            warm_targets: 4,
+            prefill_tokens_per_s: 80_000.0,
+            backlog_tokens: 0,
+            largest_kv_tokens: 400_000,
+            spanning_kv_tokens: 0,
+        }],
+        entries: vec![address(5_000)],
+    }
+}
+
+/// Guards against new work in a zone that is out, requests that travel in circles, and summaries that
+/// reach only one VM.
+#[test]
+fn zone_out_hands_over() {
+    let mut fleet = Fleet::new(2);
+    let mut targets = [engine("t1", 101)];
+    fleet.pass_with(1_000, &mut targets);
+    fleet.hosts[0].apply(Event::Received {
+        from: instance("other"),
+        message: Message::Summary(summary("b", 1)),
+    });
+    fleet.deliver();
+    let running = fleet.arrive(1, prompt(1, 1_000));
+    fleet.hosts[0].apply(Event::LocalOrder(Override {
+        zone: "a".into(),
+        out: true,
+        sequence: 1,
+        config: 1,
+    }));
+    fleet.pass_with(400, &mut targets);
+    let host = &mut fleet.hosts[1];
+    let effects = host.arrive(prompt(2, 1_000));
+    assert!(effects.contains(&Effect::HandOver {
+        request: prompt(2, 0).id,
+        address: address(5_000),
+    }));
+    let mut hop = prompt(3, 1_000);
+    hop.handed_over = true;
+    let expected = (Outcome::NotRun, Reason::ZoneOut);
+    assert_eq!(refusal(&host.arrive(hop)), Some(expected));
+    let refused = End::NotRun { busy: true };
+    let effects = host.apply(Event::HandedOver {
+        request: prompt(2, 0).id,
+        end: refused,
+    });
+    assert_eq!(refusal(&effects), Some(expected));
+    let effects = host.end(running[0].attempt, WHOLE);
+    assert!(effects.contains(&Effect::Complete(prompt(1, 0).id)));
+    // An unrelated configuration does not bring the zone back.
+    host.apply(Event::Configured(Arc::new(config(2, &["e1", "e2"]))));
+    assert!(host.reducer.is_out("a"));
+}
+
+/// Guards against messages of strangers, stale processes and former coordinators that change state.
+#[test]
+fn foreign_messages_are_ignored() {
+    let mut fleet = Fleet::new(2);
+    fleet.pass(500);
+    let host = &mut fleet.hosts[0];
+    let from = instance("stranger");
+    let message = Message::Targets(vec![engine("t9", 109)]);
+    host.apply(Event::Received {
+        from: from.clone(),
+        message,
+    });
+    assert_eq!(host.reducer.target_count(), 0);
+    let credit = Credit::Grant {
+        attempt: attempt(1, 0),
+        target: "t9".into(),
+        incarnation: 1,
+        epoch: 9,
+        dispatch_within_ms: 1_000,
+    };
+    let effects = host.apply(Event::Received {
+        from,
+        message: Message::Credit(credit),
+    });
+    assert!(dispatches(&effects).is_empty());
+}
+
+/// Guards against a member that grows old state back: a lower incarnation is not a member.
+#[test]
+fn old_incarnation_is_no_member() {
+    let mut fleet = Fleet::new(2);
+    fleet.pass(500);
+    let beat = fleet.hosts[1].log.iter().find_map(|effect| match effect {
+        Effect::Send {
+            message: Message::Heartbeat(beat),
+            ..
+        } => Some(beat.clone()),
+        _ => None,
+    });
+    let mut beat = beat.expect("a heartbeat");
+    let mut newer = instance("e2");
+    newer.incarnation.0 = 2;
+    let host = &mut fleet.hosts[0];
+    host.apply(Event::Received {
+        from: newer.clone(),
+        message: Message::Heartbeat(beat.clone()),
+    });
+    beat.sequence = 1_000;
+    host.apply(Event::Received {
+        from: instance("e2"),
+        message: Message::Heartbeat(beat),
+    });
+    let members = host.reducer.members();
+    assert_eq!(members.len(), 1);
+    assert_eq!(members[0].instance, newer);
+}
