--- a/bench/src/changes.rs
+++ b/bench/src/changes.rs
@@ -55,6 +55,22 @@
     reverts: u64,
 }
 
+impl Log {
+    fn note(&mut self, id: String, sent_us: u64, answer: Answer) {
+        self.calls_ms.push((now_us() - sent_us) as f64 / 1e3);
+        match answer {
+            Answer::Accepted(version) => {
+                if self.accepted.insert(version, (sent_us, id)).is_some() {
+                    self.accepted_twice += 1;
+                }
+            }
+            Answer::Conflict => self.conflicts += 1,
+            Answer::Unknown => self.unknown += 1,
+            Answer::Refused => {}
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Answer {
     Accepted(u64),
@@ -91,19 +107,7 @@
         let body = json!({ "id": id, "base": base, "inventory": text });
         let sent_us = now_us();
         let answer = self.send(&body).await;
-        let mut log = self.log.borrow_mut();
-        log.calls_ms.push((now_us() - sent_us) as f64 / 1e3);
-        match answer {
-            Answer::Accepted(version) => {
-                if log.accepted.insert(version, (sent_us, id)).is_some() {
-                    log.accepted_twice += 1;
-                }
-            }
-            Answer::Conflict => log.conflicts += 1,
-            Answer::Unknown => log.unknown += 1,
-            Answer::Refused => {}
-        }
-        drop(log);
+        self.log.borrow_mut().note(id, sent_us, answer);
         if answer != Answer::Unknown && self.random.random_bool(0.1) {
             let again = self.send(&body).await;
             let mut log = self.log.borrow_mut();
@@ -132,13 +136,10 @@
                 .timeout(Duration::from_micros(limit))
                 .send_json(body)
                 .await;
-            let mut response = match sent {
-                Ok(response) => response,
-                Err(_) => {
-                    self.log.borrow_mut().lost_answers += 1;
-                    sleep(Duration::from_millis(20)).await;
-                    continue;
-                }
+            let Ok(mut response) = sent else {
+                self.log.borrow_mut().lost_answers += 1;
+                sleep(Duration::from_millis(20)).await;
+                continue;
             };
             let status = response.status().as_u16();
             let body = response.body().limit(16 * 1024 * 1024).await;
--- a/bench/src/cluster.rs
+++ b/bench/src/cluster.rs
@@ -29,9 +29,6 @@
 /// Key of the operators.
 pub const OPERATOR_KEY: &str = "operator-key-of-the-bench";
 
-/// Key with which targets announce themselves.
-const ANNOUNCE_KEY: &str = "announce-key-of-the-bench";
-
 /// Threads that carry all stand-ins.
 const STANDIN_THREADS: usize = 2;
 
@@ -111,13 +108,12 @@
 
     /// Inventory of the deployment.
     pub fn inventory(&self) -> Inventory {
-        let announce_keys_sha256 = vec![Arc::from(sha256(ANNOUNCE_KEY))];
         let service = |name: &str, kind, models, paths| inventory::Service {
             name: name.into(),
             kind,
             models,
             paths,
-            announce_keys_sha256: announce_keys_sha256.clone(),
+            announce_keys_sha256: vec![sha256(&announce_key(name)).into()],
         };
         let zones = self.zones.iter().map(|zone| inventory::Zone {
             name: zone.as_str().into(),
@@ -186,14 +182,18 @@
     format!("key-of-org-{number}")
 }
 
+/// Returns the key with which the targets of a service announce themselves.
+fn announce_key(service: &str) -> String {
+    format!("announce-key-of-{service}")
+}
+
 fn entry_name(zone: &str, number: usize) -> String {
     format!("entry-{zone}-{number}")
 }
 
 /// Returns the SHA-256 of a text in hexadecimal.
 pub fn sha256(text: &str) -> String {
-    let digest = Sha256::digest(text.as_bytes());
-    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+    format!("{:x}", Sha256::digest(text.as_bytes()))
 }
 
 /// An entry VM.
@@ -430,7 +430,7 @@
                 zone: zone.clone(),
                 service: spec.plain_service.clone(),
                 entries: cluster.targets_of(&zone),
-                announce_key: ANNOUNCE_KEY.into(),
+                announce_key: announce_key(&spec.plain_service),
                 seed: spec.seed ^ (0x1000 + number as u64),
                 ..spec.plain.clone()
             };
@@ -471,7 +471,6 @@
             seed: Some(self.spec.seed ^ number as u64),
             policy: self.spec.policy,
             identity: Some(entry.identity.clone()),
-            ..entry::Options::default()
         };
         let server = entry::Server::start(entry.settings.clone(), options)
             .await
@@ -512,7 +511,7 @@
                 version: "1".into(),
             }],
             entries: self.targets_of(&zone),
-            announce_key: ANNOUNCE_KEY.into(),
+            announce_key: announce_key(&spec.engine_service),
             seed: spec.seed ^ (0x2000 + number as u64),
             ..spec.engine.clone()
         };
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -114,7 +114,17 @@
 }
 
 #[actix_rt::main]
-async fn main() -> eyre::Result<ExitCode> {
+async fn main() -> ExitCode {
+    match run().await {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run() -> eyre::Result<ExitCode> {
     match command().run() {
         Command::Quickstart { once, json } => {
             let cluster = quickstart::start().await?;
--- a/bench/tests/report.rs
+++ b/bench/tests/report.rs
@@ -51,7 +51,10 @@
 /// Guards against ratios in the wrong direction.
 #[test]
 fn a_comparison_is_relative_to_the_first() {
-    let text = compare(&example(Policy::RoundRobin, 5), &example(Policy::Length, 10));
+    let text = compare(
+        &example(Policy::RoundRobin, 5),
+        &example(Policy::Length, 10),
+    );
     insta::assert_snapshot!(text);
 }
 
--- a/bench/tests/workload.rs
+++ b/bench/tests/workload.rs
@@ -34,7 +34,11 @@
         let inside = prompts.iter().filter(|tokens| (low..high).contains(tokens));
         inside.count() as f64 / prompts.len() as f64
     };
-    assert!((99_000..101_000).contains(&prompts.len()), "{}", prompts.len());
+    assert!(
+        (99_000..101_000).contains(&prompts.len()),
+        "{}",
+        prompts.len()
+    );
     assert!((0.019..0.021).contains(&share(100_000, 1_000_001)));
     assert!((0.845..0.855).contains(&share(1_000, 8_000)));
     let mean = prompts.iter().sum::<u64>() as f64 / prompts.len() as f64;
