--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -45,6 +45,9 @@
         /// Control replicas; 0 hands the configuration to the entry VMs directly
         #[bpaf(argument("N"), fallback(3))]
         controls: usize,
+        /// Leaves longer prompts out of the same arrivals
+        #[bpaf(argument("TOKENS"))]
+        prompt_tokens_max: Option<u64>,
         /// Writes the report as JSON
         #[bpaf(argument("FILE"))]
         json: Option<PathBuf>,
@@ -150,6 +153,7 @@
             speed,
             load,
             controls,
+            prompt_tokens_max,
             json,
             scenario,
         } => {
@@ -160,6 +164,7 @@
                 speed,
                 load,
                 controls,
+                prompt_tokens_max,
             };
             let report = match scenario.as_str() {
                 "relay" => relay::run(&options).await?,
--- a/bench/tests/report.rs
+++ b/bench/tests/report.rs
@@ -14,6 +14,7 @@
         speed: 2.0,
         load: None,
         controls: 3,
+        prompt_tokens_max: None,
     };
     let mut report = Report::empty("mixed-lengths", &options, Vec::new(), Value::Null);
     let mut ttft = Collector::new(1e3);
