core: Do not dispatch right after a pause of the process

Cause: a fuzzed history showed a VM that resumed after 3 s and dispatched to a target that had begun to drain, since outdated messages were read as new. Change: after a gap of 1 s between events nothing is dispatched for 600 ms, so that queued messages are read and a higher configuration is fetched. Conclusion: a paused VM no longer acts on what it knew before the pause.

--- a/core/src/serving/reducer.rs
+++ b/core/src/serving/reducer.rs
@@ -62,6 +62,13 @@
 /// Time after which another address under a known name no longer counts as a conflict.
 const CONFLICT_MEMORY: Duration = Duration::from_secs(10);
 
+/// Time between two events after which the process counts as paused. Ticks come every 20 ms.
+const PAUSE_MIN: Duration = Duration::from_secs(1);
+
+/// Time after a pause in which nothing is dispatched. Covers two heartbeats and a round trip, so that
+/// queued messages are read and a higher configuration version is fetched first.
+const PAUSE_SETTLE: Duration = Duration::from_millis(600);
+
 /// Decides for one entry VM.
 #[derive(Debug)]
 pub struct Reducer {
@@ -79,6 +86,8 @@
     pub(super) draining: bool,
     /// Whether waiting requests may find a target since the last try.
     pub(super) reschedule: bool,
+    /// When dispatching starts again after a pause of the process.
+    pub(super) settled_at: Instant,
     pub(super) members: Members,
     pub(super) lease: Lease,
     pub(super) book: Book,
@@ -115,6 +124,7 @@
             zones: Zones::default(),
             counters: Counters::default(),
             draining: false,
+            settled_at: now,
             reschedule: false,
             members: Members::new(now),
             lease: Lease::new(now),
@@ -173,7 +183,13 @@
 
     /// Takes an event that happened at `now` and appends the effects to carry out.
     pub fn apply(&mut self, now: Instant, event: Event, effects: &mut Vec<Effect>) {
-        self.now = self.now.max(now);
+        let now = self.now.max(now);
+        if now.since(self.now) >= PAUSE_MIN {
+            // Messages that queued up during the pause may be outdated; newer ones are behind them.
+            self.settled_at = now + PAUSE_SETTLE;
+            self.reschedule = true;
+        }
+        self.now = now;
         // Deadlines and leases come first, so that nothing is decided on what has expired while the
         // process was paused.
         self.expire(effects);
@@ -471,6 +487,9 @@
 
     /// Finds targets for waiting requests.
     fn schedule(&mut self, effects: &mut Vec<Effect>) {
+        if self.now < self.settled_at {
+            return;
+        }
         if !std::mem::take(&mut self.reschedule) || self.queue.len() == 0 {
             return;
         }
--- a/tests/src/engine.rs
+++ b/tests/src/engine.rs
@@ -26,6 +26,8 @@
 pub struct Held {
     /// Node that sent the attempt, with the node's incarnation.
     pub owner: (usize, u64),
+    /// When the node sent the attempt.
+    pub sent: Instant,
     /// Prompt tokens in KV memory.
     pub tokens: u64,
     /// Index of the next token.
@@ -47,6 +49,10 @@
     pub zone: usize,
     /// When a dead engine returns.
     pub dead_until: Option<Instant>,
+    /// When the engine began to drain.
+    pub draining_since: Option<Instant>,
+    /// When the engine last turned cold.
+    pub cold_since: Option<Instant>,
     /// When a cold engine turns warm.
     pub warm_at: Option<Instant>,
     /// What the engine holds.
@@ -89,6 +95,8 @@
             announcement,
             zone,
             dead_until: None,
+            draining_since: None,
+            cold_since: None,
             warm_at: None,
             held: BTreeMap::new(),
             cancelled: Vec::new(),
@@ -119,6 +127,8 @@
         self.held.clear();
         self.reserved.clear();
         self.announcement.state = State::Cold;
+        self.draining_since = None;
+        self.cold_since = Some(now);
         self.warm_at = Some(now + WARM_UP);
     }
 
