--- a/core/src/serving/admission.rs
+++ b/core/src/serving/admission.rs
@@ -35,6 +35,18 @@
 impl Reducer {
     /// Returns why the zone cannot serve a request before its deadline, if so.
     pub(super) fn denial(&self, id: Id) -> Option<Denial> {
+        let exclusion = self.exclusion(id);
+        if exclusion.is_some() {
+            return exclusion;
+        }
+        let request = self.requests.get(&id)?;
+        let left = request.deadline.since(self.now).as_micros() as f64;
+        let needed = self.predict_us(request);
+        (needed > left).then(|| busy(needed - left))
+    }
+
+    /// Returns why the zone cannot serve a request however short its queue is, if so.
+    pub(super) fn exclusion(&self, id: Id) -> Option<Denial> {
         let request = self.requests.get(&id)?;
         if self.zone_out() {
             return Some((Reason::ZoneOut, Some(ZONE_OUT_RETRY_MS)));
@@ -42,7 +54,7 @@
         if self.table.members(request.group).next().is_none() {
             return Some((Reason::NoTarget, Some(NO_TARGET_RETRY_MS)));
         }
-        if request.cost.kv_tokens > self.table.largest_memory(request.group) {
+        if request.cost.kv_tokens > self.table.group(request.group).largest_memory {
             return self.span_denial(request);
         }
         let (running, waiting) = self.queue.load(&request.arrival.organisation);
@@ -51,9 +63,7 @@
         if running >= limit && waiting >= most {
             return Some((Reason::OrganisationLimit, Some(ORGANISATION_RETRY_MS)));
         }
-        let left = request.deadline.since(self.now).as_micros() as f64;
-        let needed = self.predict_us(request);
-        (needed > left).then(|| busy(needed - left))
+        None
     }
 
     /// Predicts the time from now to the whole answer, in microseconds.
--- a/core/src/serving/drain.rs
+++ b/core/src/serving/drain.rs
@@ -58,8 +58,10 @@
         let Some(config) = self.config.clone() else {
             return;
         };
-        for (_, target) in self.table.iter_mut() {
-            target.out = config.targets_out.contains(&target.announcement.name);
+        for id in self.table.ids() {
+            if let Some(target) = self.table.get_mut(id) {
+                target.out = config.targets_out.contains(&target.announcement.name);
+            }
         }
         let superseded: Vec<Arc<str>> = self
             .members
--- a/core/src/serving/placement.rs
+++ b/core/src/serving/placement.rs
@@ -12,7 +12,7 @@
 use crate::time::Instant;
 
 use super::settings::Policy;
-use super::target::{Table, Target};
+use super::target::{Hot, Table};
 
 /// Long requests that one target runs at a time.
 const LONG_PER_TARGET: u32 = 2;
@@ -80,9 +80,9 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Candidate {
-    choice: Choice,
-    score: f64,
+    target: Id,
     running: u32,
+    score: f64,
 }
 
 impl Placement {
@@ -98,166 +98,166 @@
     where
         Random: Rng,
     {
+        table.refresh();
         self.candidates.clear();
-        match policy {
-            Policy::Length => self.scan_by_length(table, ask, now),
-            Policy::RoundRobin | Policy::LeastLoad => self.scan_by_load(table, ask, now),
-        }
-        if self.candidates.is_empty() {
-            return None;
-        }
-        match policy {
-            Policy::Length => Some(self.near_best(random)),
+        let target = match policy {
+            Policy::Length => {
+                let best = self.scan_by_length(table, ask, now);
+                self.near(best, random)?
+            }
             Policy::RoundRobin => {
+                self.scan_by_load(table, ask, now);
                 let group = table.group_mut(ask.group);
-                let at = group.cursor % self.candidates.len();
+                let at = group.cursor.checked_rem(self.candidates.len())?;
                 group.cursor = group.cursor.wrapping_add(1);
-                Some(self.candidates[at].choice)
+                self.candidates[at].target
             }
             Policy::LeastLoad => {
+                self.scan_by_load(table, ask, now);
                 let least = self.candidates.iter().map(|entry| entry.running).min()?;
                 self.candidates.retain(|entry| entry.running == least);
                 let at = random.next_u64() as usize % self.candidates.len();
-                Some(self.candidates[at].choice)
+                self.candidates[at].target
             }
-        }
+        };
+        let hot = table.hot(target);
+        let class = match policy {
+            Policy::Length => ask.class,
+            // All work of the baselines has the same priority.
+            Policy::RoundRobin | Policy::LeastLoad => Class::Huge,
+        };
+        let prefill_tokens = ask.prefill_tokens(target);
+        Some(Choice {
+            target,
+            cold: hot.cold,
+            ttft_us: hot.wait_us(now, class) + hot.prefill_us(prefill_tokens),
+            prefill_tokens,
+        })
     }
 
-    fn scan_by_length(&mut self, table: &Table, ask: &Ask, now: Instant) {
+    /// Collects suitable targets and returns the best score.
+    fn scan_by_length(&mut self, table: &Table, ask: &Ask, now: Instant) -> f64 {
         let group = table.group(ask.group);
         let reserved = group
             .reserved
             .filter(|&(_, request)| request != ask.request);
         let long = ask.class >= Class::Long;
         let short = ask.class == Class::Short;
+        let mut best = f64::INFINITY;
         let mut open = 0;
-        for (id, target) in table.members(ask.group) {
-            if !target.is_open(now) {
+        for &id in &group.targets {
+            let hot = table.hot(id);
+            if !hot.is_open(now) {
                 continue;
             }
-            let cold = target.is_cold();
-            let in_long_set = !cold && open < group.long_targets;
-            open += usize::from(!cold);
-            let running = target.zone_running();
-            let slots = target.announcement.max_running;
-            let kept = if short || slots <= SHORT_SLOTS {
+            let in_long_set = !hot.cold && open < group.long_targets;
+            open += usize::from(!hot.cold);
+            let kept = if short || hot.slots <= SHORT_SLOTS {
                 0
             } else {
                 SHORT_SLOTS
             };
-            if running + kept >= slots
+            if hot.running + kept >= hot.slots
                 || (long && !in_long_set && !ask.aged)
-                || (long
-                    && (target.zone_long() >= LONG_PER_TARGET || target.unprefilled_long() > 0))
+                || (long && (hot.long >= LONG_PER_TARGET || hot.unprefilled_long))
                 || (!short && reserved.is_some_and(|(target, _)| target == id))
-                || (cold && !may_ask_credit(target, ask, now))
-                || !kv_fits(target, ask, short)
+                || (hot.cold && !may_ask_credit(hot, ask, now))
+                || !kv_fits(hot, ask, short)
                 || ask.excluded.contains(&id)
             {
                 continue;
             }
-            let wait = target.wait_us(now, ask.class);
-            if wait > TARGET_BACKLOG_US && running > 0 {
+            let wait = hot.wait_us(now, ask.class);
+            if wait > TARGET_BACKLOG_US && hot.running > 0 {
                 continue;
             }
-            let choice = predict(id, target, ask, cold, wait);
-            let mut score = choice.ttft_us
-                + FULL_BATCH_PENALTY_US * f64::from(running) / f64::from(slots.max(1));
-            if !long && target.zone_long() > 0 {
+            let mut score = wait
+                + hot.prefill_us(ask.prefill_tokens(id))
+                + FULL_BATCH_PENALTY_US * f64::from(hot.running) / f64::from(hot.slots);
+            if !long && hot.long > 0 {
                 score += BESIDE_LONG_PENALTY_US;
             }
+            best = best.min(score);
             self.candidates.push(Candidate {
-                choice,
+                target: id,
+                running: hot.running,
                 score,
-                running,
             });
         }
+        best
     }
 
     fn scan_by_load(&mut self, table: &Table, ask: &Ask, now: Instant) {
-        for (id, target) in table.members(ask.group) {
-            let running = target.zone_running();
-            let cold = target.is_cold();
-            if !target.is_open(now)
-                || running >= target.announcement.max_running
-                || (cold && !may_ask_credit(target, ask, now))
-                || !kv_fits(target, ask, true)
-                || ask.excluded.contains(&id)
+        for &id in &table.group(ask.group).targets {
+            let hot = table.hot(id);
+            if hot.is_open(now)
+                && hot.running < hot.slots
+                && (!hot.cold || may_ask_credit(hot, ask, now))
+                && kv_fits(hot, ask, true)
+                && !ask.excluded.contains(&id)
             {
-                continue;
+                self.candidates.push(Candidate {
+                    target: id,
+                    running: hot.running,
+                    score: 0.0,
+                });
             }
-            let wait = target.wait_us(now, Class::Huge);
-            self.candidates.push(Candidate {
-                choice: predict(id, target, ask, cold, wait),
-                score: 0.0,
-                running,
-            });
         }
     }
 
     /// Takes two of the near-equal targets at random and returns the one with less running work.
-    fn near_best<Random>(&mut self, random: &mut Random) -> Choice
+    fn near<Random>(&mut self, best: f64, random: &mut Random) -> Option<Id>
     where
         Random: Rng,
     {
-        let best = self
-            .candidates
-            .iter()
-            .map(|entry| entry.score)
-            .fold(f64::INFINITY, f64::min);
         let near = best * NEAR_RATIO + NEAR_US;
         self.candidates.retain(|entry| entry.score <= near);
         let count = self.candidates.len();
-        let first = random.next_u64() as usize % count;
+        let first = (random.next_u64() as usize).checked_rem(count)?;
         if count == 1 {
-            return self.candidates[first].choice;
+            return Some(self.candidates[first].target);
         }
         let second = (first + 1 + random.next_u64() as usize % (count - 1)) % count;
         let (first, second) = (self.candidates[first], self.candidates[second]);
-        if second.running < first.running {
-            second.choice
+        Some(if second.running < first.running {
+            second.target
         } else {
-            first.choice
-        }
+            first.target
+        })
     }
 }
 
-fn predict(id: Id, target: &Target, ask: &Ask, cold: bool, wait_us: f64) -> Choice {
-    let cached = ask.cached.iter().find(|(cached, _)| *cached == id);
-    let cached_tokens = cached.map_or(0, |&(_, tokens)| tokens);
-    let prefill_tokens = ask.prompt_tokens.saturating_sub(cached_tokens);
-    Choice {
-        target: id,
-        cold,
-        ttft_us: wait_us + target.prefill_us(prefill_tokens),
-        prefill_tokens,
+impl Ask<'_> {
+    /// Returns the prompt tokens that a target has to prefill.
+    fn prefill_tokens(&self, target: Id) -> u64 {
+        let cached = self.cached.iter().find(|(cached, _)| *cached == target);
+        let cached_tokens = cached.map_or(0, |&(_, tokens)| tokens);
+        self.prompt_tokens.saturating_sub(cached_tokens)
     }
 }
 
-fn kv_fits(target: &Target, ask: &Ask, whole: bool) -> bool {
-    let memory = target.announcement.kv_tokens;
-    if memory == 0 {
+fn kv_fits(hot: &Hot, ask: &Ask, whole: bool) -> bool {
+    if hot.kv_tokens == 0 {
         return true;
     }
-    if target.zone_running() == 0 {
-        return ask.kv_tokens <= memory;
+    if hot.running == 0 {
+        return ask.kv_tokens <= hot.kv_tokens;
     }
     let usable = if whole {
-        memory
+        hot.kv_tokens
     } else {
-        memory / 100 * (100 - SHORT_KV_PERCENT)
+        hot.kv_tokens / 100 * (100 - SHORT_KV_PERCENT)
     };
-    target.kv_used().saturating_add(ask.kv_tokens) <= usable
+    hot.kv_used.saturating_add(ask.kv_tokens) <= usable
 }
 
 /// Returns whether a credit may be asked for. One unanswered ask for each target keeps a burst from
 /// waiting for credits that the budget cannot give.
-fn may_ask_credit(target: &Target, ask: &Ask, now: Instant) -> bool {
+fn may_ask_credit(hot: &Hot, ask: &Ask, now: Instant) -> bool {
     ask.credits
         && ask.class < Class::Long
-        && target.asks == 0
-        && target.denied_until <= now
-        && ask.prompt_tokens <= target.announcement.cold_budget.tokens
+        && hot.ask_from.is_some_and(|from| from <= now)
+        && ask.prompt_tokens <= hot.cold_tokens
 }
 
 /// Recalculates how many targets of a group take long work, from waiting and running long requests.
--- a/core/src/serving/reducer.rs
+++ b/core/src/serving/reducer.rs
@@ -383,9 +383,36 @@
             arrival,
         };
         self.requests.insert(id, request);
-        match self.denial(id) {
-            Some(denial) => self.deny(id, denial, effects),
-            None => self.admit(id, effects),
+        // Most requests find a target at once. The prediction for all targets is only needed for
+        // the others, and before a claim.
+        let group = self.table.group(group);
+        let direct = group.waiting == [0; 4];
+        let denial = match self.exclusion(id) {
+            None if !direct => self.denial(id),
+            None if self
+                .requests
+                .get(&id)
+                .is_some_and(|entry| entry.arrival.at_most_once) =>
+            {
+                self.denial(id)
+            }
+            exclusion => exclusion,
+        };
+        if let Some(denial) = denial {
+            self.deny(id, denial, effects);
+            return;
+        }
+        self.admit(id, effects);
+        self.schedule(effects);
+        let waits = self
+            .requests
+            .get(&id)
+            .is_some_and(|request| matches!(request.stage, Stage::Queued));
+        if direct
+            && waits
+            && let Some(denial) = self.denial(id)
+        {
+            self.deny(id, denial, effects);
         }
     }
 
@@ -403,7 +430,7 @@
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        let largest = self.table.largest_memory(request.group);
+        let largest = self.table.group(request.group).largest_memory;
         request.spanning = request.cost.kv_tokens > largest;
         if request.arrival.at_most_once && !request.claimed {
             self.claim(id, effects);
@@ -968,7 +995,16 @@
         }
         let now = self.now;
         let learning = self.members.is_learning(now);
-        for (_, target) in self.table.iter_mut() {
+        let changed: Vec<target::Id> = self
+            .table
+            .iter()
+            .filter(|(_, target)| target.conflict.is_some() || target.cold.assumed)
+            .map(|(id, _)| id)
+            .collect();
+        for id in changed {
+            let Some(target) = self.table.get_mut(id) else {
+                continue;
+            };
             if target
                 .conflict
                 .is_some_and(|(_, at)| now.since(at) > CONFLICT_MEMORY)
@@ -978,6 +1014,7 @@
             let announced_warm = target.announcement.state != State::Cold;
             if target.cold.assumed && target.cold.is_cold() && announced_warm && !learning {
                 target.cold.turn = 1;
+                self.reschedule = true;
             }
         }
         self.abandoned.retain(|_, (until, _)| *until > now);
--- a/core/src/serving/target.rs
+++ b/core/src/serving/target.rs
@@ -66,6 +66,8 @@
     backlog_at: Instant,
     /// This VM's dispatches that the last load report may lack.
     recent: VecDeque<Recent>,
+    /// KV memory of the recent dispatches, tokens.
+    recent_kv: u64,
     /// First tokens in a row that were late.
     slow: u8,
     /// Until when the target gets no new work because it did not answer.
@@ -74,6 +76,91 @@
     pub asks: u32,
     /// Until when this VM asks for no further cold credit after a denial.
     pub denied_until: Instant,
+    /// Whether the target changed since its [`Hot`] was made.
+    dirty: bool,
+}
+
+/// What placement reads of a target, kept small so that a scan stays in the processor's cache.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Hot {
+    /// From when the target gets new work.
+    open_from: Instant,
+    /// Until when the target gets new work.
+    open_until: Instant,
+    pub cold: bool,
+    /// From when a cold credit may be asked for; none while an ask is unanswered.
+    pub ask_from: Option<Instant>,
+    pub cold_tokens: u64,
+    pub slots: u32,
+    pub running: u32,
+    pub long: u32,
+    pub unprefilled_long: bool,
+    pub kv_tokens: u64,
+    pub kv_used: u64,
+    /// Prefill rate, tokens per microsecond.
+    rate: f64,
+    backlog: f64,
+    backlog_at: Instant,
+    peers_since: f32,
+    /// Prompt tokens before their first token, of each class and all higher ones.
+    ahead: [f32; 4],
+}
+
+impl Hot {
+    /// A slot without a target.
+    const CLOSED: Self = Self {
+        open_from: Instant::from_micros(u64::MAX),
+        open_until: Instant::from_micros(0),
+        cold: false,
+        ask_from: None,
+        cold_tokens: 0,
+        slots: 0,
+        running: 0,
+        long: 0,
+        unprefilled_long: false,
+        kv_tokens: 0,
+        kv_used: 0,
+        rate: 0.0,
+        backlog: 0.0,
+        backlog_at: Instant::from_micros(0),
+        peers_since: 0.0,
+        ahead: [0.0; 4],
+    };
+
+    /// Returns whether the target may get new work, apart from its cold state.
+    pub fn is_open(&self, now: Instant) -> bool {
+        self.open_from <= now && now < self.open_until
+    }
+
+    /// Predicts the wait before the prefill of a new request, in microseconds.
+    ///
+    /// Engines prefill by priority, so that only work of the same or a higher class counts, plus
+    /// reported work of which no entry VM knows the class.
+    pub fn wait_us(&self, now: Instant, class: Class) -> f64 {
+        if self.rate <= 0.0 {
+            return 0.0;
+        }
+        let elapsed_us = now.as_micros().saturating_sub(self.backlog_at.as_micros());
+        let drained = elapsed_us as f64 * self.rate;
+        let total = (self.backlog - drained).max(0.0) + f64::from(self.peers_since);
+        let known = f64::from(self.ahead[3]);
+        let ahead = f64::from(self.ahead[class as usize]);
+        let tokens = if total >= known {
+            ahead + (total - known)
+        } else {
+            ahead * total / known
+        };
+        tokens / self.rate
+    }
+
+    /// Predicts the prefill time of a prompt, in microseconds.
+    pub fn prefill_us(&self, tokens: u64) -> f64 {
+        if self.rate <= 0.0 {
+            0.0
+        } else {
+            tokens as f64 / self.rate
+        }
+    }
 }
 
 /// Work of entry VMs on one target.
@@ -149,6 +236,8 @@
     /// Members in the order in which they join the set of long-taking targets. The order depends
     /// on names only, so that all entry VMs agree on the set.
     pub targets: Vec<Id>,
+    /// KV memory of the largest target, tokens.
+    pub largest_memory: u64,
     /// Number of targets in the set of long-taking targets.
     pub long_targets: usize,
     /// Since when a smaller set would do.
@@ -200,6 +289,9 @@
     names: BTreeMap<Arc<str>, Id>,
     groups: Vec<Group>,
     generation: u64,
+    /// By slot, as of the last [`Table::refresh`].
+    hot: Vec<Hot>,
+    dirty: Vec<Id>,
 }
 
 impl Table {
@@ -214,7 +306,7 @@
             return Change::Joined(self.insert(now, announcement, lease_until));
         };
         let generation = self.next_generation();
-        let Some(target) = self.slots[id.0 as usize].as_mut() else {
+        let Some(target) = self.get_mut(id) else {
             return Change::Stale;
         };
         let known = &target.announcement;
@@ -232,7 +324,9 @@
                 return Change::Stale;
             }
         }
-        let regroup = announcement.models != known.models || announcement.service != known.service;
+        let regroup = announcement.models != known.models
+            || announcement.service != known.service
+            || announcement.kv_tokens != known.kv_tokens;
         let before = known.state;
         target.announcement = announcement;
         target.lease_until = target.lease_until.max(lease_until);
@@ -277,10 +371,12 @@
             backlog: 0.0,
             backlog_at: now,
             recent: VecDeque::new(),
+            recent_kv: 0,
             slow: 0,
             unresponsive_until: None,
             asks: 0,
             denied_until: now,
+            dirty: false,
             announcement,
         };
         target.report(now);
@@ -289,8 +385,10 @@
             id
         } else {
             self.slots.push(Some(target));
+            self.hot.push(Hot::CLOSED);
             Id(self.slots.len() as u32 - 1)
         };
+        self.mark(id);
         self.names.insert(name, id);
         self.join_groups(id);
         id
@@ -301,20 +399,31 @@
         self.leave_groups(id);
         let target = self.slots.get_mut(id.0 as usize)?.take()?;
         self.names.remove(&target.announcement.name);
+        self.hot[id.0 as usize] = Hot::CLOSED;
         self.free.push(id);
         Some(target)
     }
 
+    /// Recalculates the KV memory of a group's largest target; plain services hold anything.
+    fn measure_group(&mut self, index: u32) {
+        let memory = self.members(index).map(|(_, target)| {
+            let tokens = target.announcement.kv_tokens;
+            if tokens == 0 { u64::MAX } else { tokens }
+        });
+        self.groups[index as usize].largest_memory = memory.max().unwrap_or(0);
+    }
+
     fn leave_groups(&mut self, id: Id) {
         let Some(target) = self.slots[id.0 as usize].as_mut() else {
             return;
         };
-        for group in target.groups.drain(..) {
-            let group = &mut self.groups[group as usize];
+        for index in std::mem::take(&mut target.groups) {
+            let group = &mut self.groups[index as usize];
             group.targets.retain(|&member| member != id);
             if group.reserved.is_some_and(|(reserved, _)| reserved == id) {
                 group.reserved = None;
             }
+            self.measure_group(index);
         }
     }
 
@@ -353,6 +462,7 @@
             if let Some(target) = self.slots[id.0 as usize].as_mut() {
                 target.groups.push(index as u32);
             }
+            self.measure_group(index as u32);
         }
     }
 
@@ -397,26 +507,41 @@
         members.iter().filter_map(|&id| Some((id, self.get(id)?)))
     }
 
-    /// Returns the KV memory of a group's largest target; plain services hold anything.
-    pub fn largest_memory(&self, group: u32) -> u64 {
-        let members = self.members(group);
-        let memory = members.map(|(_, target)| match target.announcement.kv_tokens {
-            0 => u64::MAX,
-            tokens => tokens,
-        });
-        memory.max().unwrap_or(0)
-    }
-
     /// Returns a target by id.
     pub fn get(&self, id: Id) -> Option<&Target> {
         self.slots.get(id.0 as usize)?.as_ref()
     }
 
-    /// Returns a target by id.
+    /// Returns a target by id, to change it.
     pub fn get_mut(&mut self, id: Id) -> Option<&mut Target> {
+        self.mark(id);
         self.slots.get_mut(id.0 as usize)?.as_mut()
     }
 
+    fn mark(&mut self, id: Id) {
+        if let Some(target) = self.slots.get_mut(id.0 as usize).and_then(Option::as_mut)
+            && !target.dirty
+        {
+            target.dirty = true;
+            self.dirty.push(id);
+        }
+    }
+
+    /// Brings what placement reads up to date.
+    pub fn refresh(&mut self) {
+        for id in self.dirty.drain(..) {
+            if let Some(target) = &mut self.slots[id.0 as usize] {
+                target.dirty = false;
+                self.hot[id.0 as usize] = target.hot();
+            }
+        }
+    }
+
+    /// Returns what placement reads of a target, as of the last [`Self::refresh`].
+    pub fn hot(&self, id: Id) -> &Hot {
+        &self.hot[id.0 as usize]
+    }
+
     /// Returns a target by id, if it is still the one of this generation.
     pub fn same_mut(&mut self, id: Id, generation: u64) -> Option<&mut Target> {
         self.get_mut(id)
@@ -441,12 +566,9 @@
             .filter_map(|(index, slot)| Some((Id(index as u32), slot.as_ref()?)))
     }
 
-    /// Iterates over all targets in the order of their ids.
-    pub fn iter_mut(&mut self) -> impl Iterator<Item = (Id, &mut Target)> {
-        self.slots
-            .iter_mut()
-            .enumerate()
-            .filter_map(|(index, slot)| Some((Id(index as u32), slot.as_mut()?)))
+    /// Returns the ids of all targets.
+    pub fn ids(&self) -> Vec<Id> {
+        self.iter().map(|(id, _)| id).collect()
     }
 
     /// Returns the targets whose lease ended.
@@ -507,6 +629,7 @@
             service,
             model,
             targets: Vec::new(),
+            largest_memory: 0,
             long_targets: 1,
             shrink_since: None,
             reserved: None,
@@ -527,6 +650,7 @@
         self.peers = Work::default();
         self.backlog = 0.0;
         self.recent.clear();
+        self.recent_kv = 0;
         self.slow = 0;
         self.unresponsive_until = None;
         self.conflict = None;
@@ -544,6 +668,7 @@
             self.recent.pop_front();
         }
         self.own.since = self.recent.iter().map(|recent| recent.tokens).sum();
+        self.recent_kv = self.recent.iter().map(|recent| recent.kv_tokens).sum();
         self.backlog = (self.announcement.load.prefill_tokens + self.own.since) as f64;
         self.backlog_at = now;
     }
@@ -572,6 +697,7 @@
         self.own.long += u32::from(class >= Class::Long);
         self.own.unprefilled[class as usize] += tokens;
         self.own.since += tokens;
+        self.recent_kv += kv_tokens;
         self.recent.push_back(Recent {
             sent: now,
             attempt,
@@ -603,7 +729,13 @@
         if class >= Class::Long {
             self.own.long = self.own.long.saturating_sub(1);
         }
-        self.recent.retain(|recent| recent.attempt != attempt);
+        let at = self
+            .recent
+            .iter()
+            .rposition(|recent| recent.attempt == attempt);
+        if let Some(recent) = at.and_then(|at| self.recent.remove(at)) {
+            self.recent_kv = self.recent_kv.saturating_sub(recent.kv_tokens);
+        }
     }
 
     /// Counts whether a first token was late; returns whether the target counts as cold by now.
@@ -620,12 +752,53 @@
         false
     }
 
+    /// Returns what placement reads of the target.
+    pub fn hot(&self) -> Hot {
+        let announcement = &self.announcement;
+        let closed = self.out || announcement.state == State::Draining;
+        let mut ahead = [0.0; 4];
+        let mut sum = 0;
+        for (index, ahead) in ahead.iter_mut().enumerate() {
+            sum += self.own.unprefilled[index] + self.peers.unprefilled[index];
+            *ahead = sum as f32;
+        }
+        Hot {
+            open_from: self.unresponsive_until.unwrap_or_default(),
+            open_until: if closed {
+                Instant::default()
+            } else {
+                self.lease_until
+            },
+            cold: self.is_cold(),
+            ask_from: (self.asks == 0).then_some(self.denied_until),
+            cold_tokens: announcement.cold_budget.tokens,
+            slots: announcement.max_running,
+            running: self.zone_running(),
+            long: self.zone_long(),
+            unprefilled_long: self.unprefilled_long() > 0,
+            kv_tokens: announcement.kv_tokens,
+            kv_used: self.kv_used(),
+            rate: self.rate_per_us(),
+            backlog: self.backlog,
+            backlog_at: self.backlog_at,
+            peers_since: self.peers.since as f32,
+            ahead,
+        }
+    }
+
     /// Returns whether the target may get new work, apart from its cold state.
     pub fn is_open(&self, now: Instant) -> bool {
-        !self.out
-            && self.announcement.state != State::Draining
-            && self.lease_until > now
-            && self.unresponsive_until.is_none_or(|until| until <= now)
+        self.hot().is_open(now)
+    }
+
+    /// Predicts the wait before the prefill of a new request, in microseconds.
+    pub fn wait_us(&self, now: Instant, class: Class) -> f64 {
+        self.hot().wait_us(now, class)
+    }
+
+    /// Predicts the prefill time of a prompt, in microseconds.
+    pub fn prefill_us(&self, tokens: u64) -> f64 {
+        self.hot().prefill_us(tokens)
     }
 
     /// Returns whether the target gets only its cold budget.
@@ -653,47 +826,7 @@
 
     /// Returns the KV memory in use, with dispatches that the report lacks, tokens.
     pub fn kv_used(&self) -> u64 {
-        let recent: u64 = self.recent.iter().map(|recent| recent.kv_tokens).sum();
-        self.announcement.load.kv_tokens_used + recent + self.peers.since
-    }
-
-    /// Predicts the wait before the prefill of a new request, in microseconds.
-    ///
-    /// Engines prefill by priority, so that only work of the same or a higher class counts, plus
-    /// reported work of which no entry VM knows the class.
-    pub fn wait_us(&self, now: Instant, class: Class) -> f64 {
-        let rate = self.rate_per_us();
-        if rate <= 0.0 {
-            return 0.0;
-        }
-        let total = self.backlog(now) + self.peers.since as f64;
-        let mut known = 0;
-        let mut ahead = 0;
-        for index in 0..4 {
-            let tokens = self.own.unprefilled[index] + self.peers.unprefilled[index];
-            known += tokens;
-            if index <= class as usize {
-                ahead += tokens;
-            }
-        }
-        let known = known as f64;
-        let ahead = ahead as f64;
-        let tokens = if total >= known {
-            ahead + (total - known)
-        } else {
-            ahead * total / known
-        };
-        tokens / rate
-    }
-
-    /// Predicts the prefill time of a prompt, in microseconds.
-    pub fn prefill_us(&self, tokens: u64) -> f64 {
-        let rate = self.rate_per_us();
-        if rate <= 0.0 {
-            0.0
-        } else {
-            tokens as f64 / rate
-        }
+        self.announcement.load.kv_tokens_used + self.recent_kv + self.peers.since
     }
 
     /// Predicts the time to generate tokens, in microseconds.
