cli: Wait for a replica that has applied the change

Cause: on the operators' walk (3 control, 9 entry processes on loopback addresses) the first apply reported "version 1 is in force at 0 VMs after 0.0 s", because the replica asked for its status had not applied the inventory and listed no VMs. Change: only a status with the accepted version or a higher one counts. The test lagging_replica_does_not_count fails without the change.

--- a/cli/src/in_force.rs
+++ b/cli/src/in_force.rs
@@ -2,17 +2,39 @@
 
 use std::time::{Duration, Instant};
 
+use awc::http::Method;
 use serde_json::json;
 
 use crate::Result;
 use crate::client::Client;
 use crate::progress::Progress;
-use crate::report::{Exit, Report};
+use crate::report::{Exit, Report, Stop};
 use crate::status::Status;
 
 /// Pause between two looks. The promise is 10 s and the usual time is below one second.
 const POLL_PAUSE: Duration = Duration::from_millis(200);
 
+/// Returns the status of the first control replica that has applied `version`. Others may lag behind
+/// and would list the VMs of an older inventory.
+async fn status_with(client: &Client, version: u64) -> Result<Status> {
+    let mut reasons = Vec::new();
+    for address in client.addresses() {
+        let response = client.call(address, &Method::GET, "/v1/status", None).await;
+        reasons.push(match response {
+            Ok(response) if response.status.is_success() => {
+                let status = Status::new(&response.body)?;
+                if status.version >= version {
+                    return Ok(status);
+                }
+                format!("{address} has only version {}", status.version)
+            }
+            Ok(response) => format!("{address}: {}", response.message()),
+            Err(lost) => format!("{address}: {}", lost.reason()),
+        });
+    }
+    Err(Stop::message(Exit::Refused, reasons.join("; ")))
+}
+
 /// Waits until each VM that control hears from has at least `version`.
 pub async fn wait(
     client: &Client,
@@ -21,22 +43,20 @@
     bound: Duration,
     progress: &mut Progress,
 ) -> Result {
-    let end = Instant::now() + bound;
     let started = Instant::now();
-    let mut last;
+    let end = started + bound;
     loop {
-        last = match client.get("/v1/status").await {
-            Ok(body) => Status::new(&body)?,
+        let last = match status_with(client, version).await {
+            Ok(status) => status,
             // Control may be between two leaders; the change is accepted all the same.
-            Err(stop) if Instant::now() >= end => {
-                let mut report = stop.0;
-                report.text = format!(
+            Err(Stop(report)) if Instant::now() >= end => {
+                let text = format!(
                     "{what}: accepted as version {version}, but whether it is in force is not \
                      known. {}",
                     report.text
                 );
-                report.json["version"] = version.into();
-                return Ok(report);
+                let json = json!({ "version": version, "message": report.text });
+                return Ok(Report::new(Exit::Refused, text, json));
             }
             Err(_) => {
                 actix_rt::time::sleep(POLL_PAUSE).await;
--- a/cli/tests/cli/change.rs
+++ b/cli/tests/cli/change.rs
@@ -56,12 +56,47 @@
     assert!(admin.requests("GET").len() >= 3);
 }
 
+/// Guards against a control replica that lags behind and lists no VMs, so that the change seems to be in
+/// force everywhere.
+#[test]
+fn lagging_replica_does_not_count() {
+    let behind = || {
+        Answer::Json(
+            200,
+            json!({ "version": 0, "leader": "control-1", "vms": [] }),
+        )
+    };
+    let admin = Admin::start(move |request, count| match (is_status(request), count) {
+        (false, _) => accepted(1),
+        (true, ..3) => behind(),
+        (true, _) => status(1),
+    });
+    let control = admin.address.to_string();
+    let (code, json) = run_json(&["zone", "in", "--control", &control, "a"]);
+    assert_eq!((code, &json["vms"]), (0, &json!(2)));
+    let lagging = Admin::start(move |request, _| {
+        if is_status(request) {
+            behind()
+        } else {
+            accepted(1)
+        }
+    });
+    let control = lagging.address.to_string();
+    let (code, _) = run_json(&["zone", "in", "--control", &control, "--wait", "0", "a"]);
+    assert_eq!(code, 1);
+}
+
 /// Guards against success for a change that a VM does not take over.
 #[test]
 fn not_in_force_in_time() {
     let admin = Admin::start(|request, _| {
         if is_status(request) {
-            status(6)
+            let vm = |name: &str| json!({ "name": name, "version": 6, "state": "ok" });
+            let vms = json!([vm("entry-1"), vm("entry-2")]);
+            Answer::Json(
+                200,
+                json!({ "version": 7, "leader": "control-1", "vms": vms }),
+            )
         } else {
             accepted(7)
         }
