entry: Add operators' port, histograms and failure tests

Cause: operators had no metrics, status or local zone orders, and the checks on answers and input were not tested. Change: /metrics, /status and POST /v1/local/zones/{zone}; histograms by class and by organisation; rejections close connections whose body was not read; tests for crossed, reordered, cut and left-over answers, refusals with and without proof, limits, callers that leave, stalls and graceful shutdown.

--- /dev/null
+++ b/entry/src/admin.rs
@@ -0,0 +1,231 @@
+//! Operators' port: metrics, status, local zone orders.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use actix_http::body::BoxBody;
+use actix_http::header::{CONTENT_TYPE, HeaderValue};
+use actix_http::{HttpMessage, Request, Response, StatusCode};
+use awc::http::Method;
+use bytes::BytesMut;
+use futures_util::StreamExt;
+use primrosepin_core::membership::Override;
+use primrosepin_core::serving::event::Event;
+use serde::Deserialize;
+use serde_json::{Map, Value, json};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::callers::bearer;
+use crate::driver::{Query, Snapshot};
+use crate::inforce;
+use crate::listen::Connection;
+use crate::metrics::{OUTCOMES, totals};
+use crate::node::{Node, Phase};
+use crate::targets::json_response;
+
+/// Largest body of an operator's call, bytes.
+const BODY_BYTES_MAX: usize = 4 * 1024;
+
+/// What the operators' port needs.
+#[derive(Debug)]
+pub(crate) struct Operators {
+    node: Rc<Node>,
+    query: mpsc::Sender<Query>,
+    keys: Vec<[u8; 32]>,
+}
+
+type Failure = (u16, &'static str, String);
+
+impl Operators {
+    pub(crate) fn new(node: Rc<Node>, query: mpsc::Sender<Query>) -> Self {
+        let keys = &node.settings.operator_keys_sha256;
+        Self {
+            keys: keys
+                .iter()
+                .filter_map(|key| inforce::parse_hash(key))
+                .collect(),
+            node,
+            query,
+        }
+    }
+
+    async fn snapshot(&self) -> Result<Snapshot, Failure> {
+        let ended = || (503, "ending", "the process ends".to_owned());
+        let (sender, receiver) = oneshot::channel();
+        if self.query.send(sender).await.is_err() {
+            return Err(ended());
+        }
+        receiver.await.ok().ok_or_else(ended)
+    }
+}
+
+/// Serves one call of an operator.
+pub(crate) async fn serve(operators: Rc<Operators>, mut request: Request) -> Response<BoxBody> {
+    let _active = request.conn_data::<Rc<Connection>>().map(Connection::enter);
+    match answer(&operators, &mut request).await {
+        Ok(response) => response,
+        Err((status, code, message)) => json_response(
+            status,
+            &json!({ "error": { "code": code, "message": message } }),
+        ),
+    }
+}
+
+async fn answer(
+    operators: &Operators,
+    request: &mut Request,
+) -> Result<Response<BoxBody>, Failure> {
+    let node = &operators.node;
+    let path = request.path().to_owned();
+    let is_get = request.method() == Method::GET;
+    if path == "/metrics" && is_get {
+        let snapshot = operators.snapshot().await?;
+        let text = node
+            .metrics
+            .text(&snapshot, node.buffered.get())
+            .map_err(|error| (500, "metrics", error.to_string()))?;
+        let mut response = Response::with_body(StatusCode::OK, BoxBody::new(text));
+        response.headers_mut().insert(
+            CONTENT_TYPE,
+            HeaderValue::from_static("text/plain; version=0.0.4"),
+        );
+        return Ok(response);
+    }
+    let known =
+        bearer(request.headers()).is_some_and(|key| operators.keys.contains(&inforce::hash(key)));
+    if !known {
+        let message = "the operator key is missing or unknown".to_owned();
+        return Err((401, "unknown_key", message));
+    }
+    if path == "/status" && is_get {
+        return Ok(json_response(
+            200,
+            &status(node, &operators.snapshot().await?),
+        ));
+    }
+    if let Some(zone) = path.strip_prefix("/v1/local/zones/")
+        && request.method() == Method::POST
+    {
+        order(node, zone, request).await?;
+        return Ok(json_response(202, &json!({ "accepted": true })));
+    }
+    Err((404, "unknown_path", format!("no operators' call at {path}")))
+}
+
+/// Hands a zone order to the reducer.
+async fn order(node: &Node, zone: &str, request: &mut Request) -> Result<(), Failure> {
+    #[derive(Deserialize)]
+    #[serde(deny_unknown_fields)]
+    struct Order {
+        out: bool,
+    }
+    let Some(in_force) = node.in_force() else {
+        return Err((
+            503,
+            "not_ready",
+            "the process has no configuration yet".into(),
+        ));
+    };
+    let config = &in_force.config;
+    let Some(zone) = config
+        .inventory
+        .zones
+        .iter()
+        .find(|known| *known.name == *zone)
+    else {
+        return Err((
+            404,
+            "unknown_zone",
+            format!("the inventory has no zone {zone}"),
+        ));
+    };
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    while let Some(piece) = payload.next().await {
+        let piece = piece.map_err(|error| (400, "bad_body", error.to_string()))?;
+        if body.len() + piece.len() > BODY_BYTES_MAX {
+            return Err((
+                413,
+                "body_too_large",
+                "expected {\"out\":true|false}".into(),
+            ));
+        }
+        body.extend_from_slice(&piece);
+    }
+    let Order { out } =
+        serde_json::from_slice(&body).map_err(|error| (400, "bad_body", error.to_string()))?;
+    // Orders of different VMs are put in order by the wall clock, the only order that operators see.
+    let sequence = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |time| time.as_millis() as u64);
+    log::info!("local order: zone {} out: {out}", zone.name);
+    node.report(Event::LocalOrder(Override {
+        zone: Arc::clone(&zone.name),
+        out,
+        sequence,
+        config: config.version,
+    }));
+    Ok(())
+}
+
+fn status(node: &Node, snapshot: &Snapshot) -> Value {
+    let in_force = node.in_force();
+    let config = in_force.as_ref().map(|in_force| &in_force.config);
+    let counters = &snapshot.counters;
+    let totals: Map<String, Value> = totals(counters)
+        .into_iter()
+        .map(|(name, total)| (name.to_owned(), total.into()))
+        .collect();
+    let outcomes: Map<String, Value> = OUTCOMES
+        .into_iter()
+        .map(|outcome| {
+            (
+                outcome.as_str().to_owned(),
+                counters.outcome(outcome).into(),
+            )
+        })
+        .collect();
+    let targets: Vec<Value> = snapshot
+        .targets
+        .iter()
+        .map(|target| {
+            let announcement = &target.announcement;
+            json!({
+                "name": announcement.name,
+                "service": announcement.service,
+                "address": announcement.address,
+                "incarnation": announcement.incarnation,
+                "seq": announcement.seq,
+                "state": announcement.state,
+                "cold": target.cold,
+                "out": target.out,
+                "conflict": target.conflict,
+                "running": target.running,
+                "zone_running": target.zone_running,
+                "wait_ms": target.wait_us / 1_000,
+                "load": announcement.load,
+            })
+        })
+        .collect();
+    let phase = match *node.phase.borrow() {
+        Phase::Serving => "serving",
+        Phase::Draining => "draining",
+        Phase::Closing => "closing",
+    };
+    json!({
+        "vm": node.settings.vm,
+        "zone": node.settings.zone,
+        "phase": phase,
+        "ready": node.ready.get(),
+        "version": config.map(|config| config.version),
+        "zones_out": config.map(|config| &config.zones_out),
+        "targets_out": config.map(|config| &config.targets_out),
+        "targets": targets,
+        "requests": { "live": snapshot.live, "buffered_bytes": node.buffered.get() },
+        "counters": totals,
+        "outcomes": outcomes,
+        "refusals": counters.reasons,
+        "rejections": node.metrics.rejections(),
+    })
+}
--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -356,7 +356,7 @@
                 return Err(broken());
             }
         };
-        deliver(call, &piece);
+        deliver(node, call, &piece);
         progress.add(piece.count);
         if call.outlet.is_full() {
             progress.wait(call.outlet.drained()).await;
@@ -400,10 +400,11 @@
     }
 }
 
-fn deliver(call: &Call, piece: &Piece) {
+fn deliver(node: &Node, call: &Call, piece: &Piece) {
     if piece.events.is_empty() {
         return;
     }
+    node.metrics.token(call);
     if !call.started.replace(true) {
         call.body.take();
         call.outlet.start(Head {
--- a/entry/src/callers.rs
+++ b/entry/src/callers.rs
@@ -9,7 +9,7 @@
 
 use actix_http::body::{BodySize, BoxBody, MessageBody};
 use actix_http::header::{AUTHORIZATION, CACHE_CONTROL, CONTENT_LENGTH, CONTENT_TYPE};
-use actix_http::{HttpMessage, Payload, Request, Response, StatusCode};
+use actix_http::{ConnectionType, HttpMessage, Payload, Request, Response, StatusCode};
 use actix_rt::time::timeout;
 use awc::http::header::{HeaderMap, HeaderName, HeaderValue};
 use bytes::{Bytes, BytesMut};
@@ -54,11 +54,19 @@
         _ => {}
     }
     let id = node.request_id();
-    let (call, arrival) = match accept(&node, id, &mut request).await {
+    let mut body_read = false;
+    let (call, arrival) = match accept(&node, id, &mut request, &mut body_read).await {
         Ok(accepted) => accepted,
         Err(rejection) => {
             node.reject(&rejection);
-            return rejection.response(&node, id);
+            let mut response = rejection.response(&node, id);
+            if !body_read {
+                // What the caller still sends must not be read as the next request.
+                response
+                    .head_mut()
+                    .set_connection_type(ConnectionType::Close);
+            }
+            return response;
         }
     };
     drop(request);
@@ -110,6 +118,7 @@
     node: &Rc<Node>,
     id: Id,
     request: &mut Request,
+    body_read: &mut bool,
 ) -> Result<(Call, Arrival), Rejection> {
     let head_bytes: usize = request
         .headers()
@@ -154,6 +163,7 @@
         return Err(Rejection::new(405, "method_not_allowed", "expected POST"));
     }
     let body = read_body(node, request).await?;
+    *body_read = true;
     let method = request.method().clone();
     let (kind, scan, service, model) = if let Some(service) = plain {
         (CallKind::Plain, None, service, None)
@@ -175,12 +185,14 @@
     };
     let at_most_once = is_at_most_once(&in_force, &service, request);
     let repeatable = kind != CallKind::Plain || method.is_safe();
+    let prompt_tokens = scan.as_ref().map_or(0, |scan| scan.prompt_tokens);
+    let labels = node.metrics.labels(&organisation, prompt_tokens);
     let arrival = Arrival {
         id,
         organisation,
         service,
         model,
-        prompt_tokens: scan.as_ref().map_or(0, |scan| scan.prompt_tokens),
+        prompt_tokens,
         max_tokens: scan.as_ref().map_or(0, |scan| scan.max_tokens),
         prefix: scan.map_or_else(SmallVec::new, |scan| scan.prefix),
         at_most_once,
@@ -202,6 +214,7 @@
         authorization: request.headers().get(AUTHORIZATION).cloned(),
         deadline,
         key,
+        labels,
         body,
     });
     Ok((call, arrival))
@@ -394,7 +407,9 @@
 
 impl Drop for Caller {
     fn drop(&mut self) {
-        if !self.call.outlet.is_finished() {
+        if self.call.outlet.is_finished() {
+            self.node.metrics.finished(&self.call);
+        } else {
             self.node.report(Event::CallerGone(self.call.id));
         }
         self.call.left.notify_waiters();
--- a/entry/src/driver.rs
+++ b/entry/src/driver.rs
@@ -9,10 +9,10 @@
 use awc::Client;
 use primrosepin_core::ledger::Call;
 use primrosepin_core::request::{Attempt, Outcome};
-use primrosepin_core::serving::Reducer;
 use primrosepin_core::serving::effect::{Effect, Notice};
 use primrosepin_core::serving::event::Event;
-use tokio::sync::mpsc;
+use primrosepin_core::serving::{Counters, Reducer, View};
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::MissedTickBehavior;
 
 use crate::node::Node;
@@ -33,6 +33,17 @@
     attempts: HashMap<Attempt, JoinHandle<()>>,
 }
 
+/// State of the reducer for operators.
+#[derive(Debug)]
+pub(crate) struct Snapshot {
+    pub(crate) counters: Counters,
+    pub(crate) targets: Vec<View>,
+    pub(crate) live: usize,
+}
+
+/// Asks the driver for a snapshot.
+pub(crate) type Query = oneshot::Sender<Snapshot>;
+
 impl Driver {
     pub(crate) fn new(node: Rc<Node>, reducer: Reducer) -> Self {
         Self {
@@ -44,7 +55,11 @@
     }
 
     /// Runs until all senders of events are gone.
-    pub(crate) async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Event>) {
+    pub(crate) async fn run(
+        mut self,
+        mut inbox: mpsc::UnboundedReceiver<Event>,
+        mut queries: mpsc::Receiver<Query>,
+    ) {
         let mut ticks = interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut events = Vec::with_capacity(BATCH_EVENTS);
@@ -55,6 +70,10 @@
                     return;
                 },
                 _ = ticks.tick() => events.push(Event::Tick),
+                Some(query) = queries.recv() => {
+                    // Fails only if the operator's connection is closed.
+                    let _ = query.send(self.snapshot());
+                }
             }
             for event in events.drain(..) {
                 if let Event::Ended { attempt, .. } = &event {
@@ -68,11 +87,24 @@
         }
     }
 
+    fn snapshot(&self) -> Snapshot {
+        Snapshot {
+            counters: self.reducer.counters().clone(),
+            targets: self.reducer.targets(),
+            live: self.reducer.live(),
+        }
+    }
+
     fn carry_out(&mut self, effect: Effect) {
         let node = &self.node;
         match effect {
             Effect::Dispatch(dispatch) => {
                 let attempt = dispatch.attempt;
+                if let Some(call) = node.call(attempt.request)
+                    && !call.dispatched.replace(true)
+                {
+                    node.metrics.queued(&call);
+                }
                 let run = attempt::run(Rc::clone(node), self.client.clone(), dispatch);
                 self.attempts.insert(attempt, actix_rt::spawn(run));
             }
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -10,6 +10,7 @@
 //!   event in a stream, was checked.
 //! - An attempt ends as `NotRun` only if no byte of it was written or the target refused with proof.
 
+mod admin;
 mod attempt;
 mod callers;
 mod driver;
@@ -18,6 +19,7 @@
 mod inforce;
 mod ledger;
 mod listen;
+mod metrics;
 mod node;
 mod outlet;
 mod reply;
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -1,7 +1,7 @@
 //! State that the tasks of one entry process share on its thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -21,6 +21,7 @@
 
 use crate::attempt::Answer;
 use crate::inforce::InForce;
+use crate::metrics::{Labels, Metrics};
 use crate::outlet::Outlet;
 use crate::reply::Rejection;
 
@@ -50,7 +51,7 @@
     pub(crate) buffered: Cell<usize>,
     /// Index of the control process that answered last.
     pub(crate) control: Cell<usize>,
-    pub(crate) rejections: RefCell<BTreeMap<&'static str, u64>>,
+    pub(crate) metrics: Metrics,
     in_force: RefCell<Option<Rc<InForce>>>,
     random: RefCell<StdRng>,
     started: Instant,
@@ -62,6 +63,7 @@
         inbox: mpsc::UnboundedSender<Event>,
         phase: watch::Receiver<Phase>,
         endpoint: Endpoint,
+        metrics: Metrics,
         random: StdRng,
     ) -> Self {
         Self {
@@ -73,7 +75,7 @@
             ready: Cell::new(false),
             buffered: Cell::new(0),
             control: Cell::new(0),
-            rejections: RefCell::default(),
+            metrics,
             in_force: RefCell::new(None),
             random: RefCell::new(random),
             started: Instant::now(),
@@ -114,11 +116,7 @@
 
     /// Counts a request that is rejected before the reducer sees it.
     pub(crate) fn reject(&self, rejection: &Rejection) {
-        *self
-            .rejections
-            .borrow_mut()
-            .entry(rejection.code)
-            .or_default() += 1;
+        self.metrics.rejected(rejection.code);
     }
 
     pub(crate) fn call(&self, id: Id) -> Option<Rc<Call>> {
@@ -146,6 +144,14 @@
     pub(crate) body: RefCell<Option<Body>>,
     /// Events of a stream that were passed on.
     pub(crate) delivered: Cell<u32>,
+    /// Labels for histograms.
+    pub(crate) labels: Labels,
+    /// Whether the first attempt was sent.
+    pub(crate) dispatched: Cell<bool>,
+    /// Time of the first token.
+    pub(crate) first_token: Cell<Option<Instant>>,
+    /// Time of the last token.
+    pub(crate) last_token: Cell<Option<Instant>>,
     /// Whether a part of the answer was passed on.
     pub(crate) started: Cell<bool>,
     /// Whether the outcome was handed to the caller's connection.
@@ -173,6 +179,7 @@
     pub(crate) authorization: Option<HeaderValue>,
     pub(crate) deadline: Option<Duration>,
     pub(crate) key: Option<Arc<str>>,
+    pub(crate) labels: Labels,
     pub(crate) body: Body,
 }
 
@@ -190,6 +197,10 @@
             deadline: head.deadline,
             body: RefCell::new(Some(head.body)),
             delivered: Cell::new(0),
+            labels: head.labels,
+            dispatched: Cell::new(false),
+            first_token: Cell::new(None),
+            last_token: Cell::new(None),
             started: Cell::new(false),
             ended: Cell::new(false),
             key: head.key,
--- a/entry/src/scan.rs
+++ b/entry/src/scan.rs
@@ -10,9 +10,6 @@
 /// Bytes of prompt text that one prefix hash covers beyond the one before; about 1,000 tokens.
 const PREFIX_BLOCK_BYTES: usize = 4_096;
 
-/// Prefix hashes of one prompt; they cover about 256,000 tokens.
-const PREFIX_BLOCKS_MAX: usize = 256;
-
 /// Bytes of JSON for one token of prompt where the caller gives no count.
 const BYTES_PER_TOKEN: u64 = 4;
 
@@ -84,7 +81,6 @@
     hash.update(model.as_bytes());
     prompt
         .chunks_exact(PREFIX_BLOCK_BYTES)
-        .take(PREFIX_BLOCKS_MAX)
         .map(|block| {
             hash.update(block);
             hash.digest()
--- a/entry/src/server.rs
+++ b/entry/src/server.rs
@@ -20,9 +20,14 @@
 use rand::rngs::StdRng;
 use tokio::sync::{mpsc, oneshot, watch};
 
+use crate::admin::Operators;
 use crate::driver::Driver;
+use crate::metrics::Metrics;
 use crate::node::{Node, Phase};
-use crate::{callers, ledger, listen, targets};
+use crate::{admin, callers, ledger, listen, targets};
+
+/// Operators' calls that wait for a snapshot; more are slowed down.
+const QUERIES: usize = 16;
 
 /// Options of a server that are no settings of the process.
 #[derive(Debug, Clone, Default)]
@@ -160,15 +165,18 @@
         control: settings.control.clone(),
         policy: options.policy,
     };
+    let metrics = Metrics::new(&settings.vm, &settings.zone)?;
+    let (query, queries) = mpsc::channel(QUERIES);
     let node = Rc::new(Node::new(
         settings,
         inbox.clone(),
         phases.clone(),
         endpoint.clone(),
+        metrics,
         StdRng::seed_from_u64(seed),
     ));
     let reducer = Reducer::new(reducer_settings, seed, node.now());
-    let driver = actix_rt::spawn(Driver::new(Rc::clone(&node), reducer).run(events));
+    let driver = actix_rt::spawn(Driver::new(Rc::clone(&node), reducer).run(events, queries));
     if let Some(config) = options.config {
         node.report(Event::Configured(config));
     }
@@ -188,7 +196,13 @@
         phases.clone(),
         move |request| targets::serve(Rc::clone(&for_targets), request),
     ));
-    drop(admin);
+    let operators = Rc::new(Operators::new(Rc::clone(&node), query));
+    let admin = actix_rt::spawn(listen::serve(
+        admin,
+        limits,
+        phases.clone(),
+        move |request| admin::serve(Rc::clone(&operators), request),
+    ));
     let addresses = Addresses {
         callers: listen.callers,
         targets: listen.targets,
@@ -215,6 +229,7 @@
     phase.send_replace(Phase::Closing);
     callers.await??;
     targets.await??;
+    admin.await??;
     // Running requests still receive messages; afterwards the peers are told.
     pull.abort();
     receive.abort();
--- /dev/null
+++ b/entry/tests/lifecycle.rs
@@ -0,0 +1,176 @@
+//! Callers that leave, targets that stall, processes that shut down.
+
+mod support;
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::net::TcpStream;
+use actix_rt::time::sleep;
+use primrosepin_entry::Server;
+use support::{
+    CALLER_KEY, Target, call, call_with, entry, generation, settings, stream_all, tokens, until,
+    write_done, write_event, write_stream_head,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+/// Opens a connection and sends a generation request on it.
+async fn send(server: &Server, stream: bool) -> TcpStream {
+    let mut connection = TcpStream::connect(server.addresses().callers)
+        .await
+        .unwrap();
+    let body = generation(stream).to_string();
+    let text = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {CALLER_KEY}\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    connection.write_all(text.as_bytes()).await.unwrap();
+    connection
+}
+
+/// Guards against engine memory that stays in use after the caller has left, before the first token
+/// and within a stream.
+#[actix_rt::test]
+async fn a_caller_that_leaves_cancels_the_attempt() {
+    for stream in [false, true] {
+        let server = entry(settings()).await;
+        let target = Target::start(move |seen, mut connection| async move {
+            if stream {
+                write_stream_head(&mut connection, seen.attempt()).await;
+                write_event(&mut connection, seen.attempt(), 0).await;
+            }
+            // The end of the connection shows that the attempt was aborted.
+            drop(connection.read_u8().await);
+            None
+        })
+        .await;
+        target.join(&server, "t1", "lm").await;
+        let mut caller = send(&server, stream).await;
+        if stream {
+            caller.read_u8().await.unwrap();
+        }
+        until(async || !target.requests("/v1/completions").is_empty()).await;
+        drop(caller);
+        until(async || !target.requests("/v1/cancel").is_empty()).await;
+        let attempt = target.requests("/v1/completions")[0].attempt().to_owned();
+        assert_eq!(target.requests("/v1/cancel")[0].json()["attempt"], *attempt);
+        server.stop().await.unwrap();
+    }
+}
+
+/// Guards against a silent target that holds a request past its deadline or holds up others.
+#[actix_rt::test]
+async fn a_stalled_connection_ends_at_the_deadline() {
+    let server = entry(settings()).await;
+    let stalled = Target::start(async |_, stream| {
+        sleep(Duration::from_mins(10)).await;
+        Some(stream)
+    })
+    .await;
+    stalled.join(&server, "t1", "lm").await;
+    let plain = Target::start(async |seen, mut stream| {
+        support::write_json(&mut stream, &seen, 200, &serde_json::json!({})).await;
+        Some(stream)
+    })
+    .await;
+    plain.join(&server, "p1", "orders").await;
+    let headers = [("x-primrosepin-deadline-ms", "500")];
+    let body = generation(false);
+    let waiting = call_with(&server, "/v1/completions", &body, &headers);
+    let other = async {
+        until(async || !stalled.requests("/v1/completions").is_empty()).await;
+        call(&server, "/orders/1", &serde_json::json!({})).await
+    };
+    let (waiting, other) = futures_util::join!(waiting, other);
+    assert_eq!((waiting.status, waiting.outcome()), (504, "unknown"));
+    assert_eq!(waiting.error()["code"], "deadline_exceeded");
+    assert_eq!(other.outcome(), "answered");
+    until(async || !stalled.requests("/v1/cancel").is_empty()).await;
+    server.stop().await.unwrap();
+}
+
+/// Guards against a graceful shutdown that cuts a stream or a request that arrives while the balancer
+/// has not noticed the shutdown yet.
+#[actix_rt::test]
+async fn a_graceful_shutdown_cuts_nothing() {
+    let mut settings = settings();
+    settings.limits.drain_ms = 300;
+    let server = entry(settings).await;
+    let address = server.addresses().callers;
+    let gate = Rc::new(Cell::new(false));
+    let open = Rc::clone(&gate);
+    let target = Target::start(move |seen, mut stream| {
+        let open = Rc::clone(&open);
+        async move {
+            if seen.json()["stream"] == false {
+                support::write_json(&mut stream, &seen, 200, &serde_json::json!({})).await;
+                return Some(stream);
+            }
+            write_stream_head(&mut stream, seen.attempt()).await;
+            write_event(&mut stream, seen.attempt(), 0).await;
+            until(async || open.get()).await;
+            write_event(&mut stream, seen.attempt(), 1).await;
+            write_done(&mut stream).await;
+            Some(stream)
+        }
+    })
+    .await;
+    target.join(&server, "t1", "lm").await;
+    let mut running = send(&server, true).await;
+    running.read_u8().await.unwrap();
+    let mut late = TcpStream::connect(address).await.unwrap();
+    let stop = actix_rt::spawn(server.stop());
+    // Readiness fails first.
+    until(async || {
+        let ready = awc::Client::default().get(format!("http://{address}/readyz"));
+        ready.send().await.unwrap().status() == 503
+    })
+    .await;
+    let body = generation(false).to_string();
+    let text = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {CALLER_KEY}\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    late.write_all(text.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    // The connection is closed after the answer, and the answer says so.
+    late.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(
+        answer.to_lowercase().contains("connection: close"),
+        "{answer}"
+    );
+    // New connections are refused, and the running stream still goes on.
+    until(async || TcpStream::connect(address).await.is_err()).await;
+    gate.set(true);
+    let mut rest = String::new();
+    running.read_to_string(&mut rest).await.unwrap();
+    for token in [tokens(0..1), tokens(1..2)] {
+        assert!(rest.contains(&token), "{rest}");
+    }
+    assert!(rest.contains("\"outcome\":\"answered\""), "{rest}");
+    stop.await.unwrap().unwrap();
+}
+
+/// Guards against a shutdown that waits for connections without requests.
+#[actix_rt::test]
+async fn a_shutdown_closes_idle_connections() {
+    let server = entry(settings()).await;
+    let target = Target::start(async |seen, stream| stream_all(stream, &seen, 1).await).await;
+    target.join(&server, "t1", "lm").await;
+    let address = server.addresses().callers;
+    let mut idle = TcpStream::connect(address).await.unwrap();
+    idle.write_all(b"GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n")
+        .await
+        .unwrap();
+    idle.read_u8().await.unwrap();
+    let mut silent = TcpStream::connect(address).await.unwrap();
+    server.stop().await.unwrap();
+    let mut rest = Vec::new();
+    idle.read_to_end(&mut rest).await.unwrap();
+    assert!(rest.ends_with(b"ok\n"));
+    assert_eq!(silent.read_to_end(&mut rest).await.unwrap(), 0);
+}
--- a/entry/tests/relay.rs
+++ b/entry/tests/relay.rs
@@ -2,11 +2,16 @@
 
 mod support;
 
+use std::cell::Cell;
+use std::rc::Rc;
+
+use actix_rt::net::TcpListener;
 use serde_json::json;
 use support::{
-    Target, call, entry, generation, settings, stream_all, tokens, write_event, write_json,
-    write_stream_head,
+    Target, call, call_with, entry, generation, settings, stream_all, tokens, write_done,
+    write_event, write_json, write_stream_head,
 };
+use tokio::io::AsyncWriteExt;
 
 /// Guards against a stream that loses, repeats or reorders tokens, or lacks its outcome.
 #[actix_rt::test]
@@ -67,3 +72,182 @@
     assert_eq!(answer.final_outcome().as_deref(), Some("failed"));
     server.stop().await.unwrap();
 }
+
+/// Guards against tokens of another request that reach a caller: events with another attempt's id.
+#[actix_rt::test]
+async fn events_of_another_attempt_end_the_stream() {
+    let server = entry(settings()).await;
+    let target = Target::start(async |seen, mut stream| {
+        if seen.path == "/v1/resume" {
+            write_json(&mut stream, &seen, 404, &json!({})).await;
+            return Some(stream);
+        }
+        write_stream_head(&mut stream, seen.attempt()).await;
+        write_event(&mut stream, seen.attempt(), 0).await;
+        let other = format!("{}1", seen.attempt());
+        write_event(&mut stream, &other, 1).await;
+        write_done(&mut stream).await;
+        Some(stream)
+    })
+    .await;
+    target.join(&server, "t1", "lm").await;
+    let answer = call(&server, "/v1/chat/completions", &generation(true)).await;
+    assert!(!answer.body.contains("\"t\":1"), "{}", answer.body);
+    assert_eq!(answer.final_outcome().as_deref(), Some("failed"));
+    server.stop().await.unwrap();
+}
+
+/// Guards against repeated and dropped tokens: an index that comes twice or is left out.
+#[actix_rt::test]
+async fn events_out_of_order_end_the_stream() {
+    for wrong in [0, 2] {
+        let server = entry(settings()).await;
+        let target = Target::start(move |seen, mut stream| async move {
+            if seen.path == "/v1/resume" {
+                write_json(&mut stream, &seen, 404, &json!({})).await;
+                return Some(stream);
+            }
+            write_stream_head(&mut stream, seen.attempt()).await;
+            write_event(&mut stream, seen.attempt(), 0).await;
+            write_event(&mut stream, seen.attempt(), wrong).await;
+            write_done(&mut stream).await;
+            Some(stream)
+        })
+        .await;
+        target.join(&server, "t1", "lm").await;
+        let answer = call(&server, "/v1/chat/completions", &generation(true)).await;
+        assert!(answer.body.starts_with(&tokens(0..1)), "{}", answer.body);
+        assert_eq!(answer.body.matches("\"t\":").count(), 1, "{}", answer.body);
+        assert_eq!(answer.final_outcome().as_deref(), Some("failed"));
+        server.stop().await.unwrap();
+    }
+}
+
+/// Guards against a late answer to an earlier request that is taken for the answer to this one.
+#[actix_rt::test]
+async fn an_answer_with_another_attempt_id_is_not_passed_on() {
+    let server = entry(settings()).await;
+    let target = Target::start(async |mut seen, mut stream| {
+        let other = format!("{}1", seen.attempt());
+        seen.headers.insert("x-primrosepin-attempt".into(), other);
+        write_json(
+            &mut stream,
+            &seen,
+            200,
+            &json!({"text": "of another caller"}),
+        )
+        .await;
+        Some(stream)
+    })
+    .await;
+    target.join(&server, "t1", "lm").await;
+    let answer = call(&server, "/v1/completions", &generation(false)).await;
+    assert_eq!(answer.outcome(), "unknown");
+    assert!(!answer.body.contains("another caller"), "{}", answer.body);
+    server.stop().await.unwrap();
+}
+
+/// Guards against a cut answer of a plain service that looks whole: `awc` ends a chunked body at a
+/// closed connection without an error, and a body without length has no mark of its end.
+#[actix_rt::test]
+async fn a_cut_whole_answer_is_not_passed_on() {
+    let heads = [
+        "transfer-encoding: chunked\r\n\r\n4\r\ncut!\r\n",
+        "content-length: 9\r\n\r\ncut!",
+        "connection: close\r\n\r\ncut!",
+    ];
+    for head in heads {
+        let server = entry(settings()).await;
+        let target = Target::start(move |_, mut stream| async move {
+            let text = format!("HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n{head}");
+            stream.write_all(text.as_bytes()).await.unwrap();
+            None
+        })
+        .await;
+        target.join(&server, "p1", "orders").await;
+        let answer = call(&server, "/orders/1", &json!({})).await;
+        // The head of the answer proves that the request ran.
+        assert_eq!(answer.outcome(), "failed", "{head}");
+        assert!(!answer.body.contains("cut!"), "{}", answer.body);
+        server.stop().await.unwrap();
+    }
+}
+
+/// Guards against bytes left over on a connection that are read as the answer to the next request.
+#[actix_rt::test]
+async fn a_connection_with_left_over_bytes_is_not_used_again() {
+    let server = entry(settings()).await;
+    let target = Target::start(async |seen, stream| {
+        let mut stream = stream_all(stream, &seen, 1).await?;
+        write_json(&mut stream, &seen, 200, &json!({"text": "left over"})).await;
+        Some(stream)
+    })
+    .await;
+    target.join(&server, "t1", "lm").await;
+    for _ in 0..3 {
+        let answer = call(&server, "/v1/chat/completions", &generation(true)).await;
+        assert!(answer.body.starts_with(&tokens(0..1)), "{}", answer.body);
+        assert!(!answer.body.contains("left over"), "{}", answer.body);
+        assert_eq!(answer.final_outcome().as_deref(), Some("answered"));
+    }
+    server.stop().await.unwrap();
+}
+
+/// Guards against a refusal with proof that is reported as a failure instead of being tried again.
+#[actix_rt::test]
+async fn a_busy_engine_is_tried_again() {
+    let server = entry(settings()).await;
+    let busy = Cell::new(true);
+    let target = Target::start(move |seen, mut stream| {
+        let busy = busy.replace(false);
+        async move {
+            if !busy {
+                return stream_all(stream, &seen, 2).await;
+            }
+            let text = "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\nx-primrosepin-ran: 0\r\n\r\n";
+            stream.write_all(text.as_bytes()).await.unwrap();
+            Some(stream)
+        }
+    })
+    .await;
+    target.join(&server, "t1", "lm").await;
+    let other = Target::start(async |seen, stream| stream_all(stream, &seen, 2).await).await;
+    other.join(&server, "t2", "lm").await;
+    for _ in 0..4 {
+        let answer = call(&server, "/v1/chat/completions", &generation(true)).await;
+        assert_eq!(answer.final_outcome().as_deref(), Some("answered"));
+    }
+    server.stop().await.unwrap();
+}
+
+/// Guards against a refusal without proof that is reported as certainly not run.
+#[actix_rt::test]
+async fn a_refusal_without_proof_is_unknown() {
+    let server = entry(settings()).await;
+    let target = Target::start(async |seen, mut stream| {
+        write_json(&mut stream, &seen, 503, &json!({})).await;
+        Some(stream)
+    })
+    .await;
+    target.join(&server, "t1", "lm").await;
+    let answer = call(&server, "/v1/completions", &generation(false)).await;
+    assert_eq!(answer.outcome(), "unknown");
+    server.stop().await.unwrap();
+}
+
+/// Guards against a target that closed its port being reported as a request that may have run.
+#[actix_rt::test]
+async fn a_closed_port_is_certainly_not_run() {
+    let server = entry(settings()).await;
+    let closed = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let target = Target {
+        address: closed.local_addr().unwrap(),
+        seen: Rc::default(),
+    };
+    drop(closed);
+    target.join(&server, "t1", "lm").await;
+    let headers = [("x-primrosepin-deadline-ms", "500")];
+    let answer = call_with(&server, "/v1/completions", &generation(false), &headers).await;
+    assert_eq!(answer.outcome(), "not_run");
+    server.stop().await.unwrap();
+}
--- a/entry/tests/support/mod.rs
+++ b/entry/tests/support/mod.rs
@@ -15,10 +15,12 @@
 use futures_util::future::LocalBoxFuture;
 use primrosepin_config::settings::{Entry, EntryListen, Limits, Log, Tls};
 use primrosepin_core::inventory::{Inventory, Kind, Match, Organisation, Rules, Service, Zone};
+use primrosepin_core::message::Message;
 use primrosepin_core::registry::Config;
+use primrosepin_core::{ledger, vm};
 use primrosepin_entry::{Options, Server};
-use primrosepin_transport::Role;
 use primrosepin_transport::keys::Authority;
+use primrosepin_transport::{Endpoint, Incoming, Role};
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -106,7 +108,11 @@
 
 /// Starts an entry process with the configuration of [`config`].
 pub async fn entry(settings: Entry) -> Server {
-    let authority = Authority::new().unwrap();
+    entry_of(settings, &Authority::new().unwrap()).await
+}
+
+/// Starts an entry process that other processes of the authority reach.
+pub async fn entry_of(settings: Entry, authority: &Authority) -> Server {
     let identity = authority.issue("e1", Role::Entry).unwrap();
     let options = Options {
         seed: Some(7),
@@ -124,6 +130,63 @@
     server
 }
 
+/// A control process that holds a ledger in memory and never forgets.
+pub struct Control {
+    pub endpoint: Endpoint,
+    pub calls: Rc<RefCell<Vec<ledger::Call>>>,
+}
+
+impl Control {
+    pub fn start(authority: &Authority) -> Self {
+        let (endpoint, mut incoming) = Endpoint::start(primrosepin_transport::Settings {
+            bind: "127.0.0.1:0".parse().unwrap(),
+            identity: authority.issue("c1", Role::Control).unwrap(),
+            instance: vm::Instance {
+                name: "c1".into(),
+                incarnation: vm::Incarnation(1),
+            },
+        })
+        .unwrap();
+        let calls: Rc<RefCell<Vec<ledger::Call>>> = Rc::default();
+        let log = Rc::clone(&calls);
+        actix_rt::spawn(async move {
+            let mut entries: BTreeMap<ledger::Key, Option<ledger::Answer>> = BTreeMap::new();
+            while let Some(Incoming { message, reply, .. }) = incoming.recv().await {
+                let (Message::Ledger(call), Some(reply)) = (message, reply) else {
+                    continue;
+                };
+                log.borrow_mut().push(call.clone());
+                let answer = match call {
+                    ledger::Call::Begin { key, .. } => match entries.get(&key) {
+                        Some(Some(finished)) => finished.clone(),
+                        Some(None) => ledger::Answer::InFlight,
+                        None => {
+                            entries.insert(key, None);
+                            ledger::Answer::Claimed
+                        }
+                    },
+                    ledger::Call::Finish {
+                        key,
+                        outcome,
+                        response,
+                        ..
+                    } => {
+                        let finished = ledger::Answer::Finished { outcome, response };
+                        entries.insert(key, Some(finished));
+                        ledger::Answer::Recorded
+                    }
+                };
+                reply.send(Message::LedgerAnswer(answer)).await;
+            }
+        });
+        Self { endpoint, calls }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.endpoint.local_address().unwrap()
+    }
+}
+
 /// Repeats a check until it holds.
 pub async fn until<F>(check: F)
 where
@@ -199,43 +262,34 @@
         Self { address, seen }
     }
 
-    /// Announces the target once as warm.
-    pub async fn announce(&self, server: &Server, name: &str, service: &str, seq: u64) {
-        let kind = if service == "lm" { "engine" } else { "plain" };
-        let body = json!({
-            "name": name, "zone": "z", "service": service, "kind": kind,
-            "address": self.address.to_string(), "incarnation": 1, "seq": seq, "state": "warm",
-            "models": [{"name": "m", "version": "1"}],
-            "cold_budget": {"requests": 8, "tokens": 1_000_000},
-            "max_running": 64, "kv_tokens": 1_000_000, "prefill_tokens_per_s": 1_000_000,
-            "decode_tokens_per_s": 1_000,
-        });
-        let url = format!("http://{}/v1/targets/announce", server.addresses().targets);
-        let request = Client::default().post(url).bearer_auth(ANNOUNCE_KEY);
-        let response = request.send_json(&body).await.unwrap();
-        assert_eq!(response.status(), 200);
-    }
-
-    /// Announces the target until the test ends.
+    /// Announces the target as warm until the test ends.
     pub async fn join(&self, server: &Server, name: &'static str, service: &'static str) {
-        self.announce(server, name, service, 1).await;
         let url = format!("http://{}/v1/targets/announce", server.addresses().targets);
         let address = self.address;
+        let announce = move |seq| {
+            let (kind, models) = if service == "lm" {
+                ("engine", json!([{"name": "m", "version": "1"}]))
+            } else {
+                ("plain", json!([]))
+            };
+            let body = json!({
+                "name": name, "zone": "z", "service": service, "kind": kind, "models": models,
+                "address": address, "incarnation": 1, "seq": seq, "state": "warm",
+                "cold_budget": {"requests": 8, "tokens": 1_000_000},
+                "max_running": 64, "kv_tokens": 1_000_000, "prefill_tokens_per_s": 1_000_000,
+                "decode_tokens_per_s": 1_000,
+            });
+            Client::default()
+                .post(&url)
+                .bearer_auth(ANNOUNCE_KEY)
+                .send_json(&body)
+        };
+        assert_eq!(announce(1).await.unwrap().status(), 200);
         actix_rt::spawn(async move {
             for seq in 2.. {
                 sleep(Duration::from_millis(500)).await;
-                let kind = if service == "lm" { "engine" } else { "plain" };
-                let body = json!({
-                    "name": name, "zone": "z", "service": service, "kind": kind,
-                    "address": address.to_string(), "incarnation": 1, "seq": seq,
-                    "state": "warm", "models": [{"name": "m", "version": "1"}],
-                    "cold_budget": {"requests": 8, "tokens": 1_000_000},
-                    "max_running": 64, "kv_tokens": 1_000_000,
-                    "prefill_tokens_per_s": 1_000_000, "decode_tokens_per_s": 1_000,
-                });
-                let request = Client::default().post(&url).bearer_auth(ANNOUNCE_KEY);
                 // Fails once the entry process has stopped.
-                drop(request.send_json(&body).await);
+                drop(announce(seq).await);
             }
         });
     }
