--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -22,6 +22,7 @@
 mod metrics;
 mod node;
 mod outlet;
+mod reconcile;
 mod reply;
 mod scan;
 mod server;
