entry: Name the owner of attempts, hash ledger contents, report members

Cause: engines need the owner for reconciliation, and the ledger the content hash, which the reducer cannot know. Change: x-primrosepin-owner and x-primrosepin-request on attempts, owner in reservations, content hash in Ledger::Begin, members and coordinator in status and metrics.

--- a/entry/src/admin.rs
+++ b/entry/src/admin.rs
@@ -201,6 +201,7 @@
                 "cold": target.cold,
                 "out": target.out,
                 "conflict": target.conflict,
+                "unresponsive": target.unresponsive,
                 "running": target.running,
                 "zone_running": target.zone_running,
                 "wait_ms": target.wait_us / 1_000,
@@ -208,6 +209,31 @@
             })
         })
         .collect();
+    let members: Vec<Value> = snapshot
+        .members
+        .iter()
+        .map(|member| {
+            json!({
+                "vm": member.instance.name,
+                "incarnation": member.instance.incarnation,
+                "peers": member.address.peers,
+                "callers": member.address.callers,
+                "alive": member.alive,
+                "draining": member.draining,
+                "version": member.config,
+                "epoch": member.epoch,
+            })
+        })
+        .collect();
+    let holder = snapshot
+        .members
+        .iter()
+        .find(|member| member.epoch.is_some());
+    let coordinator = match (snapshot.epoch, holder) {
+        (Some(epoch), _) => json!({ "vm": node.settings.vm, "epoch": epoch }),
+        (None, Some(member)) => json!({ "vm": member.instance.name, "epoch": member.epoch }),
+        (None, None) => Value::Null,
+    };
     let phase = match *node.phase.borrow() {
         Phase::Serving => "serving",
         Phase::Draining => "draining",
@@ -221,8 +247,10 @@
         "version": config.map(|config| config.version),
         "zones_out": config.map(|config| &config.zones_out),
         "targets_out": config.map(|config| &config.targets_out),
+        "coordinator": coordinator,
+        "members": members,
         "targets": targets,
-        "requests": { "live": snapshot.live, "buffered_bytes": node.buffered.get() },
+        "requests": { "live": snapshot.live, "waiting": snapshot.waiting, "buffered_bytes": node.buffered.get() },
         "counters": totals,
         "outcomes": outcomes,
         "refusals": counters.reasons,
--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -205,14 +205,18 @@
         .resume
         .map_or(dispatch.attempt, |(attempt, _)| attempt);
     let id = attempt_id(owner);
-    let request = request(client, call, dispatch, &id);
+    let request = request(node, client, call, dispatch, &id);
     let request = if exclusive {
         request.force_close()
     } else {
         request
     };
     let body = if dispatch.resume.is_some() {
-        let resume = serde_json::json!({ "attempt": id, "from": call.delivered.get() });
+        let resume = serde_json::json!({
+            "attempt": id,
+            "from": call.delivered.get(),
+            "chat": call.path.starts_with("/v1/chat/"),
+        });
         Bytes::from(resume.to_string())
     } else {
         call.bytes()
@@ -277,7 +281,13 @@
 }
 
 /// Builds the request to the target.
-fn request(client: &Client, call: &Call, dispatch: &Dispatch, id: &str) -> ClientRequest {
+fn request(
+    node: &Node,
+    client: &Client,
+    call: &Call,
+    dispatch: &Dispatch,
+    id: &str,
+) -> ClientRequest {
     let address = dispatch.address;
     let mut request = if dispatch.resume.is_some() {
         client.post(format!("http://{address}/v1/resume"))
@@ -292,8 +302,13 @@
     }
     request = request
         .insert_header((reply::ATTEMPT, id))
+        .insert_header((reply::OWNER, &*node.owner))
+        .insert_header((reply::REQUEST, reply::request_id(call.id)))
         .insert_header((reply::PRIORITY, dispatch.priority.to_string()))
         .insert_header((reply::LEASE_MS, dispatch.lease_ms.to_string()));
+    if let Some(key) = &call.key {
+        request = request.insert_header((reply::IDEMPOTENCY_KEY, &**key));
+    }
     if !dispatch.parts.is_empty() {
         let parts: Vec<String> = dispatch
             .parts
--- a/entry/src/driver.rs
+++ b/entry/src/driver.rs
@@ -11,7 +11,7 @@
 use primrosepin_core::request::{Attempt, Outcome};
 use primrosepin_core::serving::effect::{Effect, Notice};
 use primrosepin_core::serving::event::Event;
-use primrosepin_core::serving::{Counters, Reducer, View};
+use primrosepin_core::serving::{Counters, MemberView, Reducer, TargetView};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::MissedTickBehavior;
 
@@ -31,14 +31,19 @@
     reducer: Reducer,
     client: Client,
     attempts: HashMap<Attempt, JoinHandle<()>>,
+    epoch: Option<u64>,
 }
 
 /// State of the reducer for operators.
 #[derive(Debug)]
 pub(crate) struct Snapshot {
     pub(crate) counters: Counters,
-    pub(crate) targets: Vec<View>,
+    pub(crate) targets: Vec<TargetView>,
+    pub(crate) members: Vec<MemberView>,
+    /// Epoch of the zone lease, if this process holds it.
+    pub(crate) epoch: Option<u64>,
     pub(crate) live: usize,
+    pub(crate) waiting: usize,
 }
 
 /// Asks the driver for a snapshot.
@@ -51,6 +56,7 @@
             reducer,
             client: attempt::shared_client(),
             attempts: HashMap::new(),
+            epoch: None,
         }
     }
 
@@ -91,7 +97,10 @@
         Snapshot {
             counters: self.reducer.counters().clone(),
             targets: self.reducer.targets(),
+            members: self.reducer.members(),
+            epoch: self.epoch,
             live: self.reducer.live(),
+            waiting: self.reducer.waiting(),
         }
     }
 
@@ -156,14 +165,18 @@
                 actix_rt::spawn(handover::run(Rc::clone(node), request, address));
             }
             Effect::Ledger { request, mut call } => {
-                if let Call::Finish {
-                    outcome: Outcome::Answered,
-                    response,
-                    ..
-                } = &mut call
-                {
-                    // The reducer sees no bytes, so the recorded answer is added here.
-                    *response = node.call(request).and_then(|call| call.record());
+                // The reducer sees no bytes, so what depends on them is added here.
+                let served = node.call(request);
+                match &mut call {
+                    Call::Begin { content, .. } => {
+                        *content = served.map_or(0, |served| served.content);
+                    }
+                    Call::Finish {
+                        outcome: Outcome::Answered,
+                        response,
+                        ..
+                    } => *response = served.and_then(|served| served.record()),
+                    Call::Finish { .. } => {}
                 }
                 actix_rt::spawn(ledger::call(Rc::clone(node), request, call));
             }
@@ -184,7 +197,14 @@
                 log::info!("ready: {ready}");
                 node.ready.set(ready);
             }
-            Effect::Notice(notice) => log_notice(&notice),
+            Effect::Notice(notice) => {
+                match notice {
+                    Notice::CoordinatorGained(epoch) => self.epoch = Some(epoch),
+                    Notice::CoordinatorLost(_) => self.epoch = None,
+                    _ => {}
+                }
+                log_notice(&notice);
+            }
         }
     }
 }
--- a/entry/src/engine.rs
+++ b/entry/src/engine.rs
@@ -64,7 +64,7 @@
     let mut tried = Vec::with_capacity(parts.len());
     let mut all = true;
     for (address, tokens) in parts {
-        let body = json!({ "reservation": id, "tokens": tokens, "lease_ms": lease_ms });
+        let body = json!({ "reservation": id, "tokens": tokens, "lease_ms": lease_ms, "owner": node.owner });
         let url = format!("http://{address}/v1/reservations");
         // A call without an answer may have reserved, so it is released as well.
         tried.push(address);
--- a/entry/src/metrics.rs
+++ b/entry/src/metrics.rs
@@ -39,7 +39,10 @@
     outcomes: Counter<u64>,
     reasons: Counter<u64>,
     running: Gauge<u64>,
+    waiting: Gauge<u64>,
     targets: Gauge<u64>,
+    members: Gauge<u64>,
+    coordinator: Gauge<u64>,
     buffered: Gauge<u64>,
     /// Totals by rejection code, for status.
     rejected: RefCell<BTreeMap<&'static str, u64>>,
@@ -96,6 +99,12 @@
             outcomes: metrics.counter("requests", "Requests that ended, by outcome."),
             reasons: metrics.counter("refusals", "Requests without a whole answer, by reason."),
             running: metrics.gauge("requests_live", "Requests without a final outcome."),
+            waiting: metrics.gauge("requests_waiting", "Requests that wait for a target."),
+            members: metrics.gauge(
+                "members",
+                "Entry VMs of the zone that are heard, with this one.",
+            ),
+            coordinator: metrics.gauge("coordinator", "Whether this VM holds the zone lease."),
             targets: metrics.gauge("targets", "Targets of the zone, by state."),
             buffered: metrics.gauge("buffered_bytes", "Bytes of request bodies that are held."),
             rejected: RefCell::default(),
@@ -173,6 +182,15 @@
     pub(crate) fn text(&self, snapshot: &Snapshot, buffered: usize) -> eyre::Result<String> {
         self.export(&snapshot.counters);
         self.running.record(snapshot.live as u64, &[]);
+        self.waiting.record(snapshot.waiting as u64, &[]);
+        let alive = snapshot
+            .members
+            .iter()
+            .filter(|member| member.alive)
+            .count();
+        self.members.record(alive as u64 + 1, &[]);
+        self.coordinator
+            .record(u64::from(snapshot.epoch.is_some()), &[]);
         self.buffered.record(buffered as u64, &[]);
         let cold = snapshot.targets.iter().filter(|target| target.cold).count();
         let warm = snapshot.targets.len() - cold;
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -13,16 +13,19 @@
 use primrosepin_core::registry::Config;
 use primrosepin_core::request::{Attempt, Id};
 use primrosepin_core::serving::event::Event;
+use primrosepin_core::vm::Instance;
 use primrosepin_core::{ledger, time};
 use primrosepin_transport::Endpoint;
 use rand::RngExt;
 use rand::rngs::StdRng;
 use tokio::sync::{Notify, mpsc, watch};
+use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::attempt::Answer;
 use crate::inforce::InForce;
 use crate::metrics::{Labels, Metrics};
 use crate::outlet::Outlet;
+use crate::reconcile;
 use crate::reply::Rejection;
 
 /// Largest answer that the ledger keeps for a resend.
@@ -43,6 +46,8 @@
 #[derive(Debug)]
 pub(crate) struct Node {
     pub(crate) settings: Entry,
+    /// This process, as engines note it with what they hold.
+    pub(crate) owner: String,
     pub(crate) inbox: mpsc::UnboundedSender<Event>,
     pub(crate) phase: watch::Receiver<Phase>,
     pub(crate) endpoint: Endpoint,
@@ -60,6 +65,7 @@
 impl Node {
     pub(crate) fn new(
         settings: Entry,
+        instance: &Instance,
         inbox: mpsc::UnboundedSender<Event>,
         phase: watch::Receiver<Phase>,
         endpoint: Endpoint,
@@ -68,6 +74,7 @@
     ) -> Self {
         Self {
             settings,
+            owner: reconcile::owner(instance),
             inbox,
             phase,
             endpoint,
@@ -133,6 +140,8 @@
     pub(crate) path: String,
     pub(crate) kind: CallKind,
     pub(crate) at_most_once: bool,
+    /// Hash of method, path and body, by which the ledger tells a resend from another request.
+    pub(crate) content: u64,
     /// Headers that are passed on to the target or to another zone.
     pub(crate) headers: Vec<(HeaderName, HeaderValue)>,
     /// Value of `authorization`, for a hand-over.
@@ -185,7 +194,13 @@
 
 impl Call {
     pub(crate) fn new(head: Head) -> Self {
+        let content = if head.at_most_once {
+            content_hash(&head)
+        } else {
+            0
+        };
         Self {
+            content,
             id: head.id,
             method: head.method,
             path: head.path,
@@ -310,6 +325,17 @@
     }
 }
 
+fn content_hash(head: &Head) -> u64 {
+    let mut hash = Xxh3Default::new();
+    // Neither a method nor a path contains a line break, so the parts cannot run together.
+    hash.update(head.method.as_str().as_bytes());
+    hash.update(b"\n");
+    hash.update(head.path.as_bytes());
+    hash.update(b"\n");
+    hash.update(&head.body.bytes);
+    hash.digest()
+}
+
 /// Returns the id of an attempt as engines see it.
 pub(crate) fn attempt_id(attempt: Attempt) -> String {
     format!("{:032x}-{}", attempt.request.0, attempt.number)
--- a/entry/src/reply.rs
+++ b/entry/src/reply.rs
@@ -13,6 +13,7 @@
 pub(crate) const OUTCOME: HeaderName = HeaderName::from_static("x-primrosepin-outcome");
 pub(crate) const REQUEST: HeaderName = HeaderName::from_static("x-primrosepin-request");
 pub(crate) const ATTEMPT: HeaderName = HeaderName::from_static("x-primrosepin-attempt");
+pub(crate) const OWNER: HeaderName = HeaderName::from_static("x-primrosepin-owner");
 pub(crate) const PRIORITY: HeaderName = HeaderName::from_static("x-primrosepin-priority");
 pub(crate) const LEASE_MS: HeaderName = HeaderName::from_static("x-primrosepin-lease-ms");
 pub(crate) const PARTS: HeaderName = HeaderName::from_static("x-primrosepin-parts");
--- a/entry/src/server.rs
+++ b/entry/src/server.rs
@@ -154,7 +154,7 @@
     let (phase, phases) = watch::channel(Phase::Serving);
     let limits = settings.limits;
     let reducer_settings = Settings {
-        vm: instance,
+        vm: instance.clone(),
         address: vm::Address {
             peers: listen.peers,
             callers: Some(listen.callers),
@@ -169,6 +169,7 @@
     let (query, queries) = mpsc::channel(QUERIES);
     let node = Rc::new(Node::new(
         settings,
+        &instance,
         inbox.clone(),
         phases.clone(),
         endpoint.clone(),
