entry: Drive HTTP/2 connections with h2

Cause: the HTTP/2 dispatcher of actix-http runs a request on after its stream was reset, and closes connections without GOAWAY. Change: connections that start with the HTTP/2 preface are driven by h2, with the request and response types of actix-http; resets end the attempt, shutdown sends GOAWAY and waits for running requests.

--- a/entry/src/admin.rs
+++ b/entry/src/admin.rs
@@ -62,7 +62,8 @@
 
 /// Serves one call of an operator.
 pub(crate) async fn serve(operators: Rc<Operators>, mut request: Request) -> Response<BoxBody> {
-    let _active = request.conn_data::<Rc<Connection>>().map(Connection::enter);
+    let connection = Connection::of(&request);
+    let _active = connection.as_ref().map(Connection::enter);
     match answer(&operators, &mut request).await {
         Ok(response) => response,
         Err((status, code, message)) => json_response(
--- a/entry/src/callers.rs
+++ b/entry/src/callers.rs
@@ -44,8 +44,7 @@
 
 /// Serves one request of a caller.
 pub(crate) async fn serve(node: Rc<Node>, mut request: Request) -> Response<BoxBody> {
-    let connection = request.conn_data::<Rc<Connection>>().cloned();
-    let active = connection.as_ref().map(Connection::enter);
+    let active = Connection::of(&request).as_ref().map(Connection::enter);
     match request.path() {
         "/healthz" => return health(true),
         "/readyz" => {
@@ -78,18 +77,7 @@
         _active: active,
     };
     node.report(Event::Arrived(Box::new(arrival)));
-    let closed = async {
-        match &connection {
-            Some(connection) => connection.closed().await,
-            None => std::future::pending().await,
-        }
-    };
-    // An HTTP/2 connection does not drop the futures of its requests when it closes.
-    let begun = tokio::select! {
-        begun = caller.call.outlet.begun() => begun,
-        () = closed => return Response::new(StatusCode::BAD_GATEWAY),
-    };
-    match begun {
+    match caller.call.outlet.begun().await {
         Ok(head) => {
             let mut response = Response::new(reply::status_code(head.status));
             let headers = response.headers_mut();
--- a/entry/src/driver.rs
+++ b/entry/src/driver.rs
@@ -31,7 +31,6 @@
     reducer: Reducer,
     client: Client,
     attempts: HashMap<Attempt, JoinHandle<()>>,
-    epoch: Option<u64>,
 }
 
 /// State of the reducer for operators.
@@ -56,7 +55,6 @@
             reducer,
             client: attempt::shared_client(),
             attempts: HashMap::new(),
-            epoch: None,
         }
     }
 
@@ -98,7 +96,7 @@
             counters: self.reducer.counters().clone(),
             targets: self.reducer.targets(),
             members: self.reducer.members(),
-            epoch: self.epoch,
+            epoch: self.reducer.held_epoch(),
             live: self.reducer.live(),
             waiting: self.reducer.waiting(),
         }
@@ -197,14 +195,7 @@
                 log::info!("ready: {ready}");
                 node.ready.set(ready);
             }
-            Effect::Notice(notice) => {
-                match notice {
-                    Notice::CoordinatorGained(epoch) => self.epoch = Some(epoch),
-                    Notice::CoordinatorLost(_) => self.epoch = None,
-                    _ => {}
-                }
-                log_notice(&notice);
-            }
+            Effect::Notice(notice) => log_notice(&notice),
         }
     }
 }
--- /dev/null
+++ b/entry/src/http2.rs
@@ -0,0 +1,207 @@
+//! HTTP/2 connections of callers, without TLS.
+//!
+//! The HTTP/2 dispatcher of `actix-http` keeps a request running after the caller has reset its stream
+//! and closes connections without GOAWAY. A caller that leaves must free engine memory, and a shutdown
+//! must tell callers which requests were taken, so connections are driven by `h2` here, the library
+//! below `actix-http`. Requests and responses have the types of `actix-http`.
+
+use std::future::poll_fn;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use actix_http::body::{BodySize, BoxBody, MessageBody};
+use actix_http::error::PayloadError;
+use actix_http::header::{CONNECTION, TRANSFER_ENCODING};
+use actix_http::{HttpMessage, Method, Payload, Request, Response};
+use actix_rt::time::{sleep, timeout};
+use bytes::Bytes;
+use futures_util::Stream;
+use h2::server::{Builder, SendResponse};
+use h2::{RecvStream, SendStream};
+use http::header::CONTENT_LENGTH;
+use http::{HeaderValue, Version};
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::sync::watch;
+
+use crate::listen::{Connection, KEEP_ALIVE};
+use crate::node::Phase;
+
+/// Requests on one connection at one time.
+const STREAMS_MAX: u32 = 256;
+
+/// Largest request head; larger ones are refused by `h2` with status 431.
+const HEAD_BYTES_MAX: u32 = 64 * 1024;
+
+/// Bytes of one request that the caller may send ahead.
+const STREAM_WINDOW_BYTES: u32 = 1024 * 1024;
+
+/// Bytes of all requests of a connection that the caller may send ahead.
+const CONNECTION_WINDOW_BYTES: u32 = 2 * 1024 * 1024;
+
+/// Largest piece of an answer that is handed to the connection at one time.
+const WRITE_BYTES: usize = 16 * 1024;
+
+/// Serves a connection until it ends.
+pub(crate) async fn serve<I, H, F>(
+    socket: I,
+    state: Rc<Connection>,
+    header_timeout: Duration,
+    mut phase: watch::Receiver<Phase>,
+    handler: H,
+) -> Result<(), h2::Error>
+where
+    I: AsyncRead + AsyncWrite + Unpin,
+    H: Fn(Request) -> F + Clone + 'static,
+    F: Future<Output = Response<BoxBody>> + 'static,
+{
+    let handshake = Builder::new()
+        .max_header_list_size(HEAD_BYTES_MAX)
+        .max_concurrent_streams(STREAMS_MAX)
+        .initial_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .handshake::<_, Bytes>(socket);
+    let Ok(connection) = timeout(header_timeout, handshake).await else {
+        return Ok(());
+    };
+    let mut connection = connection?;
+    let mut leaving = false;
+    loop {
+        let accepted = tokio::select! {
+            accepted = connection.accept() => accepted,
+            _ = phase.wait_for(|phase| *phase == Phase::Closing), if !leaving => {
+                // GOAWAY names the last request that was taken; running ones finish.
+                connection.graceful_shutdown();
+                leaving = true;
+                continue;
+            }
+            () = sleep(KEEP_ALIVE), if !leaving => {
+                if state.is_idle() {
+                    connection.graceful_shutdown();
+                    leaving = true;
+                }
+                continue;
+            }
+        };
+        let Some(accepted) = accepted else {
+            return Ok(());
+        };
+        let (request, respond) = accepted?;
+        actix_rt::spawn(exchange(
+            request,
+            respond,
+            Rc::clone(&state),
+            handler.clone(),
+        ));
+    }
+}
+
+/// Serves one request. Ends early, and drops the handler, when the caller resets the stream.
+async fn exchange<H, F>(
+    request: http::Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+    state: Rc<Connection>,
+    handler: H,
+) where
+    H: Fn(Request) -> F,
+    F: Future<Output = Response<BoxBody>>,
+{
+    let (parts, body) = request.into_parts();
+    let is_head = parts.method == Method::HEAD;
+    let mut request = Request::with_payload(Payload::Stream {
+        payload: Box::pin(Incoming(body)) as actix_http::BoxedPayloadStream,
+    });
+    let head = request.head_mut();
+    head.method = parts.method;
+    head.uri = parts.uri;
+    head.version = parts.version;
+    head.headers = parts.headers.into();
+    request.extensions_mut().insert(state);
+    let response = tokio::select! {
+        response = handler(request) => response,
+        _ = poll_fn(|context| respond.poll_reset(context)) => return,
+    };
+    let (response, body) = response.into_parts();
+    let size = body.size();
+    let is_empty = is_head || size.is_eof();
+    let head = response_head(&response, size);
+    // Fails only on a stream that is reset already.
+    if let Ok(stream) = respond.send_response(head, is_empty)
+        && !is_empty
+    {
+        send(body, stream).await;
+    }
+}
+
+fn response_head(response: &Response<()>, size: BodySize) -> http::Response<()> {
+    let mut head = http::Response::new(());
+    *head.status_mut() = response.status();
+    *head.version_mut() = Version::HTTP_2;
+    let headers = head.headers_mut();
+    for (name, value) in response.headers() {
+        // These describe an HTTP/1.1 connection.
+        if name != CONNECTION && name != TRANSFER_ENCODING && name != CONTENT_LENGTH {
+            headers.append(name, value.clone());
+        }
+    }
+    if let BodySize::Sized(length) = size {
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
+    }
+    head
+}
+
+/// Sends a body as the caller's window allows.
+async fn send(body: BoxBody, mut stream: SendStream<Bytes>) {
+    let mut body = pin!(body);
+    loop {
+        let piece = tokio::select! {
+            piece = poll_fn(|context| body.as_mut().poll_next(context)) => piece,
+            _ = poll_fn(|context| stream.poll_reset(context)) => return,
+        };
+        match piece {
+            Some(Ok(mut piece)) => {
+                while !piece.is_empty() {
+                    stream.reserve_capacity(piece.len().min(WRITE_BYTES));
+                    let Some(Ok(capacity)) = poll_fn(|context| stream.poll_capacity(context)).await
+                    else {
+                        return;
+                    };
+                    let length = piece.len().min(capacity);
+                    if stream.send_data(piece.split_to(length), false).is_err() {
+                        return;
+                    }
+                }
+            }
+            Some(Err(_)) => {
+                stream.send_reset(h2::Reason::INTERNAL_ERROR);
+                return;
+            }
+            None => {
+                // Fails only on a stream that is reset already.
+                let _ = stream.send_data(Bytes::new(), true);
+                return;
+            }
+        }
+    }
+}
+
+/// Body of a request.
+struct Incoming(RecvStream);
+
+impl Stream for Incoming {
+    type Item = Result<Bytes, PayloadError>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let piece = match ready!(self.0.poll_data(cx)) {
+            Some(Ok(bytes)) => self
+                .0
+                .flow_control()
+                .release_capacity(bytes.len())
+                .map(|()| bytes),
+            Some(Err(error)) => Err(error),
+            None => return Poll::Ready(None),
+        };
+        Poll::Ready(Some(piece.map_err(PayloadError::Http2Payload)))
+    }
+}
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod driver;
 mod engine;
 mod handover;
+mod http2;
 mod inforce;
 mod ledger;
 mod listen;
--- a/entry/src/listen.rs
+++ b/entry/src/listen.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use actix_http::body::BoxBody;
-use actix_http::{HttpService, KeepAlive, Protocol, Request, Response};
+use actix_http::{HttpMessage, HttpService, KeepAlive, Request, Response};
 use actix_rt::net::{TcpListener, TcpStream};
 use actix_rt::time::sleep;
 use actix_service::{Service, ServiceFactory, fn_service};
@@ -18,10 +18,11 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::watch;
 
+use crate::http2;
 use crate::node::Phase;
 
 /// Idle time after which a caller's connection is closed.
-const KEEP_ALIVE: Duration = Duration::from_secs(75);
+pub(crate) const KEEP_ALIVE: Duration = Duration::from_secs(75);
 
 /// Time to read and drop the rest of a rejected body, so that the caller sees the response and not a
 /// reset connection.
@@ -46,7 +47,6 @@
     /// Start of a write that the caller does not take.
     blocked_since: Cell<Option<Instant>>,
     expired: Cell<bool>,
-    closed: Cell<bool>,
     wakers: RefCell<Vec<Waker>>,
 }
 
@@ -58,16 +58,15 @@
         Active(Rc::clone(self))
     }
 
-    /// Completes when the connection is closed.
-    pub(crate) async fn closed(&self) {
-        std::future::poll_fn(|context| {
-            if self.closed.get() {
-                return Poll::Ready(());
-            }
-            self.wake_later(context);
-            Poll::Pending
-        })
-        .await;
+    /// Returns the connection of a request.
+    pub(crate) fn of(request: &Request) -> Option<Rc<Self>> {
+        let own = request.conn_data::<Rc<Self>>().cloned();
+        own.or_else(|| request.extensions().get::<Rc<Self>>().cloned())
+    }
+
+    /// Returns whether no request is being served.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.active.get() == 0
     }
 
     fn wake_later(&self, context: &Context<'_>) {
@@ -77,11 +76,6 @@
         }
     }
 
-    fn close(&self) {
-        self.closed.set(true);
-        self.wake();
-    }
-
     fn wake(&self) {
         for waker in self.wakers.borrow_mut().drain(..) {
             waker.wake();
@@ -189,6 +183,7 @@
     F: Future<Output = Response<BoxBody>> + 'static,
 {
     let goodbye = phase.clone();
+    let for_http1 = handler.clone();
     let service = HttpService::build()
         .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
         .client_request_timeout(Duration::from_millis(limits.header_timeout_ms))
@@ -205,8 +200,8 @@
         .on_connect_ext(|socket: &Socket, extensions| {
             extensions.insert(Rc::clone(&socket.state));
         })
-        .finish(fn_service(move |request: Request| {
-            let answer = handler(request);
+        .h1(fn_service(move |request: Request| {
+            let answer = for_http1(request);
             async move { Ok::<_, Infallible>(answer.await) }
         }));
     let service = Rc::new(
@@ -241,13 +236,13 @@
         let service = Rc::clone(&service);
         let connections = Rc::clone(&connections);
         let done = done.clone();
-        let closing = phase.clone();
+        let mut closing = phase.clone();
+        let handler = handler.clone();
         let header_timeout = Duration::from_millis(limits.header_timeout_ms);
         actix_rt::spawn(async move {
             // Fails only on a socket that is closed already.
             let _ = stream.set_nodelay(true);
             let mut first = [0; HTTP2_PREFACE.len()];
-            let mut closing = closing;
             let begun = tokio::select! {
                 peeked = stream.peek(&mut first) => peeked.is_ok_and(|length| length > 0),
                 () = sleep(header_timeout) => false,
@@ -255,21 +250,24 @@
             };
             if begun {
                 let http2 = first == HTTP2_PREFACE;
-                let protocol = if http2 {
-                    Protocol::Http2
-                } else {
-                    Protocol::Http1
-                };
                 let socket = Socket {
                     stream,
                     state: Rc::clone(&state),
                     http2,
                 };
-                if let Err(error) = service.call((socket, protocol, Some(peer))).await {
+                let ended = if http2 {
+                    let state = Rc::clone(&state);
+                    http2::serve(socket, state, header_timeout, closing, handler)
+                        .await
+                        .map_err(|error| error.to_string())
+                } else {
+                    let served = service.call((socket, Some(peer))).await;
+                    served.map_err(|error| error.to_string())
+                };
+                if let Err(error) = ended {
                     log::debug!("connection of {peer} ended: {error}");
                 }
             }
-            state.close();
             connections
                 .borrow_mut()
                 .retain(|other| !Rc::ptr_eq(other, &state));
--- a/entry/src/targets.rs
+++ b/entry/src/targets.rs
@@ -24,7 +24,8 @@
 
 /// Serves one request of a target.
 pub(crate) async fn serve(node: Rc<Node>, mut request: Request) -> Response<BoxBody> {
-    let _active = request.conn_data::<Rc<Connection>>().map(Connection::enter);
+    let connection = Connection::of(&request);
+    let _active = connection.as_ref().map(Connection::enter);
     match announce(&node, &mut request).await {
         Ok(()) => json_response(200, &json!({ "lease_ms": LEASE_MS })),
         Err((status, code, message)) => json_response(
