--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -147,13 +147,13 @@
 impl<'s> Node<'s> {
     fn new(setup: &'s Setup, mut disk: Disk) -> eyre::Result<Self> {
         let started = Instant::now();
-        let settings = Settings {
-            vm: vm::Name::clone(&setup.vm),
-            address: setup.address,
-            replicas: setup.replicas.clone(),
-            bootstrap: setup.bootstrap && !disk.damaged,
-            seed: setup.seed,
-        };
+        let settings = Settings::new(
+            vm::Name::clone(&setup.vm),
+            setup.address,
+            setup.replicas.clone(),
+            setup.bootstrap && !disk.damaged,
+            setup.seed,
+        );
         let snapshot = disk.snapshot.take();
         let snapshot_index = snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
         restore(&setup.shared, snapshot.as_ref())?;
@@ -399,7 +399,7 @@
             role: reducer.role(),
             term: reducer.term(),
             leader: leader.map(|leader| (vm::Name::clone(&leader.vm), leader.address)),
-            members: reducer.members().cloned().unwrap_or_default(),
+            members: reducer.committed_members().cloned().unwrap_or_default(),
             applied: reducer.applied(),
             failure: None,
         };
--- a/core/src/consensus/log.rs
+++ b/core/src/consensus/log.rs
@@ -4,9 +4,6 @@
 
 use super::{Entry, Members, Payload, Snapshot};
 
-/// Entries kept behind a snapshot, so that a replica that was away for a short time needs no snapshot.
-const KEPT_ENTRIES: u64 = 1_000;
-
 /// Entries after a base index, with the members at each change.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Log {
@@ -117,9 +114,9 @@
         first
     }
 
-    /// Drops entries that a snapshot at `index` covers, but for the last ones.
-    pub(super) fn compact(&mut self, index: u64) {
-        let base = index.saturating_sub(KEPT_ENTRIES).max(self.base_index);
+    /// Drops entries that a snapshot at `index` covers, but for the last `kept` ones.
+    pub(super) fn compact(&mut self, index: u64, kept: u64) {
+        let base = index.saturating_sub(kept).max(self.base_index);
         if let Some(term) = self.term_at(base) {
             self.entries.drain(..(base - self.base_index) as usize);
             self.base_term = term;
--- a/core/src/consensus/reducer.rs
+++ b/core/src/consensus/reducer.rs
@@ -30,9 +30,6 @@
 /// Entries in one message, bytes. It keeps a message below the limit of a frame and quick to sync.
 const APPEND_BYTES: usize = 512 * 1024;
 
-/// Part of a snapshot in one message, bytes.
-const PART_BYTES: usize = 512 * 1024;
-
 /// Largest snapshot that a replica accepts, bytes.
 const MAX_SNAPSHOT_BYTES: u64 = 1024 * 1024 * 1024;
 
@@ -56,6 +53,32 @@
     pub bootstrap: bool,
     /// Seed of election timeouts.
     pub seed: u64,
+    /// Entries kept in memory behind a snapshot, so that a replica that was away for a short time needs
+    /// no snapshot.
+    pub kept_entries: u64,
+    /// Part of a snapshot in one message, bytes.
+    pub part_bytes: usize,
+}
+
+impl Settings {
+    /// Creates settings with the default sizes.
+    pub fn new(
+        vm: vm::Name,
+        address: SocketAddr,
+        replicas: Vec<(vm::Name, SocketAddr)>,
+        bootstrap: bool,
+        seed: u64,
+    ) -> Self {
+        Self {
+            vm,
+            address,
+            replicas,
+            bootstrap,
+            seed,
+            kept_entries: 1_000,
+            part_bytes: 512 * 1024,
+        }
+    }
 }
 
 /// Role of a replica.
@@ -216,11 +239,17 @@
         self.log.members()?.get(self.leader?)
     }
 
-    /// Returns the members in force.
+    /// Returns the members in force, which need not be committed yet.
     pub fn members(&self) -> Option<&Members> {
         self.log.members()
     }
 
+    /// Returns the members whose entry is committed. A replacement counts as done only with them: before,
+    /// the loss of another replica can undo it.
+    pub fn committed_members(&self) -> Option<&Members> {
+        self.log.members_at(self.commit)
+    }
+
     /// Returns the highest committed index known.
     pub fn commit(&self) -> u64 {
         self.commit
@@ -647,7 +676,7 @@
             state,
         };
         self.snapshot = Some(snapshot.clone());
-        self.log.compact(index);
+        self.log.compact(index, self.settings.kept_entries);
         effects.push(Effect::Save(snapshot));
     }
 
@@ -1142,7 +1171,7 @@
         {
             let total = snapshot.state.len();
             let from = (*offset as usize).min(total);
-            let part = &snapshot.state[from..(from + PART_BYTES).min(total)];
+            let part = &snapshot.state[from..(from + self.settings.part_bytes).min(total)];
             let body = Body::Snapshot {
                 term,
                 index: snapshot.index,
