--- a/core/src/serving/membership.rs
+++ b/core/src/serving/membership.rs
@@ -316,11 +316,12 @@
         match message {
             Message::Heartbeat(heartbeat) => self.heartbeat(from, heartbeat, effects),
             Message::Targets(announcements) => {
-                if self.members.get(from).is_some() {
-                    let until = self.now + LEASE - RELAY_ALLOWANCE;
-                    for announcement in announcements {
-                        self.announce(announcement, until, false, effects);
-                    }
+                // A process of the zone is believed before its first heartbeat too: a target that
+                // turned cold or drains must not get work because its news came from a VM that was
+                // cut off for a while.
+                let until = self.now + LEASE - RELAY_ALLOWANCE;
+                for announcement in announcements {
+                    self.announce(announcement, until, false, effects);
                 }
             }
             Message::Vote(vote) => self.vote(from, &vote, effects),
--- a/core/src/serving/span.rs
+++ b/core/src/serving/span.rs
@@ -237,7 +237,9 @@
         let mut parts = Parts::new();
         for (name, tokens) in names {
             let target = self.target_id(name).and_then(|id| self.table.get(id));
-            if let Some(target) = target.filter(|target| target.is_open(self.now)) {
+            if let Some(target) =
+                target.filter(|target| target.is_open(self.now) && !target.is_cold())
+            {
                 parts.push((target.announcement.address, *tokens));
             }
         }
@@ -284,12 +286,20 @@
         }
         let (head, parts) = (*head, parts.clone());
         let prefill = request.cost.prefill_tokens / parts.len().max(1) as u64;
-        let open = self
+        // A target may have left or turned cold while the engines answered.
+        let usable = parts.iter().all(|&(address, _)| {
+            self.table.iter().any(|(_, target)| {
+                target.announcement.address == address
+                    && target.is_open(self.now)
+                    && !target.is_cold()
+            })
+        });
+        let head_target = self
             .table
             .get(head)
-            .filter(|target| target.is_open(self.now) && target.announcement.address == parts[0].0);
-        let ttft_us =
-            open.map(|target| target.wait_us(self.now, request.class) + target.prefill_us(prefill));
+            .filter(|target| usable && target.announcement.address == parts[0].0);
+        let ttft_us = head_target
+            .map(|target| target.wait_us(self.now, request.class) + target.prefill_us(prefill));
         let (Some(ttft_us), true, false) = (ttft_us, all, self.zone_out()) else {
             self.give_up_span(id, effects);
             self.spans.next_ask = self.now + DENIED_PAUSE;
