--- a/core/tests/consensus.rs
+++ b/core/tests/consensus.rs
@@ -2,9 +2,14 @@
 
 mod simulation;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use primrosepin_core::consensus::Role;
+use primrosepin_core::consensus::{
+    Body, Durable, Entry, Event, Id, Member, Members, Message, Payload, Reducer, Role, Settings,
+    Snapshot,
+};
+use primrosepin_core::time::Instant;
 use rand::RngExt;
 use simulation::{CALM, Cluster, Faults};
 
@@ -216,6 +221,79 @@
     }
 }
 
+/// Guards against an entry of an earlier term that is committed by counting its copies: a later leader
+/// could still replace it. It becomes committed only with an entry of the leader's own term.
+#[test]
+fn entries_of_earlier_terms_are_committed_with_one_of_the_own_term() {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let member = |id: u64| Member {
+        id: Id(id),
+        vm: format!("control-{id}").into(),
+        address,
+        voter: true,
+    };
+    let snapshot = Snapshot {
+        index: 0,
+        term: 0,
+        members: Members {
+            deployment: 1,
+            list: vec![member(1), member(2), member(3)],
+            removed: Vec::new(),
+        },
+        state: [].into(),
+    };
+    let durable = Durable {
+        id: Id(1),
+        term: 2,
+        voted_for: None,
+        founded: true,
+    };
+    let earlier = Entry {
+        term: 1,
+        index: 1,
+        payload: Payload::Start,
+    };
+    let settings = Settings::new("control-1".into(), address, Vec::new(), false, 1);
+    let start = Instant::default();
+    let mut reducer = Reducer::new(settings, start, durable, Some(snapshot), vec![earlier]);
+    let mut effects = Vec::new();
+    let now = start + SECOND * 2;
+    let answer = |body| {
+        Event::Received(Message {
+            deployment: 1,
+            from: Id(2),
+            to: Id(1),
+            address,
+            body,
+        })
+    };
+    let vote = |pre| Body::VoteAnswer {
+        term: 3,
+        pre,
+        granted: true,
+    };
+    let appended = |index| Body::AppendAnswer {
+        term: 3,
+        accepted: true,
+        index,
+        round: 1,
+    };
+    let events = [
+        Event::Tick,
+        answer(vote(true)),
+        Event::Persisted { sequence: 1 },
+        answer(vote(false)),
+        Event::Persisted { sequence: 2 },
+        answer(appended(1)),
+    ];
+    for event in events {
+        reducer.apply(now, event, &mut effects);
+    }
+    assert_eq!((reducer.role(), reducer.commit()), (Role::Leader, 0));
+    reducer.apply(now, answer(appended(2)), &mut effects);
+    assert_eq!(reducer.commit(), 2);
+}
+
 /// Guards against split votes, lost and changed entries and lost acknowledgements under any mix of lost,
 /// doubled and reordered messages, partitions, pauses, crashes that lose unsynced writes, and lost disks.
 ///
--- a/core/tests/simulation/mod.rs
+++ b/core/tests/simulation/mod.rs
@@ -26,6 +26,11 @@
 }
 
 impl Disk {
+    fn holds(&self, entry: &Entry) -> bool {
+        let covered = self.snapshot.as_ref().map_or(0, |s| s.index);
+        entry.index <= covered || self.entries.contains(entry)
+    }
+
     fn write(&mut self, effect: &Effect) {
         match effect {
             Effect::Persist {
@@ -132,6 +137,7 @@
     /// Applied entries after which a replica writes a snapshot.
     pub snapshot_entries: u64,
     network: Vec<(Instant, SocketAddr, Message)>,
+    lost_disks: Vec<Disk>,
     proposals: u64,
 }
 
@@ -160,6 +166,7 @@
             refused: BTreeSet::new(),
             snapshot_entries: 30,
             network: Vec::new(),
+            lost_disks: Vec::new(),
             proposals: 0,
         };
         for index in 0..count {
@@ -233,13 +240,15 @@
         let id = Id(self.rng.random::<u64>() | 1);
         let replica = &mut self.replicas[index];
         replica.writes.clear();
-        replica.disk = Disk {
+        let empty = Disk {
             durable: Durable {
                 id,
                 ..Durable::default()
             },
             ..Disk::default()
         };
+        self.lost_disks
+            .push(std::mem::replace(&mut replica.disk, empty));
     }
 
     /// Stops a replica from running for some time; its clock goes on.
@@ -498,6 +507,13 @@
     }
 
     fn apply(&mut self, index: usize, id: Id, entry: &Entry) {
+        if !self.verifier.committed().contains_key(&entry.index) {
+            self.check_synced(index, entry);
+        }
+        assert!(
+            self.replicas[index].disk.holds(entry),
+            "applied before its own sync"
+        );
         self.verifier.apply(id, entry).unwrap();
         let replica = &mut self.replicas[index];
         if let Payload::Command(command) = &entry.payload {
@@ -514,6 +530,21 @@
         }
     }
 
+    /// Checks that a quorum of the members at the time holds an entry on its disks.
+    fn check_synced(&self, index: usize, entry: &Entry) {
+        let members = self.reducer(index).members().unwrap();
+        // A disk may be lost after its replica answered; other disks hold the entry then.
+        let running = self.replicas.iter().map(|replica| &replica.disk);
+        let disks = running.chain(&self.lost_disks);
+        let holding = disks.filter(|disk| members.is_voter(disk.durable.id) && disk.holds(entry));
+        // A member change may be in the log already, so the smaller of both quorums is required.
+        let quorum = members.quorum().min(self.replicas.len() / 2 + 1);
+        assert!(
+            holding.count() >= quorum,
+            "{entry:?} is committed without a synced quorum"
+        );
+    }
+
     /// Checks all replicas.
     pub fn verify(&mut self) {
         let running: Vec<&Reducer> = self
