--- a/control/tests/server/main.rs
+++ b/control/tests/server/main.rs
@@ -1,4 +1,5 @@
 //! Control replicas over real sockets.
 
+mod cluster;
 mod single;
 mod support;
--- a/control/tests/server/single.rs
+++ b/control/tests/server/single.rs
@@ -3,37 +3,15 @@
 use std::time::Duration;
 
 use crate::support::{
-    Deployment, INVENTORY, apply, ask, call, get, instance, name, peers, post, settle, until,
+    Deployment, INVENTORY, answer, apply, ask, begin, call, get, peers, post, settle, until,
 };
 use awc::http::Method;
-use primrosepin_core::ledger::{Answer, Call, Key};
+use primrosepin_core::ledger::Answer;
 use primrosepin_core::message::Message;
-use primrosepin_core::request;
 use serde_json::json;
 
 const TIMEOUT: Duration = Duration::from_secs(2);
 
-fn begin(key: &str, request: u128, content: u64) -> Message {
-    Message::Ledger(Call::Begin {
-        key: Key {
-            organisation: name("club"),
-            key: name(key),
-        },
-        holder: instance("entry-1"),
-        request: request::Id(request),
-        expires_ms: 60_000,
-        content,
-    })
-}
-
-fn answer(message: Message) -> Option<Answer> {
-    match message {
-        Message::LedgerAnswer(Answer::Unavailable) => None,
-        Message::LedgerAnswer(answer) => Some(answer),
-        _ => None,
-    }
-}
-
 /// Guards against a configuration or ledger entry that was acknowledged and is gone after a restart, and
 /// against an entry VM that gets no configuration.
 #[actix_rt::test]
--- a/control/tests/server/support.rs
+++ b/control/tests/server/support.rs
@@ -2,12 +2,13 @@
 
 use std::net::{SocketAddr, UdpSocket};
 use std::path::Path;
-use std::sync::Arc;
 use std::time::Duration;
 
 use primrosepin_config::settings::{Control, ControlListen, Log, Replica, Tls};
 use primrosepin_control::{Options, Server};
+use primrosepin_core::ledger::{Answer, Call, Key};
 use primrosepin_core::message::Message;
+use primrosepin_core::request;
 use primrosepin_core::vm::{Incarnation, Instance};
 use primrosepin_transport::keys::Authority;
 use primrosepin_transport::{Endpoint, Role, Settings};
@@ -196,6 +197,45 @@
     }
 }
 
+/// Waits until all replicas vote and hear from each other.
+pub async fn settled(servers: &[&Server]) {
+    for server in servers {
+        until(async || {
+            let status = get(server.addresses().admin, "/v1/status").await;
+            let replicas = status["replicas"].as_array().unwrap();
+            let fine = |replica: &Value| replica["voter"] == true && replica["reachable"] == true;
+            let up = replicas.iter().filter(|replica| fine(replica)).count();
+            status["leader"].is_string() && up == servers.len() && replicas.len() == servers.len()
+        })
+        .await;
+    }
+}
+
+/// Returns the position of the leader among servers, as most of them see it.
+pub async fn leader(servers: &[&Server]) -> usize {
+    loop {
+        for (index, server) in servers.iter().enumerate() {
+            let status = get(server.addresses().admin, "/v1/status").await;
+            if status["role"] == "leader" {
+                return index;
+            }
+        }
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Returns an inventory of about 400 KB.
+pub fn large_inventory() -> String {
+    let organisations: Vec<String> = (0..3_000)
+        .map(|index| {
+            let key = format!("{:x}", Sha256::digest(format!("key-{index}")));
+            format!(r#"{{"name": "organisation-{index}", "keys_sha256": ["{key}"]}}"#)
+        })
+        .collect();
+    let (before, _) = INVENTORY.split_once("\"organisations\"").unwrap();
+    format!("{before}\"organisations\": [{}]}}", organisations.join(","))
+}
+
 /// Returns the peers' addresses of servers.
 pub fn peers(servers: &[&Server]) -> Vec<SocketAddr> {
     servers
@@ -204,7 +244,30 @@
         .collect()
 }
 
-/// Shared text of a name.
-pub fn name(text: &str) -> Arc<str> {
-    text.into()
+/// Returns a claim of a key by `entry-1`.
+pub fn begin(key: &str, request: u128, content: u64) -> Message {
+    Message::Ledger(Call::Begin {
+        key: ledger_key(key),
+        holder: instance("entry-1"),
+        request: request::Id(request),
+        expires_ms: 60_000,
+        content,
+    })
+}
+
+/// Returns a ledger key of one organisation.
+pub fn ledger_key(key: &str) -> Key {
+    Key {
+        organisation: "club".into(),
+        key: key.into(),
+    }
+}
+
+/// Returns the answer of the ledger, unless it is unavailable.
+pub fn answer(message: Message) -> Option<Answer> {
+    match message {
+        Message::LedgerAnswer(Answer::Unavailable) => None,
+        Message::LedgerAnswer(answer) => Some(answer),
+        _ => None,
+    }
 }
--- a/store/src/folder.rs
+++ b/store/src/folder.rs
@@ -75,8 +75,10 @@
         let mut segments = Vec::new();
         let mut snapshots = Vec::new();
         for entry in fs::read_dir(&self.path).map_err(at("list", &self.path))? {
-            let name = entry.map_err(at("list", &self.path))?.file_name();
-            let Some(name) = name.to_str() else {
+            let entry = entry.map_err(at("list", &self.path))?;
+            let kind = entry.file_type().map_err(at("list", &self.path))?;
+            let name = entry.file_name();
+            let Some(name) = name.to_str().filter(|_| kind.is_file()) else {
                 continue;
             };
             let number = |prefix| u64::from_str_radix(name.strip_prefix(prefix)?, 16).ok();
