--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -1,7 +1,7 @@
 //! State that the tasks of one entry process share on its thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -13,15 +13,19 @@
 use primrosepin_core::registry::Config;
 use primrosepin_core::request::{Attempt, Id};
 use primrosepin_core::serving::event::Event;
+use primrosepin_core::vm::Instance;
 use primrosepin_core::{ledger, time};
 use primrosepin_transport::Endpoint;
 use rand::RngExt;
 use rand::rngs::StdRng;
 use tokio::sync::{Notify, mpsc, watch};
+use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::attempt::Answer;
 use crate::inforce::InForce;
+use crate::metrics::{Labels, Metrics};
 use crate::outlet::Outlet;
+use crate::reconcile;
 use crate::reply::Rejection;
 
 /// Largest answer that the ledger keeps for a resend.
@@ -42,6 +46,8 @@
 #[derive(Debug)]
 pub(crate) struct Node {
     pub(crate) settings: Entry,
+    /// This process, as engines note it with what they hold.
+    pub(crate) owner: String,
     pub(crate) inbox: mpsc::UnboundedSender<Event>,
     pub(crate) phase: watch::Receiver<Phase>,
     pub(crate) endpoint: Endpoint,
@@ -50,7 +56,7 @@
     pub(crate) buffered: Cell<usize>,
     /// Index of the control process that answered last.
     pub(crate) control: Cell<usize>,
-    pub(crate) rejections: RefCell<BTreeMap<&'static str, u64>>,
+    pub(crate) metrics: Metrics,
     in_force: RefCell<Option<Rc<InForce>>>,
     random: RefCell<StdRng>,
     started: Instant,
@@ -59,13 +65,16 @@
 impl Node {
     pub(crate) fn new(
         settings: Entry,
+        instance: &Instance,
         inbox: mpsc::UnboundedSender<Event>,
         phase: watch::Receiver<Phase>,
         endpoint: Endpoint,
+        metrics: Metrics,
         random: StdRng,
     ) -> Self {
         Self {
             settings,
+            owner: reconcile::owner(instance),
             inbox,
             phase,
             endpoint,
@@ -73,7 +82,7 @@
             ready: Cell::new(false),
             buffered: Cell::new(0),
             control: Cell::new(0),
-            rejections: RefCell::default(),
+            metrics,
             in_force: RefCell::new(None),
             random: RefCell::new(random),
             started: Instant::now(),
@@ -114,11 +123,7 @@
 
     /// Counts a request that is rejected before the reducer sees it.
     pub(crate) fn reject(&self, rejection: &Rejection) {
-        *self
-            .rejections
-            .borrow_mut()
-            .entry(rejection.code)
-            .or_default() += 1;
+        self.metrics.rejected(rejection.code);
     }
 
     pub(crate) fn call(&self, id: Id) -> Option<Rc<Call>> {
@@ -135,6 +140,8 @@
     pub(crate) path: String,
     pub(crate) kind: CallKind,
     pub(crate) at_most_once: bool,
+    /// Hash of method, path and body, by which the ledger tells a resend from another request.
+    pub(crate) content: u64,
     /// Headers that are passed on to the target or to another zone.
     pub(crate) headers: Vec<(HeaderName, HeaderValue)>,
     /// Value of `authorization`, for a hand-over.
@@ -146,6 +153,14 @@
     pub(crate) body: RefCell<Option<Body>>,
     /// Events of a stream that were passed on.
     pub(crate) delivered: Cell<u32>,
+    /// Labels for histograms.
+    pub(crate) labels: Labels,
+    /// Whether the first attempt was sent.
+    pub(crate) dispatched: Cell<bool>,
+    /// Time of the first token.
+    pub(crate) first_token: Cell<Option<Instant>>,
+    /// Time of the last token.
+    pub(crate) last_token: Cell<Option<Instant>>,
     /// Whether a part of the answer was passed on.
     pub(crate) started: Cell<bool>,
     /// Whether the outcome was handed to the caller's connection.
@@ -173,12 +188,19 @@
     pub(crate) authorization: Option<HeaderValue>,
     pub(crate) deadline: Option<Duration>,
     pub(crate) key: Option<Arc<str>>,
+    pub(crate) labels: Labels,
     pub(crate) body: Body,
 }
 
 impl Call {
     pub(crate) fn new(head: Head) -> Self {
+        let content = if head.at_most_once {
+            content_hash(&head)
+        } else {
+            0
+        };
         Self {
+            content,
             id: head.id,
             method: head.method,
             path: head.path,
@@ -190,6 +212,10 @@
             deadline: head.deadline,
             body: RefCell::new(Some(head.body)),
             delivered: Cell::new(0),
+            labels: head.labels,
+            dispatched: Cell::new(false),
+            first_token: Cell::new(None),
+            last_token: Cell::new(None),
             started: Cell::new(false),
             ended: Cell::new(false),
             key: head.key,
@@ -299,6 +325,17 @@
     }
 }
 
+fn content_hash(head: &Head) -> u64 {
+    let mut hash = Xxh3Default::new();
+    // Neither a method nor a path contains a line break, so the parts cannot run together.
+    hash.update(head.method.as_str().as_bytes());
+    hash.update(b"\n");
+    hash.update(head.path.as_bytes());
+    hash.update(b"\n");
+    hash.update(&head.body.bytes);
+    hash.digest()
+}
+
 /// Returns the id of an attempt as engines see it.
 pub(crate) fn attempt_id(attempt: Attempt) -> String {
     format!("{:032x}-{}", attempt.request.0, attempt.number)
