--- a/bench/src/cluster.rs
+++ b/bench/src/cluster.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use actix_rt::Arbiter;
+use bytes::Bytes;
 use eyre::{WrapErr, eyre};
 use primrosepin_config::settings;
 use primrosepin_core::inventory::{self, Inventory};
@@ -32,6 +33,15 @@
 /// Threads that carry all stand-ins.
 const STANDIN_THREADS: usize = 2;
 
+/// Time limits by prompt length, milliseconds. They are shorter than the default rules, so that a
+/// run ends soon after its load.
+const DEADLINES: [(u64, u64); 4] = [
+    (4_000, 15_000),
+    (32_000, 30_000),
+    (128_000, 60_000),
+    (1_000_000, 120_000),
+];
+
 /// Size and behaviour of a deployment.
 #[derive(Debug, Clone)]
 pub struct Spec {
@@ -151,6 +161,12 @@
                     method: Some("POST".into()),
                     ..inventory::Match::default()
                 }],
+                deadlines: DEADLINES
+                    .map(|(prompt_tokens_max, ms)| inventory::Deadline {
+                        prompt_tokens_max,
+                        ms,
+                    })
+                    .to_vec(),
                 ..inventory::Rules::default()
             },
         }
@@ -162,17 +178,12 @@
 
     /// How callers reach the deployment.
     pub fn route(&self) -> Route {
-        let rules = inventory::Rules::default();
         Route {
             model: self.engine_service.clone(),
             path: self.path(),
             keys: (0..self.organisations).map(organisation_key).collect(),
             token_bytes: crate::workload::TOKEN_BYTES,
-            deadlines: rules
-                .deadlines
-                .iter()
-                .map(|deadline| (deadline.prompt_tokens_max, deadline.ms))
-                .collect(),
+            deadlines: DEADLINES.to_vec(),
         }
     }
 }
@@ -657,35 +668,20 @@
         }
     }
 
-    /// Waits until each entry VM is ready and answers a generation.
+    /// Waits until each entry VM answers a generation and a plain call, and each zone has a
+    /// coordinator, without which spanning prompts and cold targets wait.
     pub async fn ready(&self) -> eyre::Result<()> {
         let http = client();
-        let route = self.spec.route();
         for entry in &self.entries {
             let mut last = String::new();
             let mut ready = false;
-            for _ in 0..300 {
-                let body = crate::workload::body(&route.model, "ready", 100, 1, 4);
-                let sent = http
-                    .post(format!("http://{}/v1/chat/completions", entry.callers))
-                    .bearer_auth(&route.keys[0])
-                    .insert_header(("content-type", "application/json"))
-                    .force_close()
-                    .timeout(Duration::from_secs(5))
-                    .send_body(body)
-                    .await;
-                match sent {
-                    Ok(mut response) => {
-                        let text = response.body().await.unwrap_or_default();
-                        if response.status().is_success()
-                            && text.windows(10).any(|part| part == b"\"answered\"")
-                        {
-                            ready = true;
-                            break;
-                        }
-                        last = format!("{} {}", response.status(), String::from_utf8_lossy(&text));
+            for _ in 0..150 {
+                match self.check(&http, entry).await {
+                    Ok(()) => {
+                        ready = true;
+                        break;
                     }
-                    Err(error) => last = error.to_string(),
+                    Err(reason) => last = reason,
                 }
                 actix_rt::time::sleep(Duration::from_millis(100)).await;
             }
@@ -696,6 +692,45 @@
         Ok(())
     }
 
+    async fn check(&self, http: &awc::Client, entry: &Entry) -> Result<(), String> {
+        let route = self.spec.route();
+        let fetch = async |request: awc::ClientRequest, key: &str, body: Bytes| {
+            let mut response = request
+                .bearer_auth(key)
+                .insert_header(("content-type", "application/json"))
+                .force_close()
+                .timeout(Duration::from_secs(5))
+                .send_body(body)
+                .await
+                .map_err(|error| error.to_string())?;
+            let body = response.body().await.unwrap_or_default();
+            let text = String::from_utf8_lossy(&body).into_owned();
+            if response.status().is_success() {
+                Ok(text)
+            } else {
+                Err(format!("{} {text}", response.status()))
+            }
+        };
+        let key = &route.keys[0];
+        let prompt = crate::workload::body(&route.model, "ready", 100, 1, 4);
+        let generation = http.post(format!("http://{}/v1/chat/completions", entry.callers));
+        let answer = fetch(generation, key, prompt).await?;
+        if !answer.contains("\"answered\"") {
+            return Err(answer);
+        }
+        if !self.plains.is_empty() {
+            let plain = http.get(format!("http://{}{}/ready", entry.callers, route.path));
+            fetch(plain, key, Bytes::new()).await?;
+        }
+        let status = http.get(format!("http://{}/status", entry.admin));
+        let status = fetch(status, OPERATOR_KEY, Bytes::new()).await?;
+        let status: Value = serde_json::from_str(&status).unwrap_or_default();
+        if status["coordinator"].is_null() {
+            return Err("the zone has no coordinator".into());
+        }
+        Ok(())
+    }
+
     /// Returns the addresses for callers of the entry VMs that run.
     pub fn callers(&self) -> Vec<SocketAddr> {
         self.entries
--- a/bench/src/scenario.rs
+++ b/bench/src/scenario.rs
@@ -86,8 +86,10 @@
                 start_cold: self == Self::ColdStart,
                 cold_budget: Budget {
                     requests: 4,
-                    tokens: 40_000,
+                    tokens: 120_000,
                 },
+                // Warm after 28 first tokens: 4, 8 and 16 at a time.
+                max_running: 32,
                 ..spec.engine
             },
             ..spec
--- a/standin/src/plain.rs
+++ b/standin/src/plain.rs
@@ -468,7 +468,9 @@
         run.end(End::Whole, false);
         return error(StatusCode::SERVICE_UNAVAILABLE, "refused without proof");
     }
-    actix_rt::time::sleep(Duration::from_millis(late_ms)).await;
+    if late_ms > 0 {
+        actix_rt::time::sleep(Duration::from_millis(late_ms)).await;
+    }
     let key = answer::key(user.as_deref(), bytes);
     let key = if crossed { !key } else { key };
     let named = if crossed {
