--- a/core/src/serving/span.rs
+++ b/core/src/serving/span.rs
@@ -46,6 +46,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Spans {
     allotted: BTreeMap<Attempt, Allotment>,
+    /// Parts whose reservation was asked for and not yet reported.
+    reserving: BTreeMap<Attempt, Parts>,
     /// When the next ask may be sent.
     next_ask: Instant,
 }
@@ -252,6 +254,7 @@
             return false;
         };
         let left = request.deadline.since(self.now).as_millis() as u64;
+        self.spans.reserving.insert(attempt, parts.clone());
         effects.push(Effect::Reserve {
             attempt,
             parts: parts.to_vec(),
@@ -269,21 +272,22 @@
     /// Takes the result of the reservations and dispatches to the head target.
     pub(super) fn reserved(&mut self, attempt: Attempt, all: bool, effects: &mut Vec<Effect>) {
         let id = attempt.request;
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
-        let Stage::Reserving {
-            attempt: waiting,
-            head,
-            parts,
-            ..
-        } = &request.stage
+        let asked = self.spans.reserving.remove(&attempt);
+        let stage = self
+            .requests
+            .get(&id)
+            .map(|request| (request, &request.stage));
+        let Some((request, Stage::Reserving { head, parts, .. })) =
+            stage.filter(|(_, stage)| {
+                matches!(stage, Stage::Reserving { attempt: waiting, .. } if *waiting == attempt)
+            })
         else {
+            // The request ended in between. Its release may have overtaken the reservation.
+            if let Some(parts) = asked.filter(|_| all) {
+                self.release_parts(attempt, &parts, effects);
+            }
             return;
         };
-        if *waiting != attempt {
-            return;
-        }
         let (head, parts) = (*head, parts.clone());
         let prefill = request.cost.prefill_tokens / parts.len().max(1) as u64;
         // A target may have left or turned cold while the engines answered.
