--- a/cli/src/config.rs
+++ b/cli/src/config.rs
@@ -118,7 +118,7 @@
     let outcome = change::send(&client, "/v1/config/apply", &body, bound, &mut progress).await;
     match &outcome {
         Outcome::Conflict(body) => return change::conflict(body, &mine, &what, &id),
-        Outcome::Accepted(version) if base.is_none() => {
+        Outcome::Accepted(version) if comment.is_some() => {
             if let Err(error) = update_comment(path, &text, *version) {
                 progress.note(&format!(
                     "{file}: cannot write the new version into the first line: {error}"
--- a/cli/src/status.rs
+++ b/cli/src/status.rs
@@ -1,5 +1,7 @@
 //! `status`: is the deployment healthy, and if not, what should the operator do?
 
+use std::time::{Duration, Instant};
+
 use awc::http::Method;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -218,9 +220,15 @@
     }
 }
 
-/// Answers whether the deployment is healthy.
-pub async fn status(server: &Server) -> Result {
-    let client = Client::new(server)?;
+/// Time in which a VM that is behind may catch up before it is reported. A VM that starts reports version 0
+/// until its first pull, and reports reach control once a second.
+const SETTLE: Duration = Duration::from_secs(3);
+
+/// Pause between two looks.
+const SETTLE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Asks every control replica; returns the best status and what is wrong with the replicas.
+async fn ask(client: &Client) -> Result<(Option<Status>, Vec<Finding>)> {
     let mut best: Option<Status> = None;
     let mut found = Vec::new();
     for address in client.addresses() {
@@ -257,6 +265,24 @@
             )),
         }
     }
+    Ok((best, found))
+}
+
+/// Answers whether the deployment is healthy.
+pub async fn status(server: &Server) -> Result {
+    let client = Client::new(server)?;
+    let settled = Instant::now() + SETTLE;
+    let (best, mut found) = loop {
+        let (best, found) = ask(&client).await?;
+        let behind = best.as_ref().is_some_and(|status| {
+            let mut vms = status.vms.iter();
+            vms.any(|vm| !vm.is_gone() && vm.version < status.version)
+        });
+        if !behind || Instant::now() >= settled {
+            break (best, found);
+        }
+        actix_rt::time::sleep(SETTLE_PAUSE).await;
+    };
     let mut lines = Vec::new();
     match &best {
         Some(status) => {
--- a/cli/tests/cli/change.rs
+++ b/cli/tests/cli/change.rs
@@ -283,6 +283,25 @@
     );
     let written = std::fs::read_to_string(&file).expect("read");
     assert_eq!(written, edited.replace("// version 4", "// version 5"));
+    // A base on the command line takes the place of the comment, which must be updated all the same.
+    std::fs::write(&file, &edited).expect("write");
+    let output = run(&[
+        "config",
+        "apply",
+        "--control",
+        &control,
+        "--base",
+        "3",
+        name,
+    ]);
+    assert_eq!(output.status.code(), Some(0));
+    let bases: Vec<_> = admin
+        .requests("POST")
+        .iter()
+        .map(|r| r.body["base"].clone())
+        .collect();
+    assert_eq!(bases, [4, 3]);
+    assert_eq!(std::fs::read_to_string(&file).expect("read"), written);
 }
 
 /// Guards against a change without a base, which would overwrite the changes of others.
--- a/cli/tests/cli/status.rs
+++ b/cli/tests/cli/status.rs
@@ -98,3 +98,19 @@
         .filter(|line| !line.starts_with("127.0.0.1:1"));
     insta::assert_snapshot!(text.collect::<Vec<_>>().join("\n"));
 }
+
+/// Guards against an alarm for a VM that was just started, and against health while a VM stays behind.
+#[test]
+fn status_lets_a_started_vm_catch_up() {
+    let healthy_after = |count: usize| {
+        Admin::start(move |_, seen| {
+            let version = if seen < count { 0 } else { 7 };
+            let vms = json!([vm("entry-1", "a", version, "ok")]);
+            let body = json!({ "version": 7, "leader": "control-1", "vms": vms });
+            Answer::Json(200, body)
+        })
+    };
+    let code = |admin: &Admin| run(&["status", "--control", &admin.address.to_string()]).status;
+    assert_eq!(code(&healthy_after(2)).code(), Some(0));
+    assert_eq!(code(&healthy_after(usize::MAX)).code(), Some(1));
+}
