--- a/core/src/serving/reducer.rs
+++ b/core/src/serving/reducer.rs
@@ -62,6 +62,13 @@
 /// Time after which another address under a known name no longer counts as a conflict.
 const CONFLICT_MEMORY: Duration = Duration::from_secs(10);
 
+/// Time between two events after which the process counts as paused. Ticks come every 20 ms.
+const PAUSE_MIN: Duration = Duration::from_secs(1);
+
+/// Time after a pause in which nothing is dispatched. Covers two heartbeats and a round trip, so that
+/// queued messages are read and a higher configuration version is fetched first.
+const PAUSE_SETTLE: Duration = Duration::from_millis(600);
+
 /// Decides for one entry VM.
 #[derive(Debug)]
 pub struct Reducer {
@@ -79,6 +86,8 @@
     pub(super) draining: bool,
     /// Whether waiting requests may find a target since the last try.
     pub(super) reschedule: bool,
+    /// When dispatching starts again after a pause of the process.
+    pub(super) settled_at: Instant,
     pub(super) members: Members,
     pub(super) lease: Lease,
     pub(super) book: Book,
@@ -115,6 +124,7 @@
             zones: Zones::default(),
             counters: Counters::default(),
             draining: false,
+            settled_at: now,
             reschedule: false,
             members: Members::new(now),
             lease: Lease::new(now),
@@ -173,7 +183,13 @@
 
     /// Takes an event that happened at `now` and appends the effects to carry out.
     pub fn apply(&mut self, now: Instant, event: Event, effects: &mut Vec<Effect>) {
-        self.now = self.now.max(now);
+        let now = self.now.max(now);
+        if now.since(self.now) >= PAUSE_MIN {
+            // Messages that queued up during the pause may be outdated; newer ones are behind them.
+            self.settled_at = now + PAUSE_SETTLE;
+            self.reschedule = true;
+        }
+        self.now = now;
         // Deadlines and leases come first, so that nothing is decided on what has expired while the
         // process was paused.
         self.expire(effects);
@@ -383,9 +399,36 @@
             arrival,
         };
         self.requests.insert(id, request);
-        match self.denial(id) {
-            Some(denial) => self.deny(id, denial, effects),
-            None => self.admit(id, effects),
+        // Most requests find a target at once. The prediction for all targets is only needed for
+        // the others, and before a claim.
+        let group = self.table.group(group);
+        let direct = group.waiting == [0; 4];
+        let denial = match self.exclusion(id) {
+            None if !direct => self.denial(id),
+            None if self
+                .requests
+                .get(&id)
+                .is_some_and(|entry| entry.arrival.at_most_once) =>
+            {
+                self.denial(id)
+            }
+            exclusion => exclusion,
+        };
+        if let Some(denial) = denial {
+            self.deny(id, denial, effects);
+            return;
+        }
+        self.admit(id, effects);
+        self.schedule(effects);
+        let waits = self
+            .requests
+            .get(&id)
+            .is_some_and(|request| matches!(request.stage, Stage::Queued));
+        if direct
+            && waits
+            && let Some(denial) = self.denial(id)
+        {
+            self.deny(id, denial, effects);
         }
     }
 
@@ -403,7 +446,7 @@
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        let largest = self.table.largest_memory(request.group);
+        let largest = self.table.group(request.group).largest_memory;
         request.spanning = request.cost.kv_tokens > largest;
         if request.arrival.at_most_once && !request.claimed {
             self.claim(id, effects);
@@ -471,6 +514,9 @@
 
     /// Finds targets for waiting requests.
     fn schedule(&mut self, effects: &mut Vec<Effect>) {
+        if self.now < self.settled_at {
+            return;
+        }
         if !std::mem::take(&mut self.reschedule) || self.queue.len() == 0 {
             return;
         }
@@ -968,7 +1014,16 @@
         }
         let now = self.now;
         let learning = self.members.is_learning(now);
-        for (_, target) in self.table.iter_mut() {
+        let changed: Vec<target::Id> = self
+            .table
+            .iter()
+            .filter(|(_, target)| target.conflict.is_some() || target.cold.assumed)
+            .map(|(id, _)| id)
+            .collect();
+        for id in changed {
+            let Some(target) = self.table.get_mut(id) else {
+                continue;
+            };
             if target
                 .conflict
                 .is_some_and(|(_, at)| now.since(at) > CONFLICT_MEMORY)
@@ -978,6 +1033,7 @@
             let announced_warm = target.announcement.state != State::Cold;
             if target.cold.assumed && target.cold.is_cold() && announced_warm && !learning {
                 target.cold.turn = 1;
+                self.reschedule = true;
             }
         }
         self.abandoned.retain(|_, (until, _)| *until > now);
--- a/entry/src/driver.rs
+++ b/entry/src/driver.rs
@@ -9,10 +9,10 @@
 use awc::Client;
 use primrosepin_core::ledger::Call;
 use primrosepin_core::request::{Attempt, Outcome};
-use primrosepin_core::serving::Reducer;
 use primrosepin_core::serving::effect::{Effect, Notice};
 use primrosepin_core::serving::event::Event;
-use tokio::sync::mpsc;
+use primrosepin_core::serving::{Counters, MemberView, Reducer, TargetView};
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::MissedTickBehavior;
 
 use crate::node::Node;
@@ -33,6 +33,21 @@
     attempts: HashMap<Attempt, JoinHandle<()>>,
 }
 
+/// State of the reducer for operators.
+#[derive(Debug)]
+pub(crate) struct Snapshot {
+    pub(crate) counters: Counters,
+    pub(crate) targets: Vec<TargetView>,
+    pub(crate) members: Vec<MemberView>,
+    /// Epoch of the zone lease, if this process holds it.
+    pub(crate) epoch: Option<u64>,
+    pub(crate) live: usize,
+    pub(crate) waiting: usize,
+}
+
+/// Asks the driver for a snapshot.
+pub(crate) type Query = oneshot::Sender<Snapshot>;
+
 impl Driver {
     pub(crate) fn new(node: Rc<Node>, reducer: Reducer) -> Self {
         Self {
@@ -44,7 +59,11 @@
     }
 
     /// Runs until all senders of events are gone.
-    pub(crate) async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Event>) {
+    pub(crate) async fn run(
+        mut self,
+        mut inbox: mpsc::UnboundedReceiver<Event>,
+        mut queries: mpsc::Receiver<Query>,
+    ) {
         let mut ticks = interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut events = Vec::with_capacity(BATCH_EVENTS);
@@ -55,6 +74,10 @@
                     return;
                 },
                 _ = ticks.tick() => events.push(Event::Tick),
+                Some(query) = queries.recv() => {
+                    // Fails only if the operator's connection is closed.
+                    let _ = query.send(self.snapshot());
+                }
             }
             for event in events.drain(..) {
                 if let Event::Ended { attempt, .. } = &event {
@@ -68,11 +91,27 @@
         }
     }
 
+    fn snapshot(&self) -> Snapshot {
+        Snapshot {
+            counters: self.reducer.counters().clone(),
+            targets: self.reducer.targets(),
+            members: self.reducer.members(),
+            epoch: self.reducer.held_epoch(),
+            live: self.reducer.live(),
+            waiting: self.reducer.waiting(),
+        }
+    }
+
     fn carry_out(&mut self, effect: Effect) {
         let node = &self.node;
         match effect {
             Effect::Dispatch(dispatch) => {
                 let attempt = dispatch.attempt;
+                if let Some(call) = node.call(attempt.request)
+                    && !call.dispatched.replace(true)
+                {
+                    node.metrics.queued(&call);
+                }
                 let run = attempt::run(Rc::clone(node), self.client.clone(), dispatch);
                 self.attempts.insert(attempt, actix_rt::spawn(run));
             }
@@ -124,14 +163,18 @@
                 actix_rt::spawn(handover::run(Rc::clone(node), request, address));
             }
             Effect::Ledger { request, mut call } => {
-                if let Call::Finish {
-                    outcome: Outcome::Answered,
-                    response,
-                    ..
-                } = &mut call
-                {
-                    // The reducer sees no bytes, so the recorded answer is added here.
-                    *response = node.call(request).and_then(|call| call.record());
+                // The reducer sees no bytes, so what depends on them is added here.
+                let served = node.call(request);
+                match &mut call {
+                    Call::Begin { content, .. } => {
+                        *content = served.map_or(0, |served| served.content);
+                    }
+                    Call::Finish {
+                        outcome: Outcome::Answered,
+                        response,
+                        ..
+                    } => *response = served.and_then(|served| served.record()),
+                    Call::Finish { .. } => {}
                 }
                 actix_rt::spawn(ledger::call(Rc::clone(node), request, call));
             }
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -10,14 +10,17 @@
 //!   event in a stream, was checked.
 //! - An attempt ends as `NotRun` only if no byte of it was written or the target refused with proof.
 
+mod admin;
 mod attempt;
 mod callers;
 mod driver;
 mod engine;
 mod handover;
+mod http2;
 mod inforce;
 mod ledger;
 mod listen;
+mod metrics;
 mod node;
 mod outlet;
 mod reconcile;
--- a/tests/src/world/check.rs
+++ b/tests/src/world/check.rs
@@ -1,65 +1,58 @@
 //! Checks of the promises against what engines ran and callers were told.
 
-use super::{DEADLINE_SLACK, Delivery, OUT_BOUND, Run, Stage, World};
+use super::{
+    ANNOUNCEMENT_LEASE, DEADLINE_SLACK, Delivery, OUT_BOUND, Run, SPREAD_BOUND, Stage, World,
+};
 use crate::engine::ANSWER_TOKENS;
 use crate::promise::{Promise, Violation};
 use primrosepin_core::request::{Attempt, End, Id, Outcome};
 use primrosepin_core::serving::event::Event;
-use std::sync::Arc;
-
+use primrosepin_core::target::State;
+use primrosepin_core::time::Instant;
 impl World {
     pub(super) fn violate(&mut self, promise: Promise, detail: String) {
         self.violations.push(Violation { promise, detail });
     }
 
-    pub(super) fn engine_fault_allowed(&self) -> bool {
-        !self.calm
-    }
-
-    pub(super) fn record_run(&mut self, engine: usize, attempt: Attempt) {
-        self.stages.push(Stage::Running);
-        self.runs.push(Run { engine, attempt });
-        let Some(caller) = self.callers.get(&attempt.request) else {
+    /// Checks the budget of a cold engine. Work that was sent before the announcement of the cold state
+    /// could arrive is not counted: no entry VM can know of a target that turned cold without warning.
+    pub(super) fn check_cold(
+        &mut self,
+        index: usize,
+        node: usize,
+        sent: Instant,
+        attempt: Attempt,
+        tokens: u64,
+    ) {
+        let engine = &self.engines[index];
+        let Some(since) = engine
+            .cold_since
+            .filter(|_| engine.announcement.state == State::Cold)
+        else {
             return;
         };
-        if caller.finals.contains(&Outcome::NotRun) {
-            let detail = format!("{attempt:?} ran after the answer not_run");
-            return self.violate(Promise::TrueRefusal, detail);
-        }
-        if !caller.arrival.at_most_once {
+        let known = since + SPREAD_BOUND;
+        let bound = if self.isolated.contains(&node) {
+            since + ANNOUNCEMENT_LEASE
+        } else {
+            known
+        };
+        if sent <= bound {
             return;
         }
-        let key = caller.arrival.key.clone();
-        let runs = self.runs.iter().filter(|run| {
-            self.callers
-                .get(&run.attempt.request)
-                .is_some_and(|caller| caller.arrival.key == key)
-        });
-        let runs: Vec<_> = runs.map(|run| (run.engine, run.attempt)).collect();
-        if runs.len() > 1 {
-            self.violate(Promise::AtMostOnce, format!("key {key:?} ran as {runs:?}"));
-        }
-    }
-
-    pub(super) fn check_out(&mut self, engine: usize, node: usize, attempt: Attempt) {
-        // A node that cannot be reached keeps its last configuration; the promise covers reachable ones.
-        let reachable =
-            !self.isolated.contains(&node) && !self.control_cut.contains(&self.nodes[node].zone);
-        let announcement = &self.engines[engine].announcement;
-        for (name, promise) in [
-            (Arc::clone(&announcement.name), Promise::TargetOut),
-            (Arc::clone(&announcement.zone), Promise::ZoneOut),
-        ] {
-            if reachable
-                && self
-                    .outs
-                    .get(&*name)
-                    .is_some_and(|since| self.now.since(*since) > OUT_BOUND)
-            {
-                let detail = format!("{attempt:?} reaches {name} after its removal");
-                self.violate(promise, detail);
-                return;
-            }
+        let budget = engine.announcement.cold_budget;
+        let counted = || {
+            engine
+                .held
+                .values()
+                .filter(|held| !held.finished && held.sent > known)
+        };
+        let running = counted().count() + 1;
+        let used = counted().map(|held| held.tokens).sum::<u64>() + tokens;
+        if running > budget.requests as usize || (running > 1 && used > budget.tokens) {
+            let detail =
+                format!("{attempt:?} overruns cold engine {index}: {running} with {used} tokens");
+            self.violate(Promise::ColdBudget, detail);
         }
     }
 
@@ -87,6 +80,17 @@
                 format!("{request:?} ended past its deadline"),
             );
         }
+        let caller = &self.callers[&request];
+        if self.nodes[caller.node].shutdown
+            && !self.faulted
+            && outcome != Outcome::Answered
+            && !caller.gone
+        {
+            self.violate(
+                Promise::Graceful,
+                format!("{request:?} got {outcome:?} at shutdown"),
+            );
+        }
         let ran = self.runs.iter().any(|run| run.attempt.request == request);
         if outcome == Outcome::NotRun && ran {
             self.violate(
