cli: Do not count VMs that are ahead of control

Cause: on the operators' walk all control data was removed and control started anew. Entry VMs kept version 8 and ignored the new versions 1 and 2, while apply and zone out reported them as in force at 9 VMs. The test healthy() had a VM ahead of control, which is no healthy state any more. Events are shown once instead of once a round.

--- a/cli/src/config.rs
+++ b/cli/src/config.rs
@@ -1,5 +1,6 @@
 //! Commands on the configuration.
 
+use std::cmp::Ordering;
 use std::path::Path;
 use std::time::{Duration, SystemTime};
 
@@ -199,27 +200,25 @@
     let client = Client::new(server)?;
     let status = Status::new(&client.get("/v1/status").await?)?;
     let version = status.version;
-    let behind: Vec<_> = status
-        .vms
-        .iter()
-        .filter(|vm| !vm.is_gone() && vm.version < version)
+    let live = status.vms.iter().filter(|vm| !vm.is_gone());
+    let others: Vec<_> = live
+        .filter(|vm| status.compare(vm).is_ne())
         .map(|vm| vm.name.clone())
         .collect();
     let mut lines = vec![format!("version {version} is the highest accepted")];
     for vm in &status.vms {
-        let note = if vm.is_gone() {
-            "gone"
-        } else if vm.version < version {
-            "behind"
-        } else {
-            "in force"
+        let note = match status.compare(vm) {
+            _ if vm.is_gone() => "gone",
+            Ordering::Less => "behind",
+            Ordering::Equal => "in force",
+            Ordering::Greater => "ahead of control",
         };
         lines.push(format!(
             "  {:24} {:16} version {:<8} {note}",
             vm.name, vm.zone, vm.version
         ));
     }
-    let exit = if behind.is_empty() {
+    let exit = if others.is_empty() {
         Exit::Done
     } else {
         Exit::Refused
@@ -227,6 +226,6 @@
     Ok(Report::new(
         exit,
         lines.join("\n"),
-        json!({ "version": version, "vms": status.vms, "behind": behind, "gone": status.gone() }),
+        json!({ "version": version, "vms": status.vms, "not_in_force": others, "gone": status.gone() }),
     ))
 }
--- a/cli/src/in_force.rs
+++ b/cli/src/in_force.rs
@@ -64,14 +64,16 @@
             }
         };
         let live = last.vms.iter().filter(|vm| !vm.is_gone());
-        let (ready, behind): (Vec<_>, Vec<_>) = live.partition(|vm| vm.version >= version);
-        let total = ready.len() + behind.len();
+        // A VM ahead of control does not follow it; of a replica that lags only until it catches up.
+        let (ready, others): (Vec<_>, Vec<_>) =
+            live.partition(|vm| vm.version >= version && last.compare(vm).is_le());
+        let total = ready.len() + others.len();
         progress.set(
             ready.len() as u64,
             total as u64,
             &format!("VMs have version {version}"),
         );
-        if behind.is_empty() {
+        if others.is_empty() {
             let text = format!(
                 "{what}: version {version} is in force at {} VMs after {:.1} s{}",
                 ready.len(),
@@ -85,10 +87,10 @@
             ));
         }
         if Instant::now() >= end {
-            let names: Vec<_> = behind.iter().map(|vm| vm.name.clone()).collect();
+            let names: Vec<_> = others.iter().map(|vm| vm.name.clone()).collect();
             let text = format!(
                 "{what}: accepted as version {version}, but after {} s it is not in force at {}{}\n\
-                 Run primrosepin config status to follow it.",
+                 Run primrosepin status to learn why.",
                 bound.as_secs(),
                 names.join(", "),
                 gone(&last)
@@ -96,7 +98,7 @@
             return Ok(Report::new(
                 Exit::Refused,
                 text,
-                json!({ "version": version, "behind": names, "gone": last.gone() }),
+                json!({ "version": version, "not_in_force": names, "gone": last.gone() }),
             ));
         }
         actix_rt::time::sleep(POLL_PAUSE).await;
--- a/cli/src/progress.rs
+++ b/cli/src/progress.rs
@@ -1,5 +1,6 @@
 //! Progress on standard error: a bar on a terminal, otherwise a line for each change.
 
+use std::collections::HashSet;
 use std::io::{IsTerminal, Write};
 
 use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
@@ -9,6 +10,7 @@
 pub struct Progress {
     bar: Option<ProgressBar>,
     last: String,
+    noted: HashSet<String>,
 }
 
 impl Default for Progress {
@@ -31,6 +33,7 @@
         Self {
             bar,
             last: String::new(),
+            noted: HashSet::new(),
         }
     }
 
@@ -46,8 +49,11 @@
         }
     }
 
-    /// Shows an event.
+    /// Shows an event, once: resends repeat the same ones.
     pub fn note(&mut self, message: &str) {
+        if !self.noted.insert(message.to_owned()) {
+            return;
+        }
         match &self.bar {
             Some(bar) => bar.println(message),
             None => self.line(message.to_owned()),
--- a/cli/src/status.rs
+++ b/cli/src/status.rs
@@ -1,5 +1,6 @@
 //! `status`: is the deployment healthy, and if not, what should the operator do?
 
+use std::cmp::Ordering;
 use std::time::{Duration, Instant};
 
 use awc::http::Method;
@@ -79,6 +80,13 @@
         })
     }
 
+    /// Returns whether the VM uses the configuration that control has, as far as this replica knows:
+    /// `Less` if it is behind, `Greater` if it is ahead. A VM stays ahead of a control that lost its data,
+    /// and ignores its changes.
+    pub fn compare(&self, vm: &Vm) -> Ordering {
+        vm.version.cmp(&self.version)
+    }
+
     /// Returns the names of the VMs that are gone.
     pub fn gone(&self) -> Vec<&str> {
         let gone = self.vms.iter().filter(|vm| vm.is_gone());
@@ -186,8 +194,10 @@
             }),
             _ => {}
         }
-        if !vm.is_gone() && vm.version < status.version {
-            found.push(problem(
+        match status.compare(vm) {
+            _ if vm.is_gone() => {}
+            Ordering::Equal => {}
+            Ordering::Less => found.push(problem(
                 format!(
                     "{place} has configuration version {}, accepted is {}",
                     vm.version, status.version
@@ -195,7 +205,16 @@
                 "look again in 10 s; if it stays, check the QUIC ports (\"peers\") between it and \
                  control"
                     .into(),
-            ));
+            )),
+            Ordering::Greater => found.push(problem(
+                format!(
+                    "{place} has configuration version {}, higher than the {} of control, and \
+                     ignores changes",
+                    vm.version, status.version
+                ),
+                "control has lost its data (docs/operators.md, \"Replace a lost control VM\")"
+                    .into(),
+            )),
         }
     }
     let zones: std::collections::BTreeSet<&str> =
@@ -220,8 +239,8 @@
     }
 }
 
-/// Time in which a VM that is behind may catch up before it is reported. A VM that starts reports version 0
-/// until its first pull, and reports reach control once a second.
+/// Time in which versions may become equal before a difference is reported. A VM that starts reports
+/// version 0 until its first pull, and reports reach control once a second.
 const SETTLE: Duration = Duration::from_secs(3);
 
 /// Pause between two looks.
@@ -274,11 +293,11 @@
     let settled = Instant::now() + SETTLE;
     let (best, mut found) = loop {
         let (best, found) = ask(&client).await?;
-        let behind = best.as_ref().is_some_and(|status| {
+        let differs = best.as_ref().is_some_and(|status| {
             let mut vms = status.vms.iter();
-            vms.any(|vm| !vm.is_gone() && vm.version < status.version)
+            vms.any(|vm| !vm.is_gone() && status.compare(vm).is_ne())
         });
-        if !behind || Instant::now() >= settled {
+        if !differs || Instant::now() >= settled {
             break (best, found);
         }
         actix_rt::time::sleep(SETTLE_PAUSE).await;
--- a/cli/tests/cli/change.rs
+++ b/cli/tests/cli/change.rs
@@ -56,10 +56,10 @@
     assert!(admin.requests("GET").len() >= 3);
 }
 
-/// Guards against a control replica that lags behind and lists no VMs, so that the change seems to be in
-/// force everywhere.
+/// Guards against changes that seem to be in force: at a control replica that lags behind and lists no VMs,
+/// and at VMs that are ahead of a control that lost its data.
 #[test]
-fn lagging_replica_does_not_count() {
+fn only_the_version_of_control_counts() {
     let behind = || {
         Answer::Json(
             200,
@@ -74,6 +74,21 @@
     let control = admin.address.to_string();
     let (code, json) = run_json(&["zone", "in", "--control", &control, "a"]);
     assert_eq!((code, &json["vms"]), (0, &json!(2)));
+    // VMs that are ahead of control keep their configuration.
+    let ahead = Admin::start(|request, _| {
+        if is_status(request) {
+            let vms = json!([{ "name": "entry-1", "version": 8, "state": "ok" }]);
+            Answer::Json(
+                200,
+                json!({ "version": 1, "leader": "control-1", "vms": vms }),
+            )
+        } else {
+            accepted(1)
+        }
+    });
+    let control = ahead.address.to_string();
+    let (code, json) = run_json(&["zone", "in", "--control", &control, "--wait", "0", "a"]);
+    assert_eq!((code, &json["not_in_force"]), (1, &json!(["entry-1"])));
     let lagging = Admin::start(move |request, _| {
         if is_status(request) {
             behind()
@@ -112,7 +127,7 @@
         "worker-1",
     ]);
     assert_eq!(code, 1);
-    assert_eq!(json["behind"], json!(["entry-1", "entry-2"]));
+    assert_eq!(json["not_in_force"], json!(["entry-1", "entry-2"]));
     assert_eq!(
         admin.requests("POST /v1/targets/worker-1")[0].body["out"],
         false
--- a/cli/tests/cli/status.rs
+++ b/cli/tests/cli/status.rs
@@ -28,7 +28,7 @@
     let status = json!({
         "version": 7, "leader": "control-1",
         "replicas": [replica("control-1", true, true), replica("control-2", true, true)],
-        "vms": [vm("entry-1", "a", 7, "ok"), vm("entry-2", "b", 8, "ok")],
+        "vms": [vm("entry-1", "a", 7, "ok"), vm("entry-2", "b", 7, "ok")],
     });
     assert_eq!(shown(&status), "");
 }
@@ -45,7 +45,7 @@
         "vms": [
             vm("entry-1", "a", 6, "ok"), vm("entry-2", "a", 7, "gone"),
             vm("entry-3", "b", 1, "gone"), vm("entry-4", "c", 7, "suspect"),
-            vm("entry-5", "c", 7, "draining"),
+            vm("entry-5", "c", 7, "draining"), vm("entry-6", "c", 8, "ok"),
         ],
         "zones_out": ["c"], "targets_out": ["worker-1"],
     });
