--- a/telemetry/src/metrics.rs
+++ b/telemetry/src/metrics.rs
@@ -29,10 +29,12 @@
 /// the limit are counted by the library under `otel_metric_overflow`.
 const MAX_SERIES: usize = (MAX_ORGANISATIONS + 1) * 4;
 
-/// Bounds of histograms in seconds, from a relay's share of a millisecond to the longest deadline.
-pub const SECONDS_BOUNDS: [f64; 16] = [
-    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, 60.0, 180.0,
-    600.0,
+/// Bounds of histograms in seconds, from a relay's share of a millisecond to the longest deadline. The
+/// targets for time between tokens (74 ms) and to the first token (1.2 s) are among them, so that the share of
+/// requests within a target is exact.
+pub const SECONDS_BOUNDS: [f64; 18] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.074, 0.1, 0.25, 0.5, 1.0, 1.2, 2.5, 5.0, 15.0, 60.0,
+    180.0, 600.0,
 ];
 
 /// Bounds of histograms in tokens; the class limits are among them.
