core: Test the registry

Each test names a fault: double wins on one base, lost outcomes, keys claimed twice or blocked, clocks that go back, unbounded memory, two issuers of orders, too many loads from the weight store.

--- /dev/null
+++ b/core/tests/registry.rs
@@ -0,0 +1,391 @@
+//! The replicated state machine of control.
+
+use std::sync::Arc;
+
+use primrosepin_core::inventory::{Inventory, Rules, Zone};
+use primrosepin_core::ledger::{Answer, Call, Key, Response};
+use primrosepin_core::registry::{
+    CLOCK_BOUND_MS, Command, MAX_OUTCOMES, MAX_RESPONSE_BYTES, Outcome, State, Subject,
+    TRANSIT_BOUND_MS,
+};
+use primrosepin_core::request;
+use primrosepin_core::vm::{Incarnation, Instance};
+
+const BOUNDS_MS: u64 = CLOCK_BOUND_MS + TRANSIT_BOUND_MS;
+
+fn zone(name: &str) -> Zone {
+    Zone {
+        name: name.into(),
+        region: "sk-west".into(),
+        entries: vec![format!("{name}-entry").into()],
+    }
+}
+
+fn inventory(zones: &[&str]) -> Inventory {
+    Inventory {
+        zones: zones.iter().map(|name| zone(name)).collect(),
+        rules: Rules {
+            ledger_retention_s: 100,
+            ..Rules::default()
+        },
+        ..Inventory::default()
+    }
+}
+
+fn apply(id: &str, base: u64, content: u64, zones: &[&str]) -> Command {
+    Command::Apply {
+        id: id.into(),
+        now_ms: 1,
+        content,
+        base,
+        inventory: inventory(zones),
+    }
+}
+
+fn zone_out(id: &str, name: &str, out: bool) -> Command {
+    Command::SetOut {
+        id: id.into(),
+        now_ms: 1,
+        subject: Subject::Zone(name.into()),
+        out,
+    }
+}
+
+fn vm(name: &str) -> Instance {
+    Instance {
+        name: name.into(),
+        incarnation: Incarnation(1),
+    }
+}
+
+fn begin(now_ms: u64, key: &str, request: u128, content: u64) -> Command {
+    let call = Call::Begin {
+        key: Key {
+            organisation: "club".into(),
+            key: key.into(),
+        },
+        holder: vm("entry-1"),
+        request: request::Id(request),
+        expires_ms: 1_000,
+        content,
+    };
+    Command::Ledger { now_ms, call }
+}
+
+fn finish(
+    now_ms: u64,
+    key: &str,
+    request: u128,
+    outcome: request::Outcome,
+    body: usize,
+) -> Command {
+    let call = Call::Finish {
+        key: Key {
+            organisation: "club".into(),
+            key: key.into(),
+        },
+        holder: vm("entry-1"),
+        request: request::Id(request),
+        outcome,
+        response: Some(response(body)),
+    };
+    Command::Ledger { now_ms, call }
+}
+
+fn response(body: usize) -> Response {
+    Response {
+        status: 200,
+        content_type: "text/plain".into(),
+        body: vec![b'x'; body],
+    }
+}
+
+fn finished(outcome: request::Outcome, body: Option<usize>) -> Outcome {
+    Outcome::Ledger(Answer::Finished {
+        outcome,
+        response: body.map(response),
+    })
+}
+
+fn issue(now_ms: u64, id: &str, target: &str, issuer: &str, loads: bool) -> Command {
+    Command::Issue {
+        id: id.into(),
+        now_ms,
+        target: target.into(),
+        issuer: vm(issuer),
+        loads,
+        lease_ms: 10_000,
+    }
+}
+
+const CLAIMED: Outcome = Outcome::Ledger(Answer::Claimed);
+const RECORDED: Outcome = Outcome::Ledger(Answer::Recorded);
+
+/// Sends the state through its encoding, as a snapshot does.
+fn through_snapshot(state: &State) -> State {
+    let decoded: State = postcard::from_bytes(&postcard::to_allocvec(state).unwrap()).unwrap();
+    assert_eq!(decoded, *state);
+    decoded
+}
+
+/// Guards against two winners on one base version, and against a resend that is applied again or gets
+/// another outcome, also after a snapshot and for a loser.
+#[test]
+fn one_change_on_a_base_wins_and_resends_get_the_first_outcome() {
+    let mut state = State::default();
+    assert_eq!(
+        state.apply(&apply("a", 0, 1, &["x", "y"])),
+        Outcome::Accepted { version: 1 }
+    );
+    assert_eq!(
+        state.apply(&apply("b", 0, 2, &["z"])),
+        Outcome::Conflict { version: 1 }
+    );
+    assert_eq!(
+        state.apply(&zone_out("c", "y", true)),
+        Outcome::Accepted { version: 2 }
+    );
+    let mut state = through_snapshot(&state);
+    assert_eq!(
+        state.apply(&apply("a", 0, 1, &["x", "y"])),
+        Outcome::Accepted { version: 1 }
+    );
+    assert_eq!(
+        state.apply(&apply("b", 0, 2, &["z"])),
+        Outcome::Conflict { version: 1 }
+    );
+    assert_eq!(state.apply(&apply("a", 2, 1, &["x", "y"])), Outcome::Reused);
+    assert_eq!(state.apply(&zone_out("c", "x", true)), Outcome::Reused);
+    // Zones that are out stay out as long as they exist.
+    assert_eq!(
+        state.apply(&apply("d", 2, 3, &["y"])),
+        Outcome::Accepted { version: 3 }
+    );
+    assert_eq!(state.config().unwrap().zones_out, [Arc::from("y")]);
+    assert_eq!(
+        state.apply(&apply("e", 3, 3, &["x"])),
+        Outcome::Accepted { version: 4 }
+    );
+    assert!(state.config().unwrap().zones_out.is_empty());
+    assert_eq!(state.apply(&zone_out("f", "y", true)), Outcome::Unknown);
+    let versions: Vec<_> = state
+        .history()
+        .iter()
+        .map(|change| change.version)
+        .collect();
+    assert_eq!(versions, [1, 2, 3, 4]);
+}
+
+/// Guards against a memory of outcomes that grows without limit or forgets recent calls.
+#[test]
+fn the_memory_of_outcomes_is_bounded() {
+    let mut state = State::default();
+    state.apply(&apply("first", 0, 1, &["x"]));
+    for number in 0..MAX_OUTCOMES {
+        state.apply(&zone_out(&number.to_string(), "x", number % 2 == 0));
+    }
+    let version = state.version();
+    assert_eq!(
+        state.apply(&zone_out("0", "x", true)),
+        Outcome::Accepted { version: 2 }
+    );
+    assert_eq!(
+        state.apply(&apply("first", 0, 1, &["x"])),
+        Outcome::Conflict { version }
+    );
+}
+
+/// Guards against a request that runs twice: a key is claimed by one request only, whatever is resent.
+#[test]
+fn a_key_is_claimed_once() {
+    let mut state = State::default();
+    state.apply(&apply("a", 0, 1, &["x"]));
+    assert_eq!(state.apply(&begin(10, "k", 1, 7)), CLAIMED);
+    assert_eq!(state.apply(&begin(11, "k", 1, 7)), CLAIMED);
+    assert_eq!(
+        state.apply(&begin(12, "k", 2, 7)),
+        Outcome::Ledger(Answer::InFlight)
+    );
+    assert_eq!(
+        state.apply(&begin(12, "k", 1, 8)),
+        Outcome::Ledger(Answer::Conflict)
+    );
+    let stranger = finish(13, "k", 2, request::Outcome::NotRun, 0);
+    assert_eq!(state.apply(&stranger), Outcome::Ledger(Answer::InFlight));
+    let mut state = through_snapshot(&state);
+    assert_eq!(
+        state.apply(&finish(14, "k", 1, request::Outcome::Answered, 3)),
+        RECORDED
+    );
+    assert_eq!(
+        state.apply(&finish(15, "k", 1, request::Outcome::Answered, 3)),
+        RECORDED
+    );
+    let answered = finished(request::Outcome::Answered, Some(3));
+    assert_eq!(
+        state.apply(&finish(16, "k", 1, request::Outcome::NotRun, 3)),
+        answered
+    );
+    assert_eq!(state.apply(&begin(17, "k", 1, 7)), answered);
+    assert_eq!(state.apply(&begin(17, "k", 2, 7)), answered);
+    // Forgotten after the retention period of 100 s.
+    assert_eq!(state.apply(&begin(100_013, "k", 3, 7)), answered);
+    assert_eq!(state.apply(&begin(100_014, "k", 3, 7)), CLAIMED);
+}
+
+/// Guards against a key that stays blocked although its request was certainly not run.
+#[test]
+fn a_request_that_was_not_run_releases_its_key() {
+    let mut state = State::default();
+    state.apply(&begin(10, "k", 1, 7));
+    let not_run = finish(11, "k", 1, request::Outcome::NotRun, 0);
+    assert_eq!(state.apply(&not_run), RECORDED);
+    assert_eq!(state.apply(&not_run), RECORDED);
+    assert_eq!(state.apply(&begin(12, "k", 2, 9)), CLAIMED);
+    assert_eq!(state.ledger_entries(), 1);
+}
+
+/// Guards against a key that is in flight for ever after its entry VM died, against a second run of it, and
+/// against a leader whose clock is behind and brings expired entries back.
+#[test]
+fn an_entry_without_a_report_reads_as_unknown() {
+    let mut state = State::default();
+    state.apply(&begin(10_000, "k", 1, 7));
+    assert_eq!(
+        state.apply(&begin(10_999, "k", 2, 7)),
+        Outcome::Ledger(Answer::InFlight)
+    );
+    let unknown = finished(request::Outcome::Unknown, None);
+    assert_eq!(state.apply(&begin(11_000, "k", 2, 7)), unknown);
+    assert_eq!(state.apply(&begin(5_000, "k", 2, 7)), unknown);
+    assert_eq!(state.apply(&begin(5_000, "k", 1, 7)), unknown);
+    assert_eq!(state.now_ms(), 11_000);
+    // The holder knows more, even if late.
+    assert_eq!(
+        state.apply(&finish(12_000, "k", 1, request::Outcome::Failed, 1)),
+        RECORDED
+    );
+    let failed = finished(request::Outcome::Failed, Some(1));
+    assert_eq!(state.apply(&begin(12_001, "k", 2, 7)), failed);
+}
+
+/// Guards against a state machine that grows with the responses of a day; outcomes must stay.
+#[test]
+fn recorded_responses_are_bounded() {
+    let mut state = State::default();
+    let body = 64 * 1024;
+    let fit = (MAX_RESPONSE_BYTES / body) as u128;
+    for request in 0..=fit {
+        let key = request.to_string();
+        state.apply(&begin(request as u64, &key, request, 7));
+        let answered = request::Outcome::Answered;
+        state.apply(&finish(request as u64, &key, request, answered, body));
+    }
+    let answered = request::Outcome::Answered;
+    let now = fit as u64;
+    assert_eq!(
+        state.apply(&begin(now, "0", 0, 7)),
+        finished(answered, None)
+    );
+    assert_eq!(
+        state.apply(&begin(now, "1", 1, 7)),
+        finished(answered, Some(body))
+    );
+    state.apply(&begin(now, "large", 1 << 64, 7));
+    state.apply(&finish(now, "large", 1 << 64, answered, body + 1));
+    assert_eq!(
+        state.apply(&begin(now, "large", 1, 7)),
+        finished(answered, None)
+    );
+}
+
+/// Guards against two issuers of orders for one target, against fencing numbers that do not grow, and
+/// against an order that overtakes an earlier issuer's at a target that does not check fencing.
+#[test]
+fn orders_have_one_issuer_and_growing_fencing_numbers() {
+    let mut state = State::default();
+    let issued = |fencing, wait_ms| Outcome::Issued { fencing, wait_ms };
+    assert_eq!(
+        state.apply(&issue(1_000, "a", "t", "entry-1", false)),
+        issued(1, 0)
+    );
+    assert_eq!(
+        state.apply(&issue(1_001, "a", "t", "entry-1", false)),
+        issued(1, 0)
+    );
+    assert_eq!(
+        state.apply(&issue(1_001, "a", "t", "entry-2", false)),
+        Outcome::Reused
+    );
+    let busy = Outcome::Busy {
+        retry_after_ms: 9_000,
+    };
+    assert_eq!(state.apply(&issue(2_000, "b", "t", "entry-2", false)), busy);
+    assert_eq!(
+        state.apply(&issue(2_000, "c", "t", "entry-1", false)),
+        issued(2, 0)
+    );
+    // The lease of the last order of entry-1 ends at 12,000.
+    assert_eq!(
+        state.apply(&issue(12_000, "d", "t", "entry-2", false)),
+        issued(3, BOUNDS_MS)
+    );
+    assert_eq!(
+        state.apply(&issue(12_100, "d", "t", "entry-2", false)),
+        issued(3, BOUNDS_MS - 100)
+    );
+    assert_eq!(
+        state.apply(&Command::Complete { id: "d".into() }),
+        Outcome::Completed
+    );
+    let mut state = through_snapshot(&state);
+    // The order of entry-1 may still be on its way.
+    let wait = BOUNDS_MS - 200;
+    assert_eq!(
+        state.apply(&issue(12_200, "e", "t", "entry-3", false)),
+        issued(4, wait)
+    );
+    assert_eq!(
+        state.apply(&issue(99_000, "f", "t", "entry-1", false)),
+        issued(5, 0)
+    );
+}
+
+/// Guards against more loads from the weight store than the rules allow, and against permits that are
+/// lost with their holder.
+#[test]
+fn weight_store_permits_are_limited_and_return() {
+    let mut state = State::default();
+    let issued = |outcome| matches!(outcome, Outcome::Issued { .. });
+    assert!(issued(state.apply(&issue(0, "a", "t1", "entry-1", true))));
+    assert!(issued(
+        state.apply(&issue(1_000, "b", "t2", "entry-1", true))
+    ));
+    // Two permits by default; the first returns after its lease and the bounds.
+    let busy = |retry_after_ms| Outcome::Busy { retry_after_ms };
+    assert_eq!(
+        state.apply(&issue(1_000, "c", "t3", "entry-1", true)),
+        busy(9_000 + BOUNDS_MS)
+    );
+    assert!(issued(
+        state.apply(&issue(1_000, "d", "t4", "entry-1", false))
+    ));
+    state.apply(&Command::Complete { id: "b".into() });
+    assert!(issued(
+        state.apply(&issue(1_000, "c", "t3", "entry-1", true))
+    ));
+    assert!(!issued(state.apply(&issue(
+        9_999 + BOUNDS_MS,
+        "e",
+        "t5",
+        "entry-1",
+        true
+    ))));
+    assert!(issued(state.apply(&issue(
+        10_000 + BOUNDS_MS,
+        "e",
+        "t5",
+        "entry-1",
+        true
+    ))));
+}
