core: Test credits of lost VMs, zone-wide usage and split limits

Cause: trial changes that broke these rules passed the tests, and a request that the cold budget could not hold kept smaller ones from asking. Change: tests that fail when holdings, unreachable credits, peers' usage, limit splitting, late reports or the penalty beside long work are ignored. A request pauses after a denied credit.

--- a/core/src/serving/credit.rs
+++ b/core/src/serving/credit.rs
@@ -26,9 +26,13 @@
 /// Time after which an unanswered ask is given up.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Pause after a denial or an unanswered ask.
+/// Pause of a target after a denial or an unanswered ask.
 const DENIED_PAUSE: Duration = Duration::from_millis(100);
 
+/// Pause of a request after a denial. It is longer than the target's, so that a request that needs
+/// less of the budget gets its turn.
+const ASK_PAUSE: Duration = Duration::from_millis(300);
+
 /// Longest time for which a credit of an unreachable VM can matter: the dispatch limit, the
 /// engine's lease and the transit.
 const CREDIT_LEASE: Duration = Duration::from_millis(ENGINE_LEASE_MS + 2_000);
@@ -238,6 +242,7 @@
             return false;
         };
         request.stage = Stage::Queued;
+        request.ask_after = self.now + ASK_PAUSE;
         if let Some(target) = self.table.same_mut(choice.target, generation) {
             target.asks = target.asks.saturating_sub(1);
             target.denied_until = self.now + DENIED_PAUSE;
--- a/core/src/serving/reducer.rs
+++ b/core/src/serving/reducer.rs
@@ -392,6 +392,7 @@
             started: false,
             delivered: 0,
             failed_on: SmallVec::new(),
+            ask_after: self.now,
             refused_by: SmallVec::new(),
             claimed: false,
             spanning: false,
@@ -537,7 +538,8 @@
             let Some(request) = self.requests.get(&id) else {
                 continue;
             };
-            if request.failed_on.is_empty() && !request.spanning {
+            let alike = request.failed_on.is_empty() && request.ask_after <= self.now;
+            if alike && !request.spanning {
                 blocked.push((request.group, request.class));
             } else {
                 skipped.push(id);
@@ -564,7 +566,7 @@
             excluded: &request.failed_on,
             cached: &cached,
             aged,
-            credits: self.has_coordinator(),
+            credits: self.has_coordinator() && request.ask_after <= self.now,
         };
         let choice = self.placement.choose(
             self.settings.policy,
--- a/core/src/serving/request.rs
+++ b/core/src/serving/request.rs
@@ -37,6 +37,8 @@
     pub delivered: u32,
     /// Targets on which an attempt failed.
     pub failed_on: SmallVec<[Id; 2]>,
+    /// From when the request may ask for a cold credit, so that others can ask after a denial.
+    pub ask_after: Instant,
     /// Zones that refused the request.
     pub refused_by: SmallVec<[Arc<str>; 1]>,
     /// Whether the ledger may hold a claim for the request.
--- a/core/tests/serving_policy.rs
+++ b/core/tests/serving_policy.rs
@@ -33,10 +33,14 @@
         !long.is_empty() && long.len() <= 3,
         "long work is bounded: {long:?}"
     );
-    for id in 20..40 {
+    // The other targets stay preferable when they run several short requests each.
+    for id in 20..35 {
         let short = dispatched(&host.arrive(prompt(id, 1_000)));
         assert!(long.iter().all(|long| long.target != short.target));
-        host.end(short.attempt, WHOLE);
+        host.apply(Event::Progress {
+            attempt: short.attempt,
+            tokens: 1,
+        });
     }
 }
 
@@ -68,9 +72,16 @@
 fn own_dispatches_count() {
     let mut host = Host::alone();
     fleet(&mut host, 4);
-    let mut targets: Vec<_> = (0..4)
-        .map(|id| dispatched(&host.arrive(prompt(id, 4_000))).target)
-        .collect();
+    let mut targets = Vec::new();
+    for id in 0..4 {
+        targets.push(dispatched(&host.arrive(prompt(id, 4_000))).target);
+        // A report that was made before the dispatch arrives after it.
+        for number in 0..4 {
+            let mut report = engine(&format!("t{number:02}"), 101 + number);
+            report.seq = 2 + id as u64;
+            host.announce(report);
+        }
+    }
     targets.sort();
     targets.dedup();
     assert_eq!(targets.len(), 4);
--- a/core/tests/serving_zone.rs
+++ b/core/tests/serving_zone.rs
@@ -221,6 +221,129 @@
     );
 }
 
+/// Guards against credits of VMs that cannot be reached: they count until they must have run out.
+#[test]
+fn unreachable_credits_count() {
+    let mut fleet = Fleet::new(5);
+    let mut targets = [cold("t1", 101)];
+    targets[0].cold_budget.requests = 1;
+    fleet.pass_with(6_000, &mut targets);
+    let first = fleet.coordinators()[0];
+    let others: Vec<usize> = (0..5).filter(|&index| index != first).collect();
+    assert_eq!(fleet.arrive(others[0], prompt(1, 1_000)).len(), 1);
+    fleet.cut = vec![first, others[0]];
+    let sent = |fleet: &Fleet, index: usize| fleet.hosts[index].reducer.counters().dispatched;
+    let mut waited = 0;
+    for second in 0..30 {
+        targets[0].seq += 1;
+        for host in &mut fleet.hosts {
+            host.announce(targets[0].clone());
+        }
+        let mut arrival = prompt(100 + second, 1_000);
+        arrival.repeatable = false;
+        fleet.arrive(others[1], arrival);
+        fleet.pass(1_000);
+        if sent(&fleet, others[1]) > 0 {
+            break;
+        }
+        waited += 1;
+    }
+    // Membership and lease end after 3 s each, the engine's lease and the transit after 12 s.
+    assert!(
+        (14..28).contains(&waited),
+        "credits resumed after {waited} s"
+    );
+}
+
+/// Guards against a new coordinator that forgets the tokens of credits that members hold.
+#[test]
+fn holdings_keep_their_tokens() {
+    let mut fleet = Fleet::new(3);
+    let mut targets = [cold("t1", 101)];
+    targets[0].cold_budget = Budget {
+        requests: 4,
+        tokens: 1_500,
+    };
+    fleet.pass_with(6_000, &mut targets);
+    let first = fleet.coordinators()[0];
+    let (holder, third) = ((first + 1) % 3, (first + 2) % 3);
+    let sent = fleet.arrive(holder, prompt(1, 1_000));
+    fleet.cut = vec![first];
+    for _ in 0..20 {
+        targets[0].seq += 1;
+        for host in &mut fleet.hosts {
+            host.announce(targets[0].clone());
+        }
+        fleet.hosts[holder].apply(Event::Progress {
+            attempt: sent[0].attempt,
+            tokens: 1,
+        });
+        fleet.pass(1_000);
+    }
+    assert!(fleet.arrive(third, prompt(2, 1_000)).is_empty());
+    fleet.arrive(third, prompt(3, 400));
+    fleet.pass(240);
+    let third_sent = dispatches(&fleet.hosts[third].log);
+    assert_eq!(third_sent.len(), 1, "the rest of the budget is usable");
+    assert_eq!(third_sent[0].attempt.request, prompt(3, 0).id);
+}
+
+/// Guards against organisations that get a full share at each VM: usage counts over the zone.
+#[test]
+fn usage_counts_over_the_zone() {
+    let mut fleet = Fleet::new(2);
+    let mut targets = [engine("t1", 101)];
+    targets[0].max_running = 2;
+    fleet.pass_with(2_000, &mut targets);
+    fleet.arrive(0, prompt(1, 3_000));
+    fleet.arrive(0, prompt(2, 3_000));
+    fleet.pass_with(400, &mut targets);
+    let mut red = prompt(20, 1_000);
+    red.organisation = "red".into();
+    assert!(fleet.arrive(1, prompt(10, 1_000)).is_empty());
+    assert!(fleet.arrive(1, red).is_empty());
+    fleet.hosts[0].end(attempt(1, 0), WHOLE);
+    fleet.pass_with(600, &mut targets);
+    let first = dispatches(&fleet.hosts[1].log);
+    assert_eq!(first[0].attempt.request, prompt(20, 0).id);
+}
+
+/// Guards against a concurrency limit that holds at each VM instead of in the zone.
+#[test]
+fn limit_is_split() {
+    let mut fleet = Fleet::new(3);
+    let mut config = config(2, &["e1", "e2", "e3"]);
+    config.inventory.organisations[0].max_running = 6;
+    let config = Arc::new(config);
+    let mut targets: Vec<_> = (0..6).map(|n| engine(&format!("t{n}"), 101 + n)).collect();
+    for host in &mut fleet.hosts {
+        host.apply(Event::Configured(Arc::clone(&config)));
+    }
+    fleet.pass_with(2_000, &mut targets);
+    fleet.cut = vec![2];
+    fleet.pass_with(1_400, &mut targets);
+    for id in 0..10 {
+        fleet.arrive(0, prompt(id, 10));
+    }
+    let running = |fleet: &Fleet, index: usize| -> u32 {
+        let targets = fleet.hosts[index].reducer.targets();
+        targets.iter().map(|target| target.running).sum()
+    };
+    assert_eq!(
+        running(&fleet, 0),
+        2,
+        "an equal part while a member is silent"
+    );
+    fleet.pass_with(400, &mut targets);
+    fleet.cut.clear();
+    fleet.pass_with(600, &mut targets);
+    assert_eq!(
+        running(&fleet, 0),
+        6,
+        "all of it once the others have no demand"
+    );
+}
+
 /// Guards against a target that one VM found cold and the others keep loading.
 #[test]
 fn cold_state_spreads() {
