core: Do not take answers that are not streamed for silent connections

Cause: the header of an answer that is not streamed comes with its last token. It counted as silence 2 s after the predicted first token, and the attempt was resumed as a stream, which loses the answer. Change: before the response header, silence counts after the time for the longest answer. Only an attempt with a header is resumed; without one a request that may be repeated goes to another target. Silence on a live target no longer counts as a late first token. A flag in Arrival for streamed requests would let streams be probed earlier.

--- a/core/src/serving/health.rs
+++ b/core/src/serving/health.rs
@@ -2,7 +2,8 @@
 //!
 //! A silent connection says nothing about its target. The target is probed on a new connection
 //! first; if it answers, the stream is resumed on a new connection, and if not, the attempt counts
-//! as lost.
+//! as lost. Without a response header there may be no stream to resume, so that a request that may
+//! be repeated goes to another target.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -101,12 +102,15 @@
             let Some(run) = request.run_mut() else {
                 continue;
             };
-            let due = if run.first_token {
-                run.last_progress
-            } else {
-                run.last_progress
-                    .max(run.sent + Duration::from_micros(run.ttft_us))
+            let due_us = match (run.first_token, run.header) {
+                (true, _) => 0,
+                (false, true) => run.ttft_us,
+                // The header of an answer that is not streamed comes with its last token.
+                (false, false) => run.ttft_us + run.decode_us,
             };
+            let due = run
+                .last_progress
+                .max(run.sent + Duration::from_micros(due_us));
             let patience = SILENCE * (1 << run.silences.min(SILENCES_MAX));
             if !run.probed && run.silences < SILENCES_MAX && due + patience <= self.now {
                 run.probed = true;
@@ -186,19 +190,26 @@
         };
         let delivered = request.delivered;
         let at_most_once = request.arrival.at_most_once;
+        let repeatable = request.arrival.repeatable;
         let Some(run) = request.run_mut() else {
             return;
         };
         run.probed = false;
         run.silences += 1;
-        let attempt = run.attempt;
+        let (attempt, engine, header) = (run.attempt, run.engine, run.header);
         if alive {
-            // Only an engine can continue a stream on another connection.
-            if run.engine && !at_most_once {
+            if !engine || at_most_once {
+                // It may be running and cannot be continued; the answer may still come.
+                return;
+            }
+            if header {
                 effects.push(Effect::Abort(attempt));
                 self.resume(id, effects);
+                return;
+            }
+            if !repeatable {
+                return;
             }
-            return;
         }
         effects.push(Effect::Abort(attempt));
         let end = if delivered > 0 {
--- a/core/src/serving/reducer.rs
+++ b/core/src/serving/reducer.rs
@@ -663,7 +663,7 @@
             lease_ms: ENGINE_LEASE_MS,
             fresh_connection: false,
             resume: None,
-            parts: parts.clone(),
+            parts: parts.iter().copied().collect(),
         }));
         request.stage = Stage::Running(Run {
             attempt,
@@ -676,7 +676,9 @@
             prefill_tokens: choice.prefill_tokens,
             sent: self.now,
             ttft_us: choice.ttft_us as u64,
+            decode_us: target.decode_us(request.arrival.max_tokens) as u64,
             last_progress: self.now,
+            header: false,
             first_token: false,
             healthy: false,
             probed: false,
@@ -697,6 +699,7 @@
             return self.late(attempt, effects);
         };
         run.last_progress = now;
+        run.header = true;
         if tokens > 0 {
             run.probed = false;
             run.silences = 0;
@@ -877,7 +880,8 @@
             target.ended(run.engine_attempt, class);
         }
         if cancel {
-            if !run.first_token {
+            // A silent connection to a live target says nothing about the target.
+            if !run.first_token && run.silences == 0 {
                 self.judge_first_token(&mut run, false, effects);
             }
             if run.engine {
--- a/core/src/serving/request.rs
+++ b/core/src/serving/request.rs
@@ -99,7 +99,11 @@
     pub sent: Instant,
     /// Predicted time from dispatch to the first token, microseconds.
     pub ttft_us: u64,
+    /// Predicted time from the first token to the end of the longest possible answer, microseconds.
+    pub decode_us: u64,
     pub last_progress: Instant,
+    /// Whether the response header arrived.
+    pub header: bool,
     pub first_token: bool,
     /// Whether the first token came within the predicted time.
     pub healthy: bool,
--- a/core/src/serving/span.rs
+++ b/core/src/serving/span.rs
@@ -8,8 +8,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use smallvec::SmallVec;
-
 use crate::message::{Message, Span};
 use crate::request::{Attempt, Id, Reason};
 use crate::time::Instant;
@@ -40,7 +38,7 @@
 const NO_COORDINATOR_RETRY_MS: u64 = 3_000;
 
 /// Engine addresses and tokens of a spanning request.
-pub(super) type Parts = SmallVec<[(SocketAddr, u64); 4]>;
+pub(super) type Parts = Vec<(SocketAddr, u64)>;
 
 /// The coordinator's allotments and the holder's pauses.
 #[derive(Debug, Default)]
@@ -254,7 +252,7 @@
         let left = request.deadline.since(self.now).as_millis() as u64;
         effects.push(Effect::Reserve {
             attempt,
-            parts: parts.to_vec(),
+            parts: parts.clone(),
             lease_ms: left + LEASE_MARGIN_MS,
         });
         request.stage = Stage::Reserving {
--- a/core/tests/serving_policy.rs
+++ b/core/tests/serving_policy.rs
@@ -25,16 +25,19 @@
     let mut host = Host::alone();
     fleet(&mut host, 6);
     host.arrive(prompt(1, 1_000));
-    let mut long = Vec::new();
-    for id in 10..13 {
-        long.extend(dispatches(&host.arrive(prompt(id, 100_000))));
+    for id in 10..22 {
+        host.arrive(prompt(id, 100_000));
     }
-    assert!(
-        !long.is_empty() && long.len() <= 3,
-        "long work is bounded: {long:?}"
+    host.pass(400);
+    let mut long = dispatches(&host.log);
+    long.retain(|sent| sent.priority == 4);
+    assert_eq!(
+        long.len(),
+        3,
+        "half of the targets take long work: {long:?}"
     );
     // The other targets stay preferable when they run several short requests each.
-    for id in 20..35 {
+    for id in 30..45 {
         let short = dispatched(&host.arrive(prompt(id, 1_000)));
         assert!(long.iter().all(|long| long.target != short.target));
         host.apply(Event::Progress {
@@ -72,6 +75,16 @@
 fn own_dispatches_count() {
     let mut host = Host::alone();
     fleet(&mut host, 4);
+    // Equal numbers of running requests leave only the prompts that are not prefilled yet.
+    for id in 10..14 {
+        let sent = dispatched(&host.arrive(prompt(id, 10)));
+        host.apply(Event::Progress {
+            attempt: sent.attempt,
+            tokens: 1,
+        });
+    }
+    let running = host.reducer.targets();
+    assert!(running.iter().all(|target| target.running == 1));
     let mut targets = Vec::new();
     for id in 0..4 {
         targets.push(dispatched(&host.arrive(prompt(id, 4_000))).target);
