--- a/core/src/serving/reducer.rs
+++ b/core/src/serving/reducer.rs
@@ -392,6 +392,7 @@
             started: false,
             delivered: 0,
             failed_on: SmallVec::new(),
+            ask_after: self.now,
             refused_by: SmallVec::new(),
             claimed: false,
             spanning: false,
@@ -537,7 +538,8 @@
             let Some(request) = self.requests.get(&id) else {
                 continue;
             };
-            if request.failed_on.is_empty() && !request.spanning {
+            let alike = request.failed_on.is_empty() && request.ask_after <= self.now;
+            if alike && !request.spanning {
                 blocked.push((request.group, request.class));
             } else {
                 skipped.push(id);
@@ -564,7 +566,7 @@
             excluded: &request.failed_on,
             cached: &cached,
             aged,
-            credits: self.has_coordinator(),
+            credits: self.has_coordinator() && request.ask_after <= self.now,
         };
         let choice = self.placement.choose(
             self.settings.policy,
@@ -661,7 +663,7 @@
             lease_ms: ENGINE_LEASE_MS,
             fresh_connection: false,
             resume: None,
-            parts: parts.clone(),
+            parts: parts.iter().copied().collect(),
         }));
         request.stage = Stage::Running(Run {
             attempt,
@@ -674,7 +676,9 @@
             prefill_tokens: choice.prefill_tokens,
             sent: self.now,
             ttft_us: choice.ttft_us as u64,
+            decode_us: target.decode_us(request.arrival.max_tokens) as u64,
             last_progress: self.now,
+            header: false,
             first_token: false,
             healthy: false,
             probed: false,
@@ -695,6 +699,7 @@
             return self.late(attempt, effects);
         };
         run.last_progress = now;
+        run.header = true;
         if tokens > 0 {
             run.probed = false;
             run.silences = 0;
@@ -875,7 +880,8 @@
             target.ended(run.engine_attempt, class);
         }
         if cancel {
-            if !run.first_token {
+            // A silent connection to a live target says nothing about the target.
+            if !run.first_token && run.silences == 0 {
                 self.judge_first_token(&mut run, false, effects);
             }
             if run.engine {
