bench: Count goodput by work done within the load

It now counts what the engines worked off for answered calls within the load, after its first fifth.

--- a/bench/src/audit.rs
+++ b/bench/src/audit.rs
@@ -3,10 +3,11 @@
 //! Nothing here comes from the product's view of itself, except the outcome that it told the
 //! caller, which is checked against the stand-ins' records.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use primrosepin_standin::Record;
 use primrosepin_standin::engine;
+use primrosepin_standin::record::End;
 
 use crate::caller::{Outcome, Seen};
 use crate::report::{BUCKETS, Bucket, Collector, Counters, Percentiles, Second};
@@ -105,6 +106,31 @@
     counters
 }
 
+/// Returns the prompt and generated tokens of answered calls that the engines worked off within a time
+/// span. The tokens of a run count evenly over its time, so that a long run at an edge of the span
+/// counts in part.
+pub fn good_tokens(seen: &[Seen], evidence: &Evidence, from_us: u64, to_us: u64) -> f64 {
+    let answered: HashSet<&str> = seen
+        .iter()
+        .filter(|call| call.outcome == Some(Outcome::Answered))
+        .map(|call| call.call.user.as_str())
+        .collect();
+    let good = evidence.engine_records.iter().filter(|record| {
+        let user = record.user.as_deref();
+        record.end == End::Whole && user.is_some_and(|user| answered.contains(user))
+    });
+    good.map(|record| {
+        let tokens = (record.prompt_tokens + record.generated_tokens) as f64;
+        let length_us = record.ended_us.saturating_sub(record.started_us).max(1);
+        let inside_us = record
+            .ended_us
+            .min(to_us)
+            .saturating_sub(record.started_us.max(from_us));
+        tokens * inside_us as f64 / length_us as f64
+    })
+    .sum()
+}
+
 /// Percentiles of a run.
 #[derive(Debug)]
 pub struct Summary {
@@ -116,8 +142,6 @@
     pub plain: Bucket,
     /// Between two pieces of a stream.
     pub token_gap_ms: Percentiles,
-    /// Prompt and generated tokens of answered calls.
-    pub good_tokens: u64,
     /// Error codes.
     pub codes: BTreeMap<String, u64>,
     /// Service over time.
@@ -178,7 +202,6 @@
     let mut buckets: Vec<_> = BUCKETS.iter().map(|max| Fill::new(*max)).collect();
     let (mut short, mut plain) = (Fill::new(4_000), Fill::new(0));
     let mut gaps = Collector::new(1e3);
-    let mut good_tokens = 0;
     let mut codes: BTreeMap<String, u64> = BTreeMap::new();
     let mut seconds: BTreeMap<u64, (Second, Collector)> = BTreeMap::new();
     let mut points = Vec::new();
@@ -199,11 +222,7 @@
             };
             *codes.entry(code).or_default() += 1;
         }
-        let Kind::Engine {
-            prompt_tokens,
-            max_tokens,
-        } = call.call.kind
-        else {
+        let Kind::Engine { prompt_tokens, .. } = call.call.kind else {
             plain.add(call, plain_alone_ms);
             continue;
         };
@@ -219,13 +238,10 @@
         for gap_us in &call.gaps_us {
             gaps.add(f64::from(*gap_us) / 1e3);
         }
-        if answered {
-            good_tokens += prompt_tokens + max_tokens;
-            if let Some(ttft_ms) = call.ttft_ms() {
-                ttft.add(ttft_ms);
-                if points.len() < POINTS_MAX {
-                    points.push((prompt_tokens, (ttft_ms * 10.0).round() / 10.0));
-                }
+        if answered && let Some(ttft_ms) = call.ttft_ms() {
+            ttft.add(ttft_ms);
+            if points.len() < POINTS_MAX {
+                points.push((prompt_tokens, (ttft_ms * 10.0).round() / 10.0));
             }
         }
     }
@@ -234,7 +250,6 @@
         short: short.bucket(),
         plain: plain.bucket(),
         token_gap_ms: gaps.percentiles(),
-        good_tokens,
         codes,
         seconds: seconds
             .into_values()
--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -146,7 +146,8 @@
     pub token_gap_ms: Percentiles,
     /// Plain calls.
     pub plain: Bucket,
-    /// Prompt and generated tokens of answered calls for each second of load.
+    /// Prompt and generated tokens of answered calls that the engines worked off in a second of the
+    /// load, after its first fifth.
     pub goodput_tokens_per_s: f64,
     /// Share of calls answered.
     pub answered_share: f64,
--- a/bench/src/scenario.rs
+++ b/bench/src/scenario.rs
@@ -348,6 +348,10 @@
     let evidence = quiet(&cluster).await;
     let summary = audit::summarise(&seen, begin_us, &cluster.spec.engine, alone.plain_ms);
     let counters = audit::counters(&seen, &evidence);
+    // The first fifth, in which the deployment fills, does not count.
+    let end_us = begin_us + options.duration_s * 1_000_000;
+    let from_us = begin_us + options.duration_s * 200_000;
+    let good_tokens = audit::good_tokens(&seen, &evidence, from_us, end_us);
     let extra = json!({
         "capacity_tokens_per_s": capacity_tokens_per_s(&cluster.spec.engine)
             * cluster.spec.engines as f64,
@@ -369,7 +373,7 @@
         short: summary.short,
         plain: summary.plain,
         token_gap_ms: summary.token_gap_ms,
-        goodput_tokens_per_s: summary.good_tokens as f64 / duration_s.max(1) as f64,
+        goodput_tokens_per_s: good_tokens / (duration_s as f64 * 0.8).max(0.1),
         answered_share: counters.answered as f64 / seen.len().max(1) as f64,
         counters,
         codes: summary.codes,
--- a/bench/tests/audit.rs
+++ b/bench/tests/audit.rs
@@ -2,7 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
-use primrosepin_bench::audit::{Evidence, Removal, counters, summarise};
+use primrosepin_bench::audit::{Evidence, Removal, counters, good_tokens, summarise};
 use primrosepin_bench::caller::{Outcome, Seen};
 use primrosepin_bench::report::Counters;
 use primrosepin_bench::workload::{Call, Kind};
@@ -140,3 +140,23 @@
     assert_eq!(summary.codes.get("status 200"), Some(&1));
     assert_eq!(summary.seconds[0].answered, 1);
 }
+
+/// Guards against a goodput that counts unanswered work, or work outside of the span.
+#[test]
+fn goodput_counts_answered_work_in_the_span() {
+    let calls = [
+        seen("good", ENGINE, Some(Outcome::Answered)),
+        seen("bad", ENGINE, Some(Outcome::Failed)),
+    ];
+    let mut good = record("good", "e0", BEGIN_US);
+    good.prompt_tokens = 999;
+    good.ended_us = BEGIN_US + 1_000_000;
+    let mut bad = good.clone();
+    bad.user = Some("bad".into());
+    let evidence = Evidence {
+        engine_records: vec![good, bad],
+        ..Evidence::default()
+    };
+    let tokens = good_tokens(&calls, &evidence, BEGIN_US + 250_000, BEGIN_US + 500_000);
+    assert_eq!(tokens, 250.0);
+}
