core: Let spanning requests wait for a coordinator and hand them over when targets are out

Cause: quickstart refused a prompt of 1,000,000 tokens as fleet_busy in the first seconds after the start, and a spanning request whose targets had been taken out waited for its whole deadline. Change: a spanning request waits up to 5 s for a coordinator; targets out of service no longer count as possible parts, so that the request is handed over or refused at once. Conclusion: the refusal is early and a coordinator's election is bridged.

--- a/core/src/serving/span.rs
+++ b/core/src/serving/span.rs
@@ -10,6 +10,7 @@
 
 use crate::message::{Message, Span};
 use crate::request::{Attempt, Id, Reason};
+use crate::target::State;
 use crate::time::Instant;
 use crate::vm;
 
@@ -40,6 +41,12 @@
 /// Engine addresses and tokens of a spanning request.
 pub(super) type Parts = Vec<(SocketAddr, u64)>;
 
+/// Retry hint while too many targets are out of service.
+const OUT_RETRY_MS: u64 = 10_000;
+
+/// Time that a spanning request waits for a coordinator to be elected: one lease and an election.
+const COORDINATOR_WAIT: Duration = Duration::from_secs(5);
+
 /// The coordinator's allotments and the holder's pauses.
 #[derive(Debug, Default)]
 pub(super) struct Spans {
@@ -70,12 +77,23 @@
         if request.cost.kv_tokens > memory {
             return Some((Reason::FleetTooSmall, None));
         }
-        (!self.has_coordinator()).then_some((Reason::FleetBusy, Some(NO_COORDINATOR_RETRY_MS)))
+        let waited = self.now.since(request.arrived);
+        (!self.has_coordinator() && waited >= COORDINATOR_WAIT)
+            .then_some((Reason::FleetBusy, Some(NO_COORDINATOR_RETRY_MS)))
     }
 
     /// Asks for parts for a waiting spanning request; returns false if it has to wait.
     pub(super) fn place_span(&mut self, id: Id, effects: &mut Vec<Effect>) -> bool {
-        if self.spans.next_ask > self.now || !self.has_coordinator() {
+        if !self.has_coordinator() {
+            let denial = self
+                .requests
+                .get(&id)
+                .and_then(|request| self.span_denial(request));
+            let Some(denial) = denial else { return false };
+            self.deny(id, denial, effects);
+            return true;
+        }
+        if self.spans.next_ask > self.now {
             return false;
         }
         self.dequeue(id);
@@ -121,6 +139,9 @@
             if !announcement.spans || announcement.service != *service {
                 continue;
             }
+            if target.out || announcement.state == State::Draining {
+                continue;
+            }
             possible += announcement.kv_tokens;
             if !target.is_open(self.now) || target.is_cold() {
                 continue;
@@ -208,7 +229,10 @@
                 if possible {
                     self.enqueue(attempt.request);
                 } else {
-                    let denial = (Reason::FleetTooSmall, None);
+                    let request = self.requests.get(&attempt.request);
+                    let denial = request.and_then(|request| self.span_denial(request));
+                    // Targets that are out of service may return.
+                    let denial = denial.unwrap_or((Reason::FleetBusy, Some(OUT_RETRY_MS)));
                     self.deny(attempt.request, denial, effects);
                 }
             }
