--- a/entry/src/driver.rs
+++ b/entry/src/driver.rs
@@ -7,8 +7,8 @@
 use actix_rt::task::JoinHandle;
 use actix_rt::time::interval;
 use awc::Client;
-use primrosepin_core::ledger::Call;
-use primrosepin_core::request::{Attempt, Outcome};
+use primrosepin_core::ledger::{Answer, Call, Response};
+use primrosepin_core::request::{Attempt, Id, Outcome};
 use primrosepin_core::serving::effect::{Effect, Notice};
 use primrosepin_core::serving::event::Event;
 use primrosepin_core::serving::{Counters, MemberView, Reducer, TargetView};
@@ -22,6 +22,9 @@
 /// Longest time between two events for the reducer.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Answers of up to 64 KiB that may wait for the ledger: 64 MiB.
+const UNRECORDED_MAX: usize = 1_024;
+
 /// Events that are taken from the queue at one time.
 const BATCH_EVENTS: usize = 256;
 
@@ -31,6 +34,8 @@
     reducer: Reducer,
     client: Client,
     attempts: HashMap<Attempt, JoinHandle<()>>,
+    /// Answers that the ledger has not confirmed yet; a repeated call needs them again.
+    unrecorded: HashMap<Id, Option<Response>>,
 }
 
 /// State of the reducer for operators.
@@ -55,6 +60,7 @@
             reducer,
             client: attempt::shared_client(),
             attempts: HashMap::new(),
+            unrecorded: HashMap::new(),
         }
     }
 
@@ -80,9 +86,19 @@
                 }
             }
             for event in events.drain(..) {
-                if let Event::Ended { attempt, .. } = &event {
-                    self.attempts.remove(attempt);
+                match &event {
+                    Event::Ended { attempt, .. } => {
+                        self.attempts.remove(attempt);
+                    }
+                    Event::Ledger {
+                        request,
+                        answer: Answer::Recorded,
+                    } => {
+                        self.unrecorded.remove(request);
+                    }
+                    _ => {}
                 }
+                self.trim_unrecorded();
                 self.reducer.apply(self.node.now(), event, &mut effects);
                 for effect in effects.drain(..) {
                     self.carry_out(effect);
@@ -91,6 +107,13 @@
         }
     }
 
+    /// Bounds the answers that wait for a ledger that is gone; resends then get no recorded body.
+    fn trim_unrecorded(&mut self) {
+        if self.unrecorded.len() > UNRECORDED_MAX {
+            self.unrecorded.clear();
+        }
+    }
+
     fn snapshot(&self) -> Snapshot {
         Snapshot {
             counters: self.reducer.counters().clone(),
@@ -122,7 +145,7 @@
                 }
             }
             Effect::Cancel { address, attempt } => {
-                actix_rt::spawn(engine::cancel(self.client.clone(), address, attempt));
+                node.spawn(engine::cancel(self.client.clone(), address, attempt));
             }
             Effect::Reserve {
                 attempt,
@@ -138,7 +161,7 @@
                 ));
             }
             Effect::Unreserve { attempt, parts } => {
-                actix_rt::spawn(engine::unreserve(self.client.clone(), attempt, parts));
+                node.spawn(engine::unreserve(self.client.clone(), attempt, parts));
             }
             Effect::Respond(refusal) => {
                 if let Some(call) = node.call(refusal.request) {
@@ -173,10 +196,14 @@
                         outcome: Outcome::Answered,
                         response,
                         ..
-                    } => *response = served.and_then(|served| served.record()),
+                    } => {
+                        let record = || served.and_then(|served| served.record());
+                        let record = self.unrecorded.entry(request).or_insert_with(record);
+                        response.clone_from(record);
+                    }
                     Call::Finish { .. } => {}
                 }
-                actix_rt::spawn(ledger::call(Rc::clone(node), request, call));
+                node.spawn(ledger::call(Rc::clone(node), request, call));
             }
             Effect::Probe { target, address } => {
                 actix_rt::spawn(engine::probe(Rc::clone(node), target, address));
--- a/entry/src/ledger.rs
+++ b/entry/src/ledger.rs
@@ -31,6 +31,9 @@
 }
 
 async fn ask(node: &Node, call: Call) -> Answer {
+    if node.settings.control.is_empty() {
+        return Answer::Unavailable;
+    }
     let endpoint = &node.endpoint;
     let end = Instant::now() + LEDGER_TIMEOUT;
     loop {
--- a/entry/src/metrics.rs
+++ b/entry/src/metrics.rs
@@ -62,31 +62,25 @@
     pub(crate) fn new(vm: &Arc<str>, zone: &Arc<str>) -> eyre::Result<Self> {
         let metrics = primrosepin_telemetry::metrics::Metrics::new("entry", vm, zone)?;
         let by_class = Times {
-            queue: metrics.seconds("queue_seconds", "Time from arrival to the first attempt."),
-            first_token: metrics.seconds(
-                "first_token_seconds",
-                "Time from arrival to the first token.",
-            ),
-            gap: metrics.seconds("gap_seconds", "Time between two reads of a stream."),
-            total: metrics.seconds("request_seconds", "Time from arrival to the end."),
+            queue: metrics.seconds("queue", "Time from arrival to the first attempt."),
+            first_token: metrics.seconds("first_token", "Time from arrival to the first token."),
+            gap: metrics.seconds("gap", "Time between two reads of a stream."),
+            total: metrics.seconds("request", "Time from arrival to the end."),
         };
         let by_organisation = Times {
             queue: metrics.seconds(
-                "organisation_queue_seconds",
+                "organisation_queue",
                 "Time from arrival to the first attempt.",
             ),
             first_token: metrics.seconds(
-                "organisation_first_token_seconds",
+                "organisation_first_token",
                 "Time from arrival to the first token.",
             ),
             gap: metrics.seconds(
-                "organisation_mean_gap_seconds",
+                "organisation_mean_gap",
                 "Mean time between two tokens of a stream.",
             ),
-            total: metrics.seconds(
-                "organisation_request_seconds",
-                "Time from arrival to the end.",
-            ),
+            total: metrics.seconds("organisation_request", "Time from arrival to the end."),
         };
         Ok(Self {
             by_class,
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -57,6 +57,8 @@
     /// Index of the control process that answered last.
     pub(crate) control: Cell<usize>,
     pub(crate) metrics: Metrics,
+    /// Calls to engines and control that are not finished.
+    pub(crate) background: Cell<usize>,
     in_force: RefCell<Option<Rc<InForce>>>,
     random: RefCell<StdRng>,
     started: Instant,
@@ -83,6 +85,7 @@
             buffered: Cell::new(0),
             control: Cell::new(0),
             metrics,
+            background: Cell::new(0),
             in_force: RefCell::new(None),
             random: RefCell::new(random),
             started: Instant::now(),
@@ -116,6 +119,19 @@
         *self.phase.borrow() > Phase::Serving
     }
 
+    /// Starts a call that a shutdown waits for.
+    pub(crate) fn spawn<F>(self: &Rc<Self>, call: F)
+    where
+        F: Future<Output = ()> + 'static,
+    {
+        let node = Rc::clone(self);
+        node.background.set(node.background.get() + 1);
+        actix_rt::spawn(async move {
+            call.await;
+            node.background.set(node.background.get() - 1);
+        });
+    }
+
     /// Draws a request id.
     pub(crate) fn request_id(&self) -> Id {
         Id(self.random.borrow_mut().random())
--- a/entry/src/server.rs
+++ b/entry/src/server.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use actix_rt::net::TcpListener;
 use actix_rt::time::sleep;
@@ -117,6 +117,13 @@
     }
 }
 
+/// Longest wait for calls that outlive their requests. What an unreachable engine holds ends with its
+/// lease.
+const BACKGROUND_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Interval of the check for such calls.
+const BACKGROUND_PAUSE: Duration = Duration::from_millis(20);
+
 type Started = (Addresses, Endpoint, mpsc::UnboundedSender<Event>);
 
 async fn run(
@@ -231,6 +238,7 @@
     callers.await??;
     targets.await??;
     admin.await??;
+    finish_background(&node).await;
     // Running requests still receive messages; afterwards the peers are told.
     pull.abort();
     receive.abort();
@@ -240,6 +248,19 @@
     Ok(())
 }
 
+/// Waits for cancel and ledger calls of the last requests, so that no engine memory and no ledger entry
+/// is left to its lease.
+async fn finish_background(node: &Node) {
+    let end = Instant::now() + BACKGROUND_TIMEOUT;
+    loop {
+        // The first pause lets the reducer take the events of the connections that closed.
+        sleep(BACKGROUND_PAUSE).await;
+        if node.background.get() == 0 || Instant::now() >= end {
+            return;
+        }
+    }
+}
+
 /// Binds an address and stores the bound port.
 async fn bind(address: &mut SocketAddr) -> eyre::Result<TcpListener> {
     let listener = TcpListener::bind(*address)
--- /dev/null
+++ b/entry/tests/ledger.rs
@@ -0,0 +1,128 @@
+//! Requests that run at most once.
+
+mod support;
+
+use primrosepin_core::ledger::Call;
+use primrosepin_core::request::Outcome;
+use primrosepin_entry::Server;
+use primrosepin_transport::keys::Authority;
+use serde_json::json;
+use support::{Answer, Control, Target, call_with, entry, entry_of, settings, until, write_json};
+
+const KEY: [(&str, &str); 1] = [("idempotency-key", "k1")];
+
+async fn order(server: &Server) -> Answer {
+    call_with(server, "/orders/once", &json!({"kit": 7}), &KEY).await
+}
+
+/// Starts an entry process with a ledger.
+async fn entry_with_ledger() -> (Server, Control) {
+    let authority = Authority::new().unwrap();
+    let control = Control::start(&authority);
+    let mut settings = settings();
+    settings.control = vec![control.address()];
+    (entry_of(settings, &authority).await, control)
+}
+
+/// Guards against a resend that runs again, or gets another answer than the first run.
+#[actix_rt::test]
+async fn a_resend_gets_the_recorded_answer() {
+    let (server, control) = entry_with_ledger().await;
+    let target = Target::start(async |seen, mut stream| {
+        write_json(&mut stream, &seen, 201, &json!({"order": 1})).await;
+        Some(stream)
+    })
+    .await;
+    target.join(&server, "p1", "orders").await;
+    let first = order(&server).await;
+    assert_eq!((first.status, first.outcome()), (201, "answered"));
+    // Until the outcome is recorded, the key counts as in flight.
+    until(async || {
+        let again = order(&server).await;
+        if again.status == 409 {
+            assert_eq!(again.outcome(), "unknown");
+            return false;
+        }
+        assert_eq!((again.status, again.outcome()), (201, "answered"));
+        assert_eq!(again.body, first.body);
+        true
+    })
+    .await;
+    assert_eq!(target.requests("/orders/once").len(), 1);
+    let first = control.calls.borrow()[0].clone();
+    let Call::Begin { content, .. } = first else {
+        panic!("{first:?}");
+    };
+    assert_ne!(content, 0);
+    server.stop().await.unwrap();
+}
+
+/// Guards against a run without a claim: without control the request must not reach a target.
+#[actix_rt::test]
+async fn without_a_ledger_nothing_runs() {
+    let server = entry(settings()).await;
+    let target = Target::start(async |seen, mut stream| {
+        write_json(&mut stream, &seen, 201, &json!({})).await;
+        Some(stream)
+    })
+    .await;
+    target.join(&server, "p1", "orders").await;
+    let answer = order(&server).await;
+    assert_eq!((answer.status, answer.outcome()), (503, "not_run"));
+    assert_eq!(answer.error()["code"], "ledger_unavailable");
+    assert!(target.requests("/orders/once").is_empty());
+    server.stop().await.unwrap();
+}
+
+/// Guards against a second run after a connection that ended without an answer: neither this process
+/// nor the HTTP library may send the request again.
+#[actix_rt::test]
+async fn a_lost_answer_is_not_asked_for_again() {
+    let (server, control) = entry_with_ledger().await;
+    let target = Target::start(async |_, _| None).await;
+    target.join(&server, "p1", "orders").await;
+    let other = Target::start(async |_, _| None).await;
+    other.join(&server, "p2", "orders").await;
+    let answer = order(&server).await;
+    assert_eq!(answer.outcome(), "unknown");
+    let again = order(&server).await;
+    assert_ne!(again.outcome(), "not_run");
+    let runs = [&target, &other].map(|target| target.requests("/orders/once").len());
+    assert_eq!(runs.iter().sum::<usize>(), 1);
+    let recorded_not_run = control.calls.borrow().iter().any(|call| {
+        matches!(
+            call,
+            Call::Finish {
+                outcome: Outcome::NotRun,
+                ..
+            }
+        )
+    });
+    assert!(!recorded_not_run);
+    server.stop().await.unwrap();
+}
+
+/// Guards against a request to a plain service that shares a connection with another one, where
+/// bytes left over from the first would be taken for the answer to the second.
+#[actix_rt::test]
+async fn each_call_to_a_plain_service_has_its_own_connection() {
+    let server = entry(settings()).await;
+    let target = Target::start(async |seen, mut stream| {
+        write_json(&mut stream, &seen, 200, &json!({"n": seen.connection})).await;
+        Some(stream)
+    })
+    .await;
+    target.join(&server, "p1", "orders").await;
+    for _ in 0..3 {
+        let answer = call_with(&server, "/orders/1", &json!({}), &[]).await;
+        assert_eq!(answer.outcome(), "answered");
+    }
+    let mut connections: Vec<usize> = target
+        .requests("/orders/1")
+        .iter()
+        .map(|seen| seen.connection)
+        .collect();
+    connections.dedup();
+    assert_eq!(connections.len(), 3);
+    server.stop().await.unwrap();
+}
--- a/entry/tests/relay.rs
+++ b/entry/tests/relay.rs
@@ -251,3 +251,34 @@
     assert_eq!(answer.outcome(), "not_run");
     server.stop().await.unwrap();
 }
+
+/// Guards against a resume that repeats or drops tokens.
+#[actix_rt::test]
+async fn a_broken_stream_is_resumed_without_a_gap() {
+    let server = entry(settings()).await;
+    let target = Target::start(async |seen, mut stream| {
+        if seen.path != "/v1/resume" {
+            write_stream_head(&mut stream, seen.attempt()).await;
+            for index in 0..3 {
+                write_event(&mut stream, seen.attempt(), index).await;
+            }
+            return None;
+        }
+        let body = seen.json();
+        let attempt = body["attempt"].as_str().unwrap().to_owned();
+        write_stream_head(&mut stream, &attempt).await;
+        for index in body["from"].as_u64().unwrap()..6 {
+            write_event(&mut stream, &attempt, index as u32).await;
+        }
+        write_done(&mut stream).await;
+        Some(stream)
+    })
+    .await;
+    target.join(&server, "t1", "lm").await;
+    let answer = call(&server, "/v1/chat/completions", &generation(true)).await;
+    let expected = format!("{}data: [DONE]\n\n", tokens(0..6));
+    assert!(answer.body.starts_with(&expected), "{}", answer.body);
+    assert_eq!(answer.final_outcome().as_deref(), Some("answered"));
+    assert_eq!(target.requests("/v1/chat/completions").len(), 1);
+    server.stop().await.unwrap();
+}
--- a/entry/tests/support/mod.rs
+++ b/entry/tests/support/mod.rs
@@ -187,14 +187,19 @@
     }
 }
 
-/// Repeats a check until it holds.
+/// Repeats a check until it holds. A check that never holds fails the test instead of stopping the
+/// run for ever.
 pub async fn until<F>(check: F)
 where
     F: AsyncFn() -> bool,
 {
-    while !check().await {
+    for _ in 0..10_000 {
+        if check().await {
+            return;
+        }
         sleep(Duration::from_millis(5)).await;
     }
+    panic!("the check does not hold");
 }
 
 /// A request as a fake target reads it.
