entry: Make the ledger stand-in of the tests idempotent

Cause: two ledger tests failed now and then. A failed call over transport closes the connection and with it a ledger call in flight; the repeated Begin of the same holder was answered with InFlight, which the ledger's contract excludes. The stand-in also left ConfigPull unanswered, which caused the failed call. Change: the stand-in answers a repeated Begin like the first one, and ConfigPull with its configuration.

--- a/entry/tests/support/mod.rs
+++ b/entry/tests/support/mod.rs
@@ -150,20 +150,30 @@
         let calls: Rc<RefCell<Vec<ledger::Call>>> = Rc::default();
         let log = Rc::clone(&calls);
         actix_rt::spawn(async move {
-            let mut entries: BTreeMap<ledger::Key, Option<ledger::Answer>> = BTreeMap::new();
+            let mut claims = BTreeMap::new();
+            let mut entries: BTreeMap<ledger::Key, ledger::Answer> = BTreeMap::new();
             while let Some(Incoming { message, reply, .. }) = incoming.recv().await {
-                let (Message::Ledger(call), Some(reply)) = (message, reply) else {
+                let Some(reply) = reply else {
+                    continue;
+                };
+                let Message::Ledger(call) = message else {
+                    reply.send(Message::ConfigPush(Arc::new(config()))).await;
                     continue;
                 };
                 log.borrow_mut().push(call.clone());
                 let answer = match call {
-                    ledger::Call::Begin { key, .. } => match entries.get(&key) {
-                        Some(Some(finished)) => finished.clone(),
-                        Some(None) => ledger::Answer::InFlight,
-                        None => {
-                            entries.insert(key, None);
-                            ledger::Answer::Claimed
-                        }
+                    ledger::Call::Begin {
+                        key,
+                        holder,
+                        request,
+                        ..
+                    } => match entries.get(&key) {
+                        Some(finished) => finished.clone(),
+                        // A call that is repeated by its holder gets the same answer.
+                        None => match *claims.entry(key).or_insert((holder.clone(), request)) {
+                            ref claim if *claim == (holder, request) => ledger::Answer::Claimed,
+                            _ => ledger::Answer::InFlight,
+                        },
                     },
                     ledger::Call::Finish {
                         key,
@@ -171,8 +181,7 @@
                         response,
                         ..
                     } => {
-                        let finished = ledger::Answer::Finished { outcome, response };
-                        entries.insert(key, Some(finished));
+                        entries.insert(key, ledger::Answer::Finished { outcome, response });
                         ledger::Answer::Recorded
                     }
                 };
