--- a/cli/src/config.rs
+++ b/cli/src/config.rs
@@ -1,7 +1,8 @@
 //! Commands on the configuration.
 
+use std::cmp::Ordering;
 use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use primrosepin_config::{inventory, load, settings};
 use primrosepin_core::inventory::Inventory;
@@ -118,7 +119,7 @@
     let outcome = change::send(&client, "/v1/config/apply", &body, bound, &mut progress).await;
     match &outcome {
         Outcome::Conflict(body) => return change::conflict(body, &mine, &what, &id),
-        Outcome::Accepted(version) if base.is_none() => {
+        Outcome::Accepted(version) if comment.is_some() => {
             if let Err(error) = update_comment(path, &text, *version) {
                 progress.note(&format!(
                     "{file}: cannot write the new version into the first line: {error}"
@@ -165,18 +166,33 @@
     Ok(Report::new(Exit::Done, text, body))
 }
 
-/// Writes the members of an entry as `version 7  id=...`, whatever members there are.
+/// Writes an entry as `version 7  2026-01-31T12:00:00Z  CHANGE  id ID`.
 fn history_line(entry: &Value) -> String {
-    let mut columns = vec![format!("version {}", entry["version"])];
-    for (key, value) in entry.as_object().into_iter().flatten() {
-        match value {
-            _ if key == "version" => {}
-            Value::Null => {}
-            Value::String(text) => columns.push(format!("{key}={text}")),
-            other => columns.push(format!("{key}={other}")),
+    let at = entry["at_ms"].as_u64().unwrap_or_default();
+    let at = SystemTime::UNIX_EPOCH + Duration::from_millis(at);
+    format!(
+        "version {}  {}  {}  id {}",
+        entry["version"],
+        humantime::format_rfc3339_seconds(at),
+        change_text(&entry["change"]),
+        entry["id"].as_str().unwrap_or_default()
+    )
+}
+
+/// Writes `{"zone": {"name": "a", "out": true}}` as `zone name=a out=true`, whatever members there are.
+fn change_text(change: &Value) -> String {
+    match change {
+        Value::String(text) => text.clone(),
+        Value::Object(members) => {
+            let member = |(key, value): (&String, &Value)| match value {
+                Value::Object(_) => format!("{key} {}", change_text(value)),
+                Value::String(text) => format!("{key}={text}"),
+                other => format!("{key}={other}"),
+            };
+            members.iter().map(member).collect::<Vec<_>>().join(" ")
         }
+        other => other.to_string(),
     }
-    columns.join("  ")
 }
 
 /// Shows which version is in force at each VM.
@@ -184,27 +200,25 @@
     let client = Client::new(server)?;
     let status = Status::new(&client.get("/v1/status").await?)?;
     let version = status.version;
-    let behind: Vec<_> = status
-        .vms
-        .iter()
-        .filter(|vm| !vm.is_gone() && vm.version < version)
+    let live = status.vms.iter().filter(|vm| !vm.is_gone());
+    let others: Vec<_> = live
+        .filter(|vm| status.compare(vm).is_ne())
         .map(|vm| vm.name.clone())
         .collect();
     let mut lines = vec![format!("version {version} is the highest accepted")];
     for vm in &status.vms {
-        let note = if vm.is_gone() {
-            "gone"
-        } else if vm.version < version {
-            "behind"
-        } else {
-            "in force"
+        let note = match status.compare(vm) {
+            _ if vm.is_gone() => "gone",
+            Ordering::Less => "behind",
+            Ordering::Equal => "in force",
+            Ordering::Greater => "ahead of control",
         };
         lines.push(format!(
             "  {:24} {:16} version {:<8} {note}",
             vm.name, vm.zone, vm.version
         ));
     }
-    let exit = if behind.is_empty() {
+    let exit = if others.is_empty() {
         Exit::Done
     } else {
         Exit::Refused
@@ -212,6 +226,6 @@
     Ok(Report::new(
         exit,
         lines.join("\n"),
-        json!({ "version": version, "vms": status.vms, "behind": behind, "gone": status.gone() }),
+        json!({ "version": version, "vms": status.vms, "not_in_force": others, "gone": status.gone() }),
     ))
 }
--- a/core/src/serving/span.rs
+++ b/core/src/serving/span.rs
@@ -8,8 +8,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use smallvec::SmallVec;
-
 use crate::message::{Message, Span};
 use crate::request::{Attempt, Id, Reason};
 use crate::time::Instant;
@@ -40,12 +38,14 @@
 const NO_COORDINATOR_RETRY_MS: u64 = 3_000;
 
 /// Engine addresses and tokens of a spanning request.
-pub(super) type Parts = SmallVec<[(SocketAddr, u64); 4]>;
+pub(super) type Parts = Vec<(SocketAddr, u64)>;
 
 /// The coordinator's allotments and the holder's pauses.
 #[derive(Debug, Default)]
 pub(super) struct Spans {
     allotted: BTreeMap<Attempt, Allotment>,
+    /// Parts whose reservation was asked for and not yet reported.
+    reserving: BTreeMap<Attempt, Parts>,
     /// When the next ask may be sent.
     next_ask: Instant,
 }
@@ -237,7 +237,9 @@
         let mut parts = Parts::new();
         for (name, tokens) in names {
             let target = self.target_id(name).and_then(|id| self.table.get(id));
-            if let Some(target) = target.filter(|target| target.is_open(self.now)) {
+            if let Some(target) =
+                target.filter(|target| target.is_open(self.now) && !target.is_cold())
+            {
                 parts.push((target.announcement.address, *tokens));
             }
         }
@@ -250,9 +252,10 @@
             return false;
         };
         let left = request.deadline.since(self.now).as_millis() as u64;
+        self.spans.reserving.insert(attempt, parts.clone());
         effects.push(Effect::Reserve {
             attempt,
-            parts: parts.to_vec(),
+            parts: parts.clone(),
             lease_ms: left + LEASE_MARGIN_MS,
         });
         request.stage = Stage::Reserving {
@@ -267,29 +270,38 @@
     /// Takes the result of the reservations and dispatches to the head target.
     pub(super) fn reserved(&mut self, attempt: Attempt, all: bool, effects: &mut Vec<Effect>) {
         let id = attempt.request;
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
-        let Stage::Reserving {
-            attempt: waiting,
-            head,
-            parts,
-            ..
-        } = &request.stage
+        let asked = self.spans.reserving.remove(&attempt);
+        let stage = self
+            .requests
+            .get(&id)
+            .map(|request| (request, &request.stage));
+        let Some((request, Stage::Reserving { head, parts, .. })) =
+            stage.filter(|(_, stage)| {
+                matches!(stage, Stage::Reserving { attempt: waiting, .. } if *waiting == attempt)
+            })
         else {
+            // The request ended in between. Its release may have overtaken the reservation.
+            if let Some(parts) = asked.filter(|_| all) {
+                self.release_parts(attempt, &parts, effects);
+            }
             return;
         };
-        if *waiting != attempt {
-            return;
-        }
         let (head, parts) = (*head, parts.clone());
         let prefill = request.cost.prefill_tokens / parts.len().max(1) as u64;
-        let open = self
+        // A target may have left or turned cold while the engines answered.
+        let usable = parts.iter().all(|&(address, _)| {
+            self.table.iter().any(|(_, target)| {
+                target.announcement.address == address
+                    && target.is_open(self.now)
+                    && !target.is_cold()
+            })
+        });
+        let head_target = self
             .table
             .get(head)
-            .filter(|target| target.is_open(self.now) && target.announcement.address == parts[0].0);
-        let ttft_us =
-            open.map(|target| target.wait_us(self.now, request.class) + target.prefill_us(prefill));
+            .filter(|target| usable && target.announcement.address == parts[0].0);
+        let ttft_us = head_target
+            .map(|target| target.wait_us(self.now, request.class) + target.prefill_us(prefill));
         let (Some(ttft_us), true, false) = (ttft_us, all, self.zone_out()) else {
             self.give_up_span(id, effects);
             self.spans.next_ask = self.now + DENIED_PAUSE;
