--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -14,6 +14,7 @@
 //! - After an error of the store the replica acknowledges nothing until it has read its disk again.
 
 mod admin;
+mod clock;
 mod disk;
 mod meters;
 mod node;
@@ -23,4 +24,5 @@
 mod server;
 mod shared;
 
+pub use clock::Clock;
 pub use server::{Addresses, Options, Server};
--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -15,6 +15,7 @@
 use primrosepin_core::{time, vm};
 use tokio::sync::{mpsc, oneshot};
 
+use crate::Clock;
 use crate::disk::{Disk, decode, encode};
 use crate::meters::Meters;
 use crate::shared::{Shared, View};
@@ -31,6 +32,9 @@
 /// Pause before the store is opened again after an error.
 const REOPEN_PAUSE: Duration = Duration::from_secs(1);
 
+/// Time in which commands that are in the log are committed before a stop.
+const STOP_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// What became of a proposed command.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) enum Decision {
@@ -87,6 +91,7 @@
 struct Node<'s> {
     setup: &'s Setup,
     started: Instant,
+    clock: Clock,
     disk: Disk,
     reducer: Reducer,
     /// Proposals that the reducer has not answered yet.
@@ -138,10 +143,11 @@
     }
 }
 
-fn wall_ms() -> u64 {
+/// Returns the wall-clock time since 1970.
+fn wall() -> Duration {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
-        .map_or(0, |since| since.as_millis() as u64)
+        .unwrap_or_default()
 }
 
 impl<'s> Node<'s> {
@@ -168,6 +174,7 @@
         Ok(Self {
             setup,
             started,
+            clock: Clock::new(Duration::ZERO, wall()),
             disk,
             reducer,
             proposed: BTreeMap::new(),
@@ -178,27 +185,32 @@
         })
     }
 
-    fn now(&self) -> time::Instant {
-        time::Instant::from_micros(self.started.elapsed().as_micros() as u64)
+    fn now(&mut self) -> time::Instant {
+        self.clock.read(self.started.elapsed(), wall())
     }
 
     fn run(mut self, inputs: &Receiver<Input>) -> eyre::Result<()> {
         let mut batch = Vec::new();
+        let mut stop_at = None;
         loop {
             self.step(Event::Tick)?;
             self.show();
-            let wait = self.reducer.wake_at().since(self.now());
+            let now = self.now();
+            let wait = self.reducer.wake_at().since(now);
             match inputs.recv_timeout(wait) {
                 Ok(input) => batch.push(input),
-                Err(RecvTimeoutError::Timeout) => continue,
+                Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return Ok(()),
             }
             batch.extend(inputs.try_iter().take(MAX_INPUTS));
-            let stop = batch.iter().any(|input| matches!(input, Input::Stop));
+            if batch.iter().any(|input| matches!(input, Input::Stop)) {
+                stop_at = Some(Instant::now() + STOP_TIMEOUT);
+            }
             self.take(&mut batch)?;
-            if stop {
+            if stop_at.is_some_and(|at| self.waiting.is_empty() || at <= Instant::now()) {
                 self.step(Event::Resign)?;
                 for (_, waiting) in std::mem::take(&mut self.waiting) {
+                    // Fails only if the caller has given up.
                     let _ = waiting.respond.send(Decision::Unknown);
                 }
                 return Ok(());
@@ -209,7 +221,7 @@
     /// Processes inputs together and carries out their effects.
     fn take(&mut self, batch: &mut Vec<Input>) -> eyre::Result<()> {
         let now = self.now();
-        let now_ms = wall_ms();
+        let now_ms = wall().as_millis() as u64;
         let mut effects = Vec::new();
         let mut commands: Vec<(u64, Arc<[u8]>)> = Vec::new();
         for input in batch.drain(..) {
--- a/control/src/proposer.rs
+++ b/control/src/proposer.rs
@@ -86,19 +86,32 @@
 
     async fn attempt(&self, command: &Command) -> Decision {
         let view = self.shared.view();
-        if view.role == Role::Leader {
-            return self.propose(command.clone()).await;
-        }
         let Some((_, address)) = view.leader else {
             return Decision::NotAccepted;
         };
-        let message = Message::Propose(command.clone());
-        let answer = self.endpoint.call(address, message, TRY_TIMEOUT * 2).await;
-        match answer {
-            Ok(Message::Proposed(Some(Outcome::Undecided))) => Decision::Unknown,
-            Ok(Message::Proposed(Some(outcome))) => Decision::Decided(outcome),
-            Ok(Message::Proposed(None)) => Decision::NotAccepted,
-            Ok(_) | Err(_) => Decision::Unknown,
+        let mut changes = self.shared.watch();
+        let moved = changes.wait_for(|view| {
+            let leader = view.leader.as_ref();
+            leader.is_none_or(|(_, other)| *other != address)
+        });
+        let tried = async {
+            if view.role == Role::Leader {
+                return self.propose(command.clone()).await;
+            }
+            let message = Message::Propose(command.clone());
+            let answer = self.endpoint.call(address, message, TRY_TIMEOUT * 2).await;
+            match answer {
+                Ok(Message::Proposed(Some(Outcome::Undecided))) => Decision::Unknown,
+                Ok(Message::Proposed(Some(outcome))) => Decision::Decided(outcome),
+                Ok(Message::Proposed(None)) => Decision::NotAccepted,
+                Ok(_) | Err(_) => Decision::Unknown,
+            }
+        };
+        tokio::select! {
+            biased;
+            decision = tried => decision,
+            // A leader that was cut off silently may never answer.
+            _ = moved => Decision::Unknown,
         }
     }
 }
--- a/core/src/consensus/reducer.rs
+++ b/core/src/consensus/reducer.rs
@@ -37,6 +37,9 @@
 /// quorum does not grow its log without limit.
 const MAX_UNCOMMITTED: u64 = 8_192;
 
+/// Time after which the heir of a leader that shut down asks for votes again.
+const RETRY: Duration = Duration::from_millis(30);
+
 /// Time after which unanswered entries are sent again.
 const RESEND: Duration = Duration::from_millis(400);
 
@@ -816,6 +819,8 @@
                     self.reset_election();
                     if heir == self.own() && self.is_voter() {
                         self.campaign(true);
+                        // The request may overtake the news at other voters, which then ignore it.
+                        self.election_at = self.now + RETRY;
                     }
                 }
             }
