--- a/core/src/serving/credit.rs
+++ b/core/src/serving/credit.rs
@@ -211,7 +211,7 @@
         if self.held_epoch().is_some() {
             let own = self.settings.vm.clone();
             if self.grant(&own, attempt, &name, incarnation, tokens) {
-                self.use_credit(attempt, effects);
+                self.use_credit(attempt, DISPATCH_WITHIN, effects);
             } else {
                 self.give_up_credit(id);
                 self.enqueue_quietly(id);
@@ -251,7 +251,12 @@
     }
 
     /// Dispatches the attempt of a granted credit; returns whether it was dispatched.
-    fn use_credit(&mut self, attempt: Attempt, effects: &mut Vec<Effect>) -> bool {
+    fn use_credit(
+        &mut self,
+        attempt: Attempt,
+        within: Duration,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
         let id = attempt.request;
         let Some(request) = self.requests.get(&id) else {
             return false;
@@ -266,7 +271,7 @@
         else {
             return false;
         };
-        let in_time = self.now.since(asked) <= DISPATCH_WITHIN;
+        let in_time = self.now.since(asked) <= within;
         if asked_for != attempt || !in_time {
             return false;
         }
@@ -349,11 +354,12 @@
                 target,
                 incarnation,
                 epoch,
-                ..
+                dispatch_within_ms,
             } => {
+                let within = Duration::from_millis(dispatch_within_ms).min(DISPATCH_WITHIN);
                 // A grant of an earlier coordinator is not in the report to the present one.
                 let current = epoch >= self.reported_epoch;
-                if !current || !self.use_credit(attempt, effects) {
+                if !current || !self.use_credit(attempt, within, effects) {
                     let unused = Credit::Return {
                         attempt,
                         target,
--- a/core/tests/serving_policy.rs
+++ b/core/tests/serving_policy.rs
@@ -95,6 +95,14 @@
             host.announce(report);
         }
     }
+    // 4,000 tokens at 20,000 per second.
+    let waits: Vec<u64> = host
+        .reducer
+        .targets()
+        .iter()
+        .map(|target| target.wait_us)
+        .collect();
+    assert_eq!(waits, [200_000; 4]);
     targets.sort();
     targets.dedup();
     assert_eq!(targets.len(), 4);
--- a/core/tests/serving_zone.rs
+++ b/core/tests/serving_zone.rs
@@ -255,6 +255,47 @@
     );
 }
 
+/// Guards against credits that are used after their time, or that a former coordinator granted after
+/// the holdings were reported to the next one.
+#[test]
+fn late_grants_are_returned() {
+    let grant = |epoch, dispatch_within_ms| {
+        Message::Credit(Credit::Grant {
+            attempt: attempt(1, 0),
+            target: "t1".into(),
+            incarnation: 1,
+            epoch,
+            dispatch_within_ms,
+        })
+    };
+    let asked = |pause_ms: u64, epoch: u64, within_ms: u64| {
+        let mut fleet = Fleet::new(3);
+        let mut targets = [cold("t1", 101)];
+        fleet.pass_with(6_000, &mut targets);
+        let first = fleet.coordinators()[0];
+        let holder = (first + 1) % 3;
+        let from = fleet.hosts[first].reducer.settings().vm.clone();
+        let host = &mut fleet.hosts[holder];
+        host.arrive(prompt(1, 1_000));
+        host.now = host.now + std::time::Duration::from_millis(pause_ms);
+        let message = grant(epoch, within_ms);
+        let effects = host.apply(Event::Received { from, message });
+        let returned = effects.iter().any(|effect| {
+            matches!(
+                effect,
+                Effect::Send {
+                    message: Message::Credit(Credit::Return { .. }),
+                    ..
+                }
+            )
+        });
+        (dispatches(&effects).len(), returned)
+    };
+    assert_eq!(asked(10, 1, 1_000), (1, false));
+    assert_eq!(asked(300, 1, 200), (0, true), "after its time");
+    assert_eq!(asked(10, 0, 1_000), (0, true), "of a former coordinator");
+}
+
 /// Guards against a new coordinator that forgets the tokens of credits that members hold.
 #[test]
 fn holdings_keep_their_tokens() {
