--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -5,12 +5,14 @@
 //! the callers were told, never from the reducers' own counters. Each run is determined by its seed
 //! and its [`Step`]s.
 
+pub mod defect;
 pub mod engine;
 pub mod ledger;
 pub mod promise;
 pub mod step;
 pub mod world;
 
+pub use defect::Defect;
 pub use promise::{Promise, Violation};
 pub use step::Step;
 pub use world::World;
--- a/tests/src/world/mod.rs
+++ b/tests/src/world/mod.rs
@@ -19,6 +19,7 @@
 use rand::{RngExt, SeedableRng};
 use smallvec::SmallVec;
 
+use crate::defect::Defect;
 use crate::engine::{ANSWER_TOKENS, Engine};
 use crate::ledger::Ledger;
 use crate::promise::Violation;
@@ -219,6 +220,7 @@
     violations: Vec<Violation>,
     next_id: u128,
     stages: Vec<Stage>,
+    defect: Option<Defect>,
     /// Whether anything happened that may end a request without a whole answer.
     faulted: bool,
 }
@@ -247,6 +249,7 @@
             violations: Vec::new(),
             next_id: 1,
             stages: Vec::new(),
+            defect: None,
             faulted: false,
         };
         for zone in 0..size.zones {
@@ -277,11 +280,19 @@
         world
     }
 
+    /// Adds a defect from now on.
+    #[must_use]
+    pub fn with_defect(mut self, defect: Defect) -> Self {
+        self.defect = Some(defect);
+        self
+    }
+
     /// Carries out one step of a history.
     pub fn step(&mut self, step: Step) {
-        let node = |n: u8| usize::from(n) % (self.size.zones * self.size.nodes_per_zone);
-        let engine = |n: u8| usize::from(n) % (self.size.zones * self.size.engines_per_zone);
-        let zone = |n: u8| usize::from(n) % self.size.zones;
+        let size = self.size;
+        let node = |n: u8| usize::from(n) % (size.zones * size.nodes_per_zone);
+        let engine = |n: u8| usize::from(n) % (size.zones * size.engines_per_zone);
+        let zone = |n: u8| usize::from(n) % size.zones;
         let harmless = matches!(
             step,
             Step::Send { .. }
@@ -322,8 +333,14 @@
             Step::Pause(n) => self.nodes[node(n)].paused = true,
             Step::Resume(n) => self.resume(node(n)),
             Step::Shutdown(n) => {
-                self.nodes[node(n)].shutdown = true;
-                self.apply(node(n), Event::Drain);
+                let node = node(n);
+                self.nodes[node].shutdown = true;
+                if self.defect == Some(Defect::ShutdownCuts) {
+                    for engine in 0..self.engines.len() {
+                        self.cut(engine);
+                    }
+                }
+                self.apply(node, Event::Drain);
             }
             Step::Isolate(n) => {
                 self.isolated.insert(node(n));
--- a/tests/src/world/node.rs
+++ b/tests/src/world/node.rs
@@ -4,13 +4,15 @@
     Delivery, ENGINE_LEASE, Stage, TICK, World, address, control_address, instance, time_limit,
     zone_name,
 };
+use crate::defect::Defect;
 use crate::engine::ANSWER_TOKENS;
 use crate::promise::Promise;
 use primrosepin_core::message::{Credit, Message, Span};
 use primrosepin_core::request::{End, Id, Outcome};
-use primrosepin_core::serving::effect::Effect;
+use primrosepin_core::serving::effect::{Dispatch, Effect, Refusal};
 use primrosepin_core::serving::event::Event;
 use primrosepin_core::serving::{Policy, Reducer, Settings};
+use primrosepin_core::target::State;
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -51,7 +53,12 @@
         let cut =
             self.control_cut.contains(&self.nodes[node].zone) || self.isolated.contains(&node);
         if !cut && self.nodes[node].versions < self.config.version {
-            let config = Arc::clone(&self.config);
+            let mut config = Arc::clone(&self.config);
+            match self.defect {
+                Some(Defect::ZoneOrderIgnored) => Arc::make_mut(&mut config).zones_out.clear(),
+                Some(Defect::TargetOrderIgnored) => Arc::make_mut(&mut config).targets_out.clear(),
+                _ => {}
+            }
             self.apply(node, Event::Configured(config));
         }
     }
@@ -79,6 +86,19 @@
             return;
         }
         let now = self.now;
+        let event = match (self.defect, event) {
+            (Some(Defect::ColdAsWarm), Event::Announced(mut announcement)) => {
+                announcement.state = State::Warm;
+                announcement.incarnation = 1;
+                announcement.seq = now.as_micros();
+                Event::Announced(announcement)
+            }
+            (Some(Defect::TokenTwice), Event::Progress { attempt, tokens }) => Event::Progress {
+                attempt,
+                tokens: tokens * 2,
+            },
+            (_, event) => event,
+        };
         if let Event::Arrived(arrival) = &event
             && let Some(caller) = self.callers.get_mut(&arrival.id)
         {
@@ -107,20 +127,37 @@
     }
 
     pub(super) fn carry_out(&mut self, index: usize, effect: Effect) {
+        let effect = match (self.defect, effect) {
+            (Some(Defect::NoRefusal), Effect::Respond(_))
+            | (Some(Defect::NoCancel), Effect::Cancel { .. }) => return,
+            (Some(Defect::AlwaysNotRun), Effect::Respond(refusal)) => Effect::Respond(Refusal {
+                outcome: Outcome::NotRun,
+                ..refusal
+            }),
+            (Some(Defect::DispatchTwice), Effect::Dispatch(dispatch)) => {
+                let other =
+                    (self.engine_at(dispatch.address).unwrap_or(0) + 1) % self.engines.len();
+                let address = self.engines[other].announcement.address;
+                let again = Dispatch {
+                    address,
+                    ..dispatch.clone()
+                };
+                self.send_attempt(index, again);
+                Effect::Dispatch(dispatch)
+            }
+            (Some(Defect::ConfigReverts), Effect::InForce(mut config)) => {
+                if config.version > 1 {
+                    Arc::make_mut(&mut config).version = 1;
+                }
+                Effect::InForce(config)
+            }
+            (_, effect) => effect,
+        };
         let incarnation = self.nodes[index].incarnation;
         match effect {
             Effect::Dispatch(dispatch) => {
                 self.stages.push(Stage::Dispatched);
-                let delay = self.latency();
-                self.push_after(
-                    delay,
-                    Delivery::Attempt {
-                        node: index,
-                        incarnation,
-                        sent: self.now,
-                        dispatch,
-                    },
-                );
+                self.send_attempt(index, dispatch);
             }
             Effect::Abort(attempt) => {
                 for engine in &mut self.engines {
@@ -207,6 +244,20 @@
         }
     }
 
+    fn send_attempt(&mut self, index: usize, dispatch: Dispatch) {
+        let incarnation = self.nodes[index].incarnation;
+        let delay = self.latency();
+        self.push_after(
+            delay,
+            Delivery::Attempt {
+                node: index,
+                incarnation,
+                sent: self.now,
+                dispatch,
+            },
+        );
+    }
+
     pub(super) fn transmit(&mut self, from: usize, to: SocketAddr, message: &Message) {
         if matches!(
             message,
