--- a/bench/src/quickstart.rs
+++ b/bench/src/quickstart.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use eyre::ensure;
 use primrosepin_core::serving::Policy;
 use primrosepin_standin::engine;
 use serde_json::{Value, json};
@@ -21,12 +20,6 @@
 /// Bytes of text for each token, so that one million tokens are a body of 5 MB.
 const TOKEN_BYTES: usize = 5;
 
-/// Pause between two tries to reach the plain service.
-const READY_PAUSE: Duration = Duration::from_millis(100);
-
-/// Tries to reach the plain service. Zones learn of each other's capacity each second.
-const READY_TRIES: u32 = 200;
-
 fn spec() -> Spec {
     Spec {
         zones: ["trnava-a", "nitra-b"].map(String::from).to_vec(),
@@ -57,28 +50,10 @@
     pub all_answered: bool,
 }
 
-/// Starts the deployment and waits until both zones reach the plain service, which is in one of them.
+/// Starts the deployment. It answers every call from the start: [`Cluster::start`] waits until each
+/// entry VM reaches both services and each zone has a coordinator.
 pub async fn start() -> eyre::Result<Cluster> {
-    let cluster = Cluster::start(spec()).await?;
-    let route = cluster.spec.route();
-    let http = caller::client();
-    for entry in cluster.callers() {
-        let mut tries = 0;
-        loop {
-            let url = format!("http://{entry}{}/ready", route.path);
-            let sent = http.get(url).bearer_auth(&route.keys[0]).send().await;
-            if sent.is_ok_and(|response| response.status().is_success()) {
-                break;
-            }
-            tries += 1;
-            ensure!(
-                tries < READY_TRIES,
-                "entry VM at {entry} does not reach the plain service"
-            );
-            actix_rt::time::sleep(READY_PAUSE).await;
-        }
-    }
-    Ok(cluster)
+    Cluster::start(spec()).await
 }
 
 /// Returns the help text for people who try the deployment out.
