--- a/bench/src/scenario.rs
+++ b/bench/src/scenario.rs
@@ -359,6 +359,7 @@
         "alone_check": alone.check,
         "by_target": by_target(&evidence.engine_records),
         "ends": ends_by_kind(&evidence.engine_records),
+        "held_up_at_engine": held_up(&evidence.engine_records),
         "first_token_at_engine": engine_side(&evidence.engine_records),
     });
     cluster.stop().await?;
@@ -515,3 +516,25 @@
     }
     json!(at_engine.percentiles())
 }
+
+/// Prompts up to 4,000 tokens that waited longest in an engine's queue, with what they met there.
+fn held_up(records: &[Record]) -> Value {
+    let waited_us = |record: &Record| {
+        let until_us = record
+            .started_us
+            .max(record.ended_us.min(record.first_token_us));
+        until_us.max(record.received_us) - record.received_us
+    };
+    let mut longest: Vec<_> = records
+        .iter()
+        .filter(|record| record.prompt_tokens <= 4_000 && waited_us(record) > 1_000_000)
+        .collect();
+    longest.sort_unstable_by_key(|record| std::cmp::Reverse(waited_us(record)));
+    let rows = longest.iter().take(10).map(|record| {
+        json!({
+            "target": record.target, "waited_ms": waited_us(record) / 1000,
+            "kv_tokens_held": record.kv_tokens_held, "ahead": record.ahead,
+        })
+    });
+    rows.collect()
+}
--- a/bench/tests/audit.rs
+++ b/bench/tests/audit.rs
@@ -49,6 +49,8 @@
         max_tokens: 1,
         generated_tokens: 1,
         cold: false,
+        kv_tokens_held: 0,
+        ahead: 0,
         received_us,
         started_us: received_us,
         first_token_us: received_us,
--- a/standin/src/engine/model.rs
+++ b/standin/src/engine/model.rs
@@ -300,7 +300,10 @@
             part.attempt = Some(arrival.attempt.clone());
         }
         self.check_cold(arrival.prompt_tokens, now_us);
+        let ahead = self.count(Phase::Waiting) + self.count(Phase::Running);
         self.records.push(Record {
+            kv_tokens_held: self.held(),
+            ahead,
             target: self.settings.name.clone(),
             incarnation: self.incarnation,
             attempt: arrival.attempt.clone(),
--- a/standin/src/plain.rs
+++ b/standin/src/plain.rs
@@ -441,6 +441,8 @@
             max_tokens: 0,
             generated_tokens: 0,
             cold: state.cold.is_some(),
+            kv_tokens_held: 0,
+            ahead: state.running - 1,
             received_us: now_us,
             started_us: now_us,
             first_token_us: 0,
--- a/standin/src/record.rs
+++ b/standin/src/record.rs
@@ -45,6 +45,10 @@
     pub generated_tokens: u64,
     /// Whether the target was cold when the request arrived.
     pub cold: bool,
+    /// KV tokens held by others when the request arrived.
+    pub kv_tokens_held: u64,
+    /// Requests in the batch and in the queue when the request arrived.
+    pub ahead: u32,
     /// Arrival.
     pub received_us: u64,
     /// Begin of the run; zero if it never left the queue.
