core: Judge health and admission by what priorities explain

Change: ageing improves the engine priority by quarters of the time limit; only short requests on targets with free slots show that a target turned cold; an attempt without a header is given up only when the target reports nothing to prefill and too few requests; admission knows how fast the queue of each class moved; the penalty beside long work is the rest of a prefill chunk (300 ms before, 50 ms now).

--- a/core/src/serving/admission.rs
+++ b/core/src/serving/admission.rs
@@ -97,7 +97,11 @@
         let waiting: u32 = group.waiting[..=class].iter().sum();
         let over = (running + waiting + 1).saturating_sub(slots);
         let slot_us = f64::from(over) / f64::from(slots) * self.mean_service_us(request.group);
-        let mut queue_us = slot_us;
+        // Requests of shorter classes that arrive later go first. How fast the queue moved in spite
+        // of them is only known from the past.
+        let stalled = group.last_start[class].map_or(0, |last| self.now.since(last).as_micros());
+        let interval_us = group.interval_us[class].max(stalled as f64);
+        let mut queue_us = slot_us.max(f64::from(group.waiting[class]) * interval_us);
         if rate > 0.0 {
             let tokens: u64 = group.waiting_tokens[..=class].iter().sum();
             queue_us = queue_us.max(tokens as f64 / rate);
--- a/core/src/serving/health.rs
+++ b/core/src/serving/health.rs
@@ -3,17 +3,18 @@
 //! A silent connection says nothing about its target. The target is probed on a new connection
 //! first; if it answers, the stream is resumed on a new connection, and if not, the attempt counts
 //! as lost. Without a response header there may be no stream to resume, so that a request that may
-//! be repeated goes to another target.
+//! be repeated goes to another target once the target's load shows that it does not have it.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::request::{End, Id};
+use crate::request::{Class, End, Id};
 use crate::target;
 
 use super::effect::{Effect, Notice};
 use super::reducer::Reducer;
 use super::request::Run;
+use super::settings::Policy;
 
 /// Silence after which a connection is doubted.
 const SILENCE: Duration = Duration::from_secs(2);
@@ -48,11 +49,33 @@
     pub(super) fn judge_first_token(
         &mut self,
         run: &mut Run,
+        class: Class,
         got: bool,
         effects: &mut Vec<Effect>,
     ) {
+        let target = self.table.get(run.target);
+        let full = target
+            .is_some_and(|target| target.zone_running() + 1 >= target.announcement.max_running);
+        if full && got {
+            // The request may have waited for a slot that another entry VM took at the same time.
+            run.healthy = true;
+            return;
+        }
+        if class > Class::Short {
+            // Later work of higher priority may delay it by any time.
+            run.healthy = got;
+            return;
+        }
         let elapsed = self.now.since(run.sent).as_micros() as u64;
-        let late = is_late(run, elapsed);
+        // With equal priorities, work that peers sent at the same time explains a late first token.
+        let explained = match self.settings.policy {
+            Policy::Length => 0,
+            Policy::RoundRobin | Policy::LeastLoad => self
+                .table
+                .get(run.target)
+                .map_or(0, |target| target.peak_us(self.now)),
+        };
+        let late = is_late(run, elapsed.saturating_sub(explained));
         run.healthy = got && !late;
         if !got && !late {
             return;
@@ -197,6 +220,15 @@
         run.probed = false;
         run.silences += 1;
         let (attempt, engine, header) = (run.attempt, run.engine, run.header);
+        // A target that reports nothing to prefill and fewer requests than it was sent did not get this
+        // one, or lost it. Otherwise the prefill may only be delayed by work of higher priority.
+        let missing = self
+            .table
+            .same_mut(run.target, run.generation)
+            .is_none_or(|target| {
+                let load = target.announcement.load;
+                load.prefill_tokens == 0 && load.running + load.waiting < target.zone_running()
+            });
         if alive {
             if !engine || at_most_once {
                 // It may be running and cannot be continued; the answer may still come.
@@ -207,7 +239,7 @@
                 self.resume(id, effects);
                 return;
             }
-            if !repeatable {
+            if !repeatable || !missing {
                 return;
             }
         }
--- a/core/src/serving/placement.rs
+++ b/core/src/serving/placement.rs
@@ -26,8 +26,10 @@
 /// Predicted wait above which a request waits in the fair queue instead of at the target.
 const TARGET_BACKLOG_US: f64 = 1_000_000.0;
 
-/// Wait that a short or medium request accepts to avoid a target that runs long work.
-const BESIDE_LONG_PENALTY_US: f64 = 300_000.0;
+/// Wait that a short or medium request accepts to avoid a target that runs long work: about the rest
+/// of a prefill chunk that the engine does not interrupt. A higher value makes short requests wait
+/// for each other on the remaining targets.
+const BESIDE_LONG_PENALTY_US: f64 = 50_000.0;
 
 /// Wait that a request accepts to get an idle target instead of one with all slots taken, since
 /// the streams of a batch slow each other down.
--- a/core/src/serving/reducer.rs
+++ b/core/src/serving/reducer.rs
@@ -50,6 +50,9 @@
 /// Best engine priority that ageing gives to a long request; short requests stay ahead.
 const AGED_PRIORITY: u8 = 2;
 
+/// Parts of the time limit by which ageing improves the engine priority.
+const AGEING_PARTS: u128 = 4;
+
 /// Resumes without progress in between before a stream counts as broken.
 const RESUMES_MAX: u8 = 2;
 
@@ -595,6 +598,7 @@
             return true;
         }
         self.dequeue(id);
+        self.count_start(id);
         self.dispatch(id, choice, None, effects);
         true
     }
@@ -617,6 +621,20 @@
         self.dispatch_attempt(id, attempt, choice, credit, Parts::new(), effects);
     }
 
+    /// Notes how fast the queue of a request's class moves.
+    fn count_start(&mut self, id: Id) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let class = request.class as usize;
+        let group = self.table.group_mut(request.group);
+        if let Some(last) = group.last_start[class] {
+            let interval = self.now.since(last).as_micros() as f64;
+            mean(&mut group.interval_us[class], interval);
+        }
+        group.last_start[class] = (group.waiting[class] > 0).then_some(self.now);
+    }
+
     /// Sends an attempt to a target.
     pub(super) fn dispatch_attempt(
         &mut self,
@@ -651,13 +669,12 @@
             self.budget.first_attempt();
         }
         self.counters.dispatched += 1;
-        let waited = self.now.since(request.arrived);
         effects.push(Effect::Dispatch(Dispatch {
             attempt,
             target: Arc::clone(&target.announcement.name),
             address: target.announcement.address,
             priority: match self.settings.policy {
-                Policy::Length => aged_priority(request.class, waited),
+                Policy::Length => aged_priority(request, self.now),
                 Policy::RoundRobin | Policy::LeastLoad => 0,
             },
             lease_ms: ENGINE_LEASE_MS,
@@ -716,7 +733,7 @@
         if let Some(target) = self.table.same_mut(run.target, run.generation) {
             target.prefilled(run.engine_attempt, class, run.prefill_tokens);
         }
-        self.judge_first_token(run, true, effects);
+        self.judge_first_token(run, class, true, effects);
         let healthy = run.healthy;
         if let Some(run) = self
             .requests
@@ -843,8 +860,10 @@
         };
         let attempt = request.attempt();
         let delivered = request.delivered;
-        let waited = self.now.since(request.arrived);
-        let priority = aged_priority(request.class, waited);
+        let priority = match self.settings.policy {
+            Policy::Length => aged_priority(request, self.now),
+            Policy::RoundRobin | Policy::LeastLoad => 0,
+        };
         let Some(run) = request.run_mut() else {
             return;
         };
@@ -882,7 +901,7 @@
         if cancel {
             // A silent connection to a live target says nothing about the target.
             if !run.first_token && run.silences == 0 {
-                self.judge_first_token(&mut run, false, effects);
+                self.judge_first_token(&mut run, class, false, effects);
             }
             if run.engine {
                 effects.push(Effect::Cancel {
@@ -1072,11 +1091,15 @@
     }
 }
 
-/// Returns the engine priority of a request, better by one for each ageing step.
-fn aged_priority(class: Class, waited: Duration) -> u8 {
-    let priority = cost::priority(class);
-    let steps = waited.as_millis() / super::fairness::AGEING_STEP.as_millis();
-    let aged = priority.saturating_sub(steps.min(8) as u8);
+/// Returns the engine priority of a request, better by one for each part of its time limit that has
+/// passed. Long work that waited only a little stays behind medium work, which it would delay by many
+/// times its own prefill.
+fn aged_priority(request: &Request, now: Instant) -> u8 {
+    let priority = cost::priority(request.class);
+    let limit = request.deadline.since(request.arrived).as_micros();
+    let waited = now.since(request.arrived).as_micros();
+    let parts = (waited * AGEING_PARTS).checked_div(limit).unwrap_or(0);
+    let aged = priority.saturating_sub(parts.min(8) as u8);
     aged.max(AGED_PRIORITY).min(priority)
 }
 
--- a/core/src/serving/target.rs
+++ b/core/src/serving/target.rs
@@ -21,6 +21,9 @@
 /// Age up to which a load report may lack work that was sent before the report arrived.
 const REPORT_LAG: Duration = Duration::from_millis(250);
 
+/// Time for which a reported backlog may explain a late first token.
+const PEAK_MEMORY: Duration = Duration::from_secs(15);
+
 /// First tokens in a row that are late before a target counts as cold.
 const SLOW_FIRST_TOKENS: u8 = 3;
 
@@ -68,6 +71,8 @@
     recent: VecDeque<Recent>,
     /// KV memory of the recent dispatches, tokens.
     recent_kv: u64,
+    /// Highest backlog reported lately and its time.
+    peak: (u64, Instant),
     /// First tokens in a row that were late.
     slow: u8,
     /// Until when the target gets no new work because it did not answer.
@@ -248,6 +253,10 @@
     pub waiting: [u32; 4],
     /// Prompt tokens of waiting requests by class.
     pub waiting_tokens: [u64; 4],
+    /// Time of the last dispatch by class, while others of the class waited.
+    pub last_start: [Option<Instant>; 4],
+    /// Mean time between dispatches by class while others of the class waited, microseconds.
+    pub interval_us: [f64; 4],
     /// Mean time on a target by class, microseconds; zero before the first answer.
     pub service_us: [f64; 4],
     /// Time of the last arrival of a short or medium request.
@@ -372,6 +381,7 @@
             backlog_at: now,
             recent: VecDeque::new(),
             recent_kv: 0,
+            peak: (0, now),
             slow: 0,
             unresponsive_until: None,
             asks: 0,
@@ -635,6 +645,8 @@
             reserved: None,
             waiting: [0; 4],
             waiting_tokens: [0; 4],
+            last_start: [None; 4],
+            interval_us: [0.0; 4],
             service_us: [0.0; 4],
             last_short: None,
             generated_tokens: 0.0,
@@ -671,6 +683,19 @@
         self.recent_kv = self.recent.iter().map(|recent| recent.kv_tokens).sum();
         self.backlog = (self.announcement.load.prefill_tokens + self.own.since) as f64;
         self.backlog_at = now;
+        let reported = self.announcement.load.prefill_tokens;
+        if reported >= self.peak.0 || now.since(self.peak.1) > PEAK_MEMORY {
+            self.peak = (reported, now);
+        }
+    }
+
+    /// Returns the time for the highest backlog reported lately, microseconds.
+    pub fn peak_us(&self, now: Instant) -> u64 {
+        if now.since(self.peak.1) > PEAK_MEMORY {
+            0
+        } else {
+            self.prefill_us(self.peak.0) as u64
+        }
     }
 
     fn rate_per_us(&self) -> f64 {
