core: Bound the numbers of targets and callers; describe the serving reducer

Cause: sums over announced memory, load and callers' prompt lengths could overflow, which stops a debug build and wraps in a release build. Change: numbers are bounded on intake; a test feeds extreme values.

--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -1,4 +1,18 @@
 //! The reducer of an entry VM.
+//!
+//! [`Reducer::apply`] takes the time and an event and appends effects. Each concern is a module:
+//! `target` keeps the zone's targets, `placement` chooses among them, `admission` refuses what cannot
+//! be answered in time, `fairness` orders what waits, `claim` keeps at-most-once requests in the
+//! ledger, `health` judges targets and connections, `membership` and `coordinator` keep the zone
+//! together, `credit` and `span` hand out what only the coordinator may hand out.
+//!
+//! Invariants, checked by [`verify::Verifier`]:
+//!
+//! - Each request gets exactly one final outcome, by its deadline.
+//! - `not_run` is only said of a request that was never sent or that every target proved not to run.
+//! - An at-most-once request is sent after its claim only, and again only after such proof.
+//! - No attempt goes to a target or zone that is out or drains, nor without a credit to a cold target.
+//! - Each attempt at an engine that did not give a whole answer is cancelled there.
 
 mod admission;
 mod cache;
--- a/core/src/serving/reducer.rs
+++ b/core/src/serving/reducer.rs
@@ -33,7 +33,7 @@
 use super::retry::Budget;
 use super::settings::{Policy, Settings};
 use super::span::{Parts, Spans};
-use super::target::{Change, LEASE, Table, View};
+use super::target::{Change, LEASE, TOKENS_MAX, Table, View};
 
 /// Lease of what an engine holds for an attempt, renewed by reading.
 pub(super) const ENGINE_LEASE_MS: u64 = 10_000;
@@ -344,8 +344,10 @@
         }
     }
 
-    fn arrived(&mut self, arrival: Box<Arrival>, effects: &mut Vec<Effect>) {
+    fn arrived(&mut self, mut arrival: Box<Arrival>, effects: &mut Vec<Effect>) {
         let id = arrival.id;
+        arrival.prompt_tokens = arrival.prompt_tokens.min(TOKENS_MAX);
+        arrival.max_tokens = arrival.max_tokens.min(TOKENS_MAX);
         if self.requests.contains_key(&id) {
             return;
         }
--- a/core/src/serving/target.rs
+++ b/core/src/serving/target.rs
@@ -21,6 +21,12 @@
 /// Age up to which a load report may lack work that was sent before the report arrived.
 const REPORT_LAG: Duration = Duration::from_millis(250);
 
+/// Largest number of tokens that is taken from an announcement or a caller.
+pub(super) const TOKENS_MAX: u64 = 1 << 40;
+
+/// Largest number of requests that is taken from an announcement.
+const REQUESTS_MAX: u32 = 1 << 16;
+
 /// Time for which a reported backlog may explain a late first token.
 const PEAK_MEMORY: Duration = Duration::from_secs(15);
 
@@ -179,6 +185,29 @@
     pub since: u64,
 }
 
+/// Bounds the numbers of an announcement, so that sums over all targets cannot overflow.
+fn bound(announcement: &mut Announcement) {
+    let load = &mut announcement.load;
+    for tokens in [
+        &mut announcement.kv_tokens,
+        &mut announcement.prefill_tokens_per_s,
+        &mut announcement.decode_tokens_per_s,
+        &mut announcement.cold_budget.tokens,
+        &mut load.prefill_tokens,
+        &mut load.kv_tokens_used,
+    ] {
+        *tokens = (*tokens).min(TOKENS_MAX);
+    }
+    for requests in [
+        &mut announcement.max_running,
+        &mut announcement.cold_budget.requests,
+        &mut load.running,
+        &mut load.waiting,
+    ] {
+        *requests = (*requests).min(REQUESTS_MAX);
+    }
+}
+
 impl Work {
     fn add(&mut self, other: &Self) {
         self.running += other.running;
@@ -308,9 +337,10 @@
     pub fn announce(
         &mut self,
         now: Instant,
-        announcement: Announcement,
+        mut announcement: Announcement,
         lease_until: Instant,
     ) -> Change {
+        bound(&mut announcement);
         let Some(&id) = self.names.get(&announcement.name) else {
             return Change::Joined(self.insert(now, announcement, lease_until));
         };
--- a/core/tests/serving_policy.rs
+++ b/core/tests/serving_policy.rs
@@ -11,6 +11,7 @@
 use primrosepin_core::serving::Policy;
 use primrosepin_core::serving::effect::Effect;
 use primrosepin_core::serving::event::Event;
+use primrosepin_core::target::Load;
 
 fn fleet(host: &mut Host, count: u16) {
     for number in 0..count {
@@ -309,6 +310,37 @@
     }
 }
 
+/// Guards against overflow from the numbers of targets and callers.
+#[test]
+fn extreme_numbers() {
+    let mut host = Host::alone();
+    for number in 0..3 {
+        let mut target = engine(&format!("t{number}"), 101 + number);
+        target.kv_tokens = u64::MAX - u64::from(number);
+        target.prefill_tokens_per_s = u64::MAX * u64::from(number % 2);
+        target.decode_tokens_per_s = u64::MAX;
+        target.max_running = u32::MAX;
+        target.spans = true;
+        target.cold_budget.tokens = u64::MAX;
+        target.load = Load {
+            running: u32::MAX,
+            waiting: u32::MAX,
+            prefill_tokens: u64::MAX,
+            kv_tokens_used: u64::MAX / 2,
+        };
+        host.announce(target);
+    }
+    for id in 0..20 {
+        let mut arrival = prompt(id, u64::MAX >> (3 * id));
+        arrival.max_tokens = u64::MAX;
+        host.arrive(arrival);
+        host.arrive(prompt(100 + id, u64::MAX >> (3 * id)));
+        host.pass(20);
+    }
+    host.pass(605_000);
+    assert_eq!(host.reducer.live(), 0);
+}
+
 /// Guards against histories that cannot be replayed: equal seeds and events give equal effects.
 #[test]
 fn replay_is_exact() {
