core: Check the coordinator's own cold budget in the verifier

Cause: the verifier let a coordinator send any number of attempts to a cold target. Change: its attempts may not exceed the announced budget plus the good first tokens seen. Doubling the budget in a trial now fails the fuzz test too. Conclusion: core tests pass.

--- a/core/src/serving/verify.rs
+++ b/core/src/serving/verify.rs
@@ -55,6 +55,8 @@
     ZoneOut(Attempt),
     /// A dispatch to a cold target without a credit.
     NoCredit(Attempt),
+    /// More attempts on a cold target than its budget allows, sent by the coordinator itself.
+    OverBudget(Attempt),
     /// A second final effect, or one for an unknown request.
     Ended(Id),
     /// `not_run` for a request that may have run.
@@ -97,6 +99,8 @@
     engine: bool,
     /// Attempt that the engine knows.
     base: Attempt,
+    incarnation: u64,
+    first_token: bool,
 }
 
 /// Follows one reducer.
@@ -111,6 +115,8 @@
     /// Attempts that the engines may hold and whose cancel is still to come.
     held: BTreeMap<Attempt, SocketAddr>,
     granted: BTreeSet<Attempt>,
+    /// First tokens by target and incarnation, seen here or reported to this VM as coordinator.
+    good: BTreeMap<(Arc<str>, u64), u32>,
     coordinator: bool,
     /// Order about this zone that was given at an entry VM and still applies.
     order: Option<Override>,
@@ -128,6 +134,7 @@
             sent: BTreeMap::new(),
             held: BTreeMap::new(),
             granted: BTreeSet::new(),
+            good: BTreeMap::new(),
             coordinator: false,
             order: None,
         }
@@ -190,6 +197,7 @@
                 };
                 self.requests.insert(arrival.id, request);
             }
+            Event::Progress { attempt, tokens } => self.progressed(*attempt, *tokens),
             Event::Ended { attempt, end } => self.attempt_ended(*attempt, end),
             Event::HandedOver { request, end } => {
                 if let Some(request) = self.requests.get_mut(request)
@@ -245,6 +253,19 @@
             } => {
                 self.granted.insert(*attempt);
             }
+            Event::Received {
+                message:
+                    Message::Credit(Credit::Return {
+                        target,
+                        incarnation,
+                        healthy: true,
+                        ..
+                    }),
+                ..
+            } => {
+                let key = (Arc::clone(target), *incarnation);
+                *self.good.entry(key).or_default() += 1;
+            }
             _ => {}
         }
     }
@@ -303,6 +324,31 @@
         self.targets.insert(name, announcement.clone());
     }
 
+    fn progressed(&mut self, attempt: Attempt, tokens: u32) {
+        let base = self.sent.get(&attempt).map_or(attempt, |sent| sent.base);
+        if let Some(sent) = self.sent.get_mut(&base)
+            && tokens > 0
+            && !sent.first_token
+        {
+            sent.first_token = true;
+            let key = (Arc::clone(&sent.target), sent.incarnation);
+            *self.good.entry(key).or_default() += 1;
+        }
+    }
+
+    /// Returns whether this VM's attempts on a cold target exceed its budget, which grows by one for
+    /// each good first token.
+    fn is_over_budget(&self, target: &Announcement) -> bool {
+        let key = (Arc::clone(&target.name), target.incarnation);
+        let good = self.good.get(&key).copied().unwrap_or(0);
+        let running = self
+            .requests
+            .values()
+            .filter_map(|request| self.sent.get(&request.current?))
+            .filter(|sent| sent.target == target.name && sent.incarnation == target.incarnation);
+        running.count() as u32 >= target.cold_budget.requests + good
+    }
+
     fn attempt_ended(&mut self, attempt: Attempt, end: &End) {
         let Some(request) = self.requests.get_mut(&attempt.request) else {
             return;
@@ -454,6 +500,13 @@
         if target.state == State::Cold && !credit {
             return Err(Violation::NoCredit(attempt));
         }
+        // The request's own attempt is not in `sent` yet.
+        if target.state == State::Cold
+            && !self.granted.contains(&attempt)
+            && self.is_over_budget(target)
+        {
+            return Err(Violation::OverBudget(attempt));
+        }
         let engine = target.kind == Kind::Engine;
         if engine {
             self.held.insert(attempt, dispatch.address);
@@ -463,6 +516,8 @@
             address: dispatch.address,
             engine,
             base: attempt,
+            incarnation: target.incarnation,
+            first_token: false,
         };
         self.sent.insert(attempt, sent);
         Ok(())
--- a/core/tests/serving_policy.rs
+++ b/core/tests/serving_policy.rs
@@ -316,7 +316,8 @@
     let mut host = Host::alone();
     for number in 0..3 {
         let mut target = engine(&format!("t{number}"), 101 + number);
-        target.kv_tokens = u64::MAX - u64::from(number);
+        // No announced memory means that any prompt fits.
+        target.kv_tokens = u64::MAX * u64::from(number % 2);
         target.prefill_tokens_per_s = u64::MAX * u64::from(number % 2);
         target.decode_tokens_per_s = u64::MAX;
         target.max_running = u32::MAX;
