core: Send the list of members after a change and every eighth heartbeat

Cause: every heartbeat listed all members, which grows with the square of a zone's entry VMs. Change: the list is sent when a member joined and every 2 s. Conclusion: core tests pass; the size of heartbeats was not measured.

--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -19,7 +19,8 @@
     pub config: u64,
     /// Whether the sender shuts down and takes no new requests.
     pub draining: bool,
-    /// Members known to the sender, so that a new member finds all from one seed.
+    /// Members known to the sender, so that a new member finds all from one seed; sent after a change
+    /// and at intervals, otherwise empty.
     pub members: Vec<(vm::Instance, vm::Address)>,
     /// Prompt tokens that the sender dispatched, for each target, since the load report it knows.
     pub sent: Vec<Sent>,
--- a/core/src/serving/membership.rs
+++ b/core/src/serving/membership.rs
@@ -21,6 +21,9 @@
 /// Interval between heartbeats.
 pub(super) const BEAT_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Heartbeats from one list of members to the next while none joins.
+const MEMBERS_INTERVAL_BEATS: u64 = 8;
+
 /// Silence after which a member is suspect.
 const SUSPECT: Duration = Duration::from_secs(1);
 
@@ -84,6 +87,8 @@
     /// Addresses of VMs that were not heard yet, with the time until which they are tried.
     contacts: BTreeMap<SocketAddr, Instant>,
     sequence: u64,
+    /// Whether a member joined since the last heartbeat.
+    changed: bool,
     next_beat: Instant,
     next_pull: Instant,
     /// Control address to ask next.
@@ -102,6 +107,7 @@
             incarnations: BTreeMap::new(),
             contacts: BTreeMap::new(),
             sequence: 0,
+            changed: true,
             next_beat: now,
             next_pull: now,
             pull_at: 0,
@@ -206,12 +212,7 @@
             sequence: self.members.sequence,
             config: self.config_version(),
             draining: self.draining,
-            members: self
-                .members
-                .known
-                .values()
-                .map(|member| (member.instance.clone(), member.address))
-                .collect(),
+            members: self.known_members(),
             sent: self
                 .table
                 .iter()
@@ -246,6 +247,19 @@
         }
     }
 
+    /// Returns the members for a heartbeat after a change and at intervals, and none otherwise, since
+    /// the list makes up most of a heartbeat in a large zone.
+    fn known_members(&mut self) -> Vec<(vm::Instance, vm::Address)> {
+        let due = self.members.sequence.is_multiple_of(MEMBERS_INTERVAL_BEATS);
+        if !std::mem::take(&mut self.members.changed) && !due {
+            return Vec::new();
+        }
+        let known = self.members.known.values();
+        known
+            .map(|member| (member.instance.clone(), member.address))
+            .collect()
+    }
+
     fn spread_announcements(&mut self, effects: &mut Vec<Effect>) {
         let mut fresh = std::mem::take(&mut self.members.fresh);
         fresh.sort_unstable();
@@ -410,6 +424,7 @@
             self.send(from, Message::ConfigPull { have }, effects);
         }
         if joined {
+            self.members.changed = true;
             effects.push(Effect::Notice(Notice::MemberJoined(Arc::clone(&from.name))));
         }
         self.heard_epoch(from, beat.epoch, effects);
