cli: Say when an order changed nothing at control

Cause: on the operators' walk, a local order took zone trnava-a out while control was reachable; zone in at control was accepted without a new version, since the zone was in there, and the entry VMs kept the local order. The client reported the zone as in. The test order_without_a_change guards it.

--- a/cli/src/change.rs
+++ b/cli/src/change.rs
@@ -211,7 +211,30 @@
     let bound = Duration::from_secs(server.timeout_s);
     let mut progress = Progress::new();
     let outcome = send(&client, path, &body, bound, &mut progress).await;
-    finish(&client, outcome, what, &id, sending, &mut progress).await
+    let accepted = match outcome {
+        Outcome::Accepted(version) => Some(version),
+        _ => None,
+    };
+    let mut report = finish(&client, outcome, what, &id, sending, &mut progress).await?;
+    if let Some(version) = accepted
+        && is_unchanged(&client, version, &id).await
+    {
+        // Entry VMs replace a local order only by a configuration with a higher version.
+        report.json["unchanged"] = true.into();
+        report.text += "\nControl had this state already. A local order at entry VMs, if there is one, \
+                        stays until it is taken back with --local.";
+    }
+    Ok(report)
+}
+
+/// Returns whether control accepted the order without a change. False if that cannot be told.
+async fn is_unchanged(client: &Client, version: u64, id: &str) -> bool {
+    let Ok(body) = client.get("/v1/config/history").await else {
+        return false;
+    };
+    let history = body["history"].as_array();
+    let mut changes = history.into_iter().flatten();
+    changes.any(|change| change["version"] == version && change["id"] != id)
 }
 
 /// Gives the order to entry VMs. Setting the same state again changes nothing, so lost answers are
--- a/cli/tests/cli/change.rs
+++ b/cli/tests/cli/change.rs
@@ -389,3 +389,24 @@
         (1, Some(1))
     );
 }
+
+/// Guards against an order that seems to end a local order at entry VMs although control changed nothing.
+#[test]
+fn order_without_a_change() {
+    let admin = Admin::start(|request, _| {
+        if is_status(request) {
+            status(7)
+        } else if request.line.starts_with("GET /v1/config/history") {
+            let changes =
+                json!([{ "version": 7, "id": "other", "at_ms": 0, "change": "inventory" }]);
+            Answer::Json(200, json!({ "history": changes }))
+        } else {
+            accepted(7)
+        }
+    });
+    let control = admin.address.to_string();
+    let (code, json) = run_json(&["zone", "in", "--control", &control, "a"]);
+    assert_eq!((code, &json["unchanged"]), (0, &json!(true)));
+    let (_, json) = run_json(&["zone", "in", "--control", &control, "--id", "other", "a"]);
+    assert_eq!(json["unchanged"], Value::Null);
+}
