--- /dev/null
+++ b/cli/tests/cli/docs.rs
@@ -0,0 +1,21 @@
+//! Command lines on the operators' page.
+
+use primrosepin_cli::options;
+
+/// Guards against a page with commands that the client does not have.
+#[test]
+fn commands_of_the_operators_page_parse() {
+    let page = include_str!("../../../docs/operators.md");
+    let mut checked = 0;
+    for line in page.lines().map(str::trim) {
+        let Some(rest) = line.strip_prefix("primrosepin ") else {
+            continue;
+        };
+        let command = rest.split(['#', '>']).next().unwrap_or_default();
+        let args: Vec<&str> = command.split_whitespace().collect();
+        let result = options::parser().run_inner(&args[..]);
+        assert!(result.is_ok(), "{line}: {result:?}");
+        checked += 1;
+    }
+    assert!(checked >= 20, "only {checked} commands found");
+}
--- a/cli/tests/cli/main.rs
+++ b/cli/tests/cli/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the operators' client: the binary against a small admin server, and its reports.
 
 mod change;
+mod docs;
 mod inventory;
 mod keys;
 mod status;
