--- a/control/src/admin.rs
+++ b/control/src/admin.rs
@@ -357,10 +357,11 @@
             .iter()
             .map(|member| {
                 json!({
+                    "id": format!("{:016x}", member.id.0),
                     "vm": member.vm,
                     "address": member.address,
                     "voter": member.voter,
-                    "reachable": member.vm == self.vm || self.signs.is_reachable(&member.vm),
+                    "reachable": member.id == view.id || self.signs.is_reachable(member.id),
                 })
             })
             .collect();
@@ -375,6 +376,7 @@
         json!({
             "version": config.as_ref().map_or(0, |config| config.version),
             "vm": self.vm,
+            "id": format!("{:016x}", view.id.0),
             "role": match view.role {
                 Role::Blank => "blank",
                 Role::Follower => "follower",
--- a/control/src/disk.rs
+++ b/control/src/disk.rs
@@ -1,7 +1,7 @@
 //! Content of the data folder.
 //!
-//! State, entries and snapshots are encoded with `postcard` after one byte for the version of the
-//! format.
+//! State, entries and heads of snapshots are encoded with `postcard` after one byte for the version of
+//! the format. `postcard` takes bytes one by one, so the state of a snapshot follows its head as it is.
 
 use std::fs;
 use std::path::Path;
@@ -50,6 +50,32 @@
     }
 }
 
+/// Encodes a snapshot: the length of its head, the head, then the state as it is.
+pub(crate) fn encode_snapshot(snapshot: &Snapshot) -> eyre::Result<Vec<u8>> {
+    let head = encode(&(snapshot.index, snapshot.term, &snapshot.members))?;
+    let mut bytes = (head.len() as u32).to_le_bytes().to_vec();
+    bytes.extend_from_slice(&head);
+    bytes.extend_from_slice(&snapshot.state);
+    Ok(bytes)
+}
+
+/// Decodes a snapshot.
+fn decode_snapshot(bytes: &[u8]) -> eyre::Result<Snapshot> {
+    let split = bytes
+        .split_first_chunk::<4>()
+        .and_then(|(length, rest)| rest.split_at_checked(u32::from_le_bytes(*length) as usize));
+    let Some((head, state)) = split else {
+        bail!("the snapshot is too short");
+    };
+    let (index, term, members) = decode(head)?;
+    Ok(Snapshot {
+        index,
+        term,
+        members,
+        state: state.into(),
+    })
+}
+
 impl Disk {
     /// Opens the data folder. Damaged files are set aside if other replicas have the data; the replica
     /// then joins under a new id.
@@ -75,7 +101,7 @@
         if cut_bytes > 0 {
             log::warn!("a torn write of {cut_bytes} bytes at the end of the log was cut off");
         }
-        let snapshot = snapshot.map(|snapshot| decode::<Snapshot>(&snapshot.body));
+        let snapshot = snapshot.map(|snapshot| decode_snapshot(&snapshot.body));
         let entries = entries.iter().map(|(_, body)| decode::<Entry>(body));
         let durable = if let Some(state) = state.filter(|state| !state.is_empty()) {
             decode(&state)?
--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, TryRecvError};
+use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use eyre::WrapErr;
@@ -16,7 +17,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::Clock;
-use crate::disk::{Disk, decode, encode};
+use crate::disk::{Disk, decode, encode, encode_snapshot};
 use crate::meters::Meters;
 use crate::shared::{Shared, View};
 
@@ -101,6 +102,8 @@
     /// Encoded commands applied since the last snapshot.
     applied_bytes: usize,
     snapshot_index: u64,
+    /// Index and encoded state machine for the next snapshot, from a thread that encodes it.
+    encoded: Option<Receiver<(u64, Vec<u8>)>>,
 }
 
 /// Runs a replica until it is told to stop. The first opening of the store is done by the caller.
@@ -182,6 +185,7 @@
             waiting: BTreeMap::new(),
             applied_bytes: 0,
             snapshot_index,
+            encoded: None,
         })
     }
 
@@ -194,6 +198,7 @@
         let mut stop_at = None;
         loop {
             self.step(Event::Tick)?;
+            self.compact()?;
             self.show();
             let now = self.now();
             let wait = self.reducer.wake_at().since(now);
@@ -293,9 +298,9 @@
                     }
                     Effect::Save(snapshot) => {
                         self.snapshot_index = snapshot.index;
-                        self.applied_bytes = 0;
                         self.setup.meters.snapshots.add(1, &[]);
-                        self.disk.store.save(snapshot.index, &encode(&snapshot)?)?;
+                        let body = encode_snapshot(&snapshot)?;
+                        self.disk.store.save(snapshot.index, &body)?;
                     }
                     Effect::Apply(entry) => self.apply(entry.index, entry.term, &entry.payload)?,
                     Effect::Accepted {
@@ -324,15 +329,6 @@
                 };
                 let now = self.now();
                 self.reducer.apply(now, event, &mut effects);
-            } else if self.wants_snapshot() {
-                let state = encode(&*self.setup.shared.state())?;
-                let index = self.reducer.applied();
-                let event = Event::Compact {
-                    index,
-                    state: state.into(),
-                };
-                let now = self.now();
-                self.reducer.apply(now, event, &mut effects);
             }
         }
         Ok(())
@@ -355,7 +351,7 @@
     }
 
     fn install(&mut self, durable: Durable, snapshot: &Snapshot) -> eyre::Result<()> {
-        let (state, body) = (encode(&durable)?, encode(snapshot)?);
+        let (state, body) = (encode(&durable)?, encode_snapshot(snapshot)?);
         self.disk.store.install(&state, snapshot.index, &body)?;
         self.snapshot_index = snapshot.index;
         self.applied_bytes = 0;
@@ -399,15 +395,49 @@
         Ok(())
     }
 
-    fn wants_snapshot(&self) -> bool {
-        self.reducer.applied() - self.snapshot_index >= SNAPSHOT_ENTRIES
-            || self.applied_bytes >= SNAPSHOT_BYTES
+    /// Starts to encode a snapshot if the log is long, and takes one that is ready.
+    ///
+    /// A state with 32 MiB of responses took 103 ms to encode, so a copy is encoded by another thread.
+    fn compact(&mut self) -> eyre::Result<()> {
+        if let Some(encoded) = &self.encoded {
+            let received = encoded.try_recv();
+            if received != Err(TryRecvError::Empty) {
+                self.encoded = None;
+            }
+            return match received {
+                Ok((index, state)) => {
+                    let state = state.into();
+                    self.step(Event::Compact { index, state })
+                }
+                // The next round starts another thread if this one failed.
+                Err(_) => Ok(()),
+            };
+        }
+        let applied = self.reducer.applied();
+        let long = applied - self.snapshot_index >= SNAPSHOT_ENTRIES;
+        if long || self.applied_bytes >= SNAPSHOT_BYTES {
+            self.applied_bytes = 0;
+            let state = self.setup.shared.state().clone();
+            let (ready, encoded) = std::sync::mpsc::sync_channel(1);
+            self.encoded = Some(encoded);
+            thread::Builder::new()
+                .name("snapshot".into())
+                .spawn(move || {
+                    match encode(&state) {
+                        // Fails only if the node has ended.
+                        Ok(state) => drop(ready.send((applied, state))),
+                        Err(error) => log::error!("cannot encode a snapshot: {error}"),
+                    }
+                })?;
+        }
+        Ok(())
     }
 
     fn show(&self) {
         let reducer = &self.reducer;
         let leader = reducer.leader();
         let view = View {
+            id: reducer.id(),
             role: reducer.role(),
             term: reducer.term(),
             leader: leader.map(|leader| (vm::Name::clone(&leader.vm), leader.address)),
--- a/control/src/peers.rs
+++ b/control/src/peers.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use primrosepin_core::consensus::{self, Body, Id};
+use primrosepin_core::consensus::{self, Body};
 use primrosepin_core::ledger::{Answer, Call};
 use primrosepin_core::message::Message;
 use primrosepin_core::registry::{Command, Outcome};
@@ -40,7 +40,7 @@
         match message {
             Message::Consensus(message) if role == Role::Control => {
                 if let Body::Seen(seen) = message.body {
-                    signs.merge(from.name, seen);
+                    signs.merge(message.from, seen);
                 } else if proposer.node.send(Input::Received(message)).is_err() {
                     return;
                 }
@@ -119,11 +119,12 @@
     loop {
         sleep(SEEN_INTERVAL).await;
         let seen = signs.take_fresh();
-        let members = proposer.shared.view().members;
+        let view = proposer.shared.view();
+        let members = view.members;
         for member in members.list.iter().filter(|member| member.address != own) {
             let message = consensus::Message {
                 deployment: members.deployment,
-                from: Id(0),
+                from: view.id,
                 to: member.id,
                 address: own,
                 body: Body::Seen(seen.clone()),
--- a/control/src/seen.rs
+++ b/control/src/seen.rs
@@ -4,7 +4,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use primrosepin_core::consensus::Seen;
+use primrosepin_core::consensus::{Id, Seen};
 use primrosepin_core::vm;
 
 /// Age after which a VM counts as suspect. An entry VM asks one control replica each second.
@@ -28,7 +28,8 @@
 #[derive(Debug, Default)]
 struct Inner {
     vms: BTreeMap<vm::Name, Sign>,
-    replicas: BTreeMap<vm::Name, Instant>,
+    /// By id and not by name: a VM that lost its disk is not the replica that it was.
+    replicas: BTreeMap<Id, Instant>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -55,7 +56,7 @@
     }
 
     /// Records what another control replica heard.
-    pub(crate) fn merge(&self, from: vm::Name, seen: Vec<Seen>) {
+    pub(crate) fn merge(&self, from: Id, seen: Vec<Seen>) {
         let now = Instant::now();
         let mut inner = self.lock();
         inner.replicas.insert(from, now);
@@ -99,8 +100,8 @@
     }
 
     /// Returns whether a control replica was heard from lately.
-    pub(crate) fn is_reachable(&self, replica: &str) -> bool {
-        let at = self.lock().replicas.get(replica).copied();
+    pub(crate) fn is_reachable(&self, replica: Id) -> bool {
+        let at = self.lock().replicas.get(&replica).copied();
         at.is_some_and(|at| at.elapsed() < REPLICA_GONE)
     }
 
--- a/control/src/shared.rs
+++ b/control/src/shared.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::{PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
 
-use primrosepin_core::consensus::{Members, Role};
+use primrosepin_core::consensus::{Id, Members, Role};
 use primrosepin_core::registry::State;
 use primrosepin_core::vm;
 use tokio::sync::watch;
@@ -11,6 +11,7 @@
 /// What the node shows of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct View {
+    pub(crate) id: Id,
     pub(crate) role: Role,
     pub(crate) term: u64,
     /// Name and address of the leader.
@@ -31,6 +32,7 @@
 impl Shared {
     pub(crate) fn new() -> Self {
         let view = View {
+            id: Id(0),
             role: Role::Blank,
             term: 0,
             leader: None,
--- a/control/tests/server/cluster.rs
+++ b/control/tests/server/cluster.rs
@@ -201,6 +201,48 @@
     settled(&servers).await;
 }
 
+/// Guards against outcomes and configurations that are lost when the log is replaced by a snapshot, at the
+/// replicas that write one and at a new one that receives it in parts.
+#[actix_rt::test]
+async fn outcomes_survive_a_snapshot() {
+    let deployment = Deployment::new(3);
+    let mut servers = join_all((0..3).map(|index| deployment.start(index))).await;
+    settled(&servers.iter().collect::<Vec<_>>()).await;
+    let admin = servers[0].addresses().admin;
+    let inventory = large_inventory();
+    let founding = "snapshot-0000000000000002";
+    let written = |index| !deployment.data(index).join(founding).exists();
+    let mut base = 0;
+    until(async || {
+        let change = apply(&format!("change-{base}"), base, &inventory);
+        assert_eq!(settle(admin, "/v1/config/apply", &change).await.0, 200);
+        base += 1;
+        written(0) && written(1)
+    })
+    .await;
+    servers.pop().unwrap().stop().await.unwrap();
+    fs::remove_dir_all(deployment.data(2)).unwrap();
+    servers.push(deployment.start(2).await);
+    settled(&servers.iter().collect::<Vec<_>>()).await;
+    servers.remove(0).stop().await.unwrap();
+    servers.insert(0, deployment.start(0).await);
+    settled(&servers.iter().collect::<Vec<_>>()).await;
+    for server in &servers {
+        let first = apply("change-0", 0, &inventory);
+        let (status, body) = settle(server.addresses().admin, "/v1/config/apply", &first).await;
+        assert_eq!((status, &body["version"]), (200, &json!(1)));
+        let document = get(server.addresses().admin, "/v1/config").await;
+        assert_eq!(document["version"], base);
+        assert_eq!(
+            document["inventory"]["organisations"]
+                .as_array()
+                .unwrap()
+                .len(),
+            6_000
+        );
+    }
+}
+
 /// Guards against changes that are lost or applied twice in a restart of all replicas after hundreds of
 /// changes.
 #[actix_rt::test]
--- a/control/tests/server/support.rs
+++ b/control/tests/server/support.rs
@@ -205,7 +205,9 @@
             let replicas = status["replicas"].as_array().unwrap();
             let fine = |replica: &Value| replica["voter"] == true && replica["reachable"] == true;
             let up = replicas.iter().filter(|replica| fine(replica)).count();
-            status["leader"].is_string() && up == servers.len() && replicas.len() == servers.len()
+            let belongs = replicas.iter().any(|replica| replica["id"] == status["id"]);
+            let whole = up == servers.len() && replicas.len() == servers.len();
+            status["leader"].is_string() && whole && belongs
         })
         .await;
     }
@@ -224,9 +226,9 @@
     }
 }
 
-/// Returns an inventory of about 400 KB.
+/// Returns an inventory of about 700 KB, more than one part of a snapshot.
 pub fn large_inventory() -> String {
-    let organisations: Vec<String> = (0..3_000)
+    let organisations: Vec<String> = (0..6_000)
         .map(|index| {
             let key = format!("{:x}", Sha256::digest(format!("key-{index}")));
             format!(r#"{{"name": "organisation-{index}", "keys_sha256": ["{key}"]}}"#)
