--- a/cli/src/status.rs
+++ b/cli/src/status.rs
@@ -1,5 +1,8 @@
 //! `status`: is the deployment healthy, and if not, what should the operator do?
 
+use std::cmp::Ordering;
+use std::time::{Duration, Instant};
+
 use awc::http::Method;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -77,6 +80,13 @@
         })
     }
 
+    /// Returns whether the VM uses the configuration that control has, as far as this replica knows:
+    /// `Less` if it is behind, `Greater` if it is ahead. A VM stays ahead of a control that lost its data,
+    /// and ignores its changes.
+    pub fn compare(&self, vm: &Vm) -> Ordering {
+        vm.version.cmp(&self.version)
+    }
+
     /// Returns the names of the VMs that are gone.
     pub fn gone(&self) -> Vec<&str> {
         let gone = self.vms.iter().filter(|vm| vm.is_gone());
@@ -184,8 +194,10 @@
             }),
             _ => {}
         }
-        if !vm.is_gone() && vm.version < status.version {
-            found.push(problem(
+        match status.compare(vm) {
+            _ if vm.is_gone() => {}
+            Ordering::Equal => {}
+            Ordering::Less => found.push(problem(
                 format!(
                     "{place} has configuration version {}, accepted is {}",
                     vm.version, status.version
@@ -193,7 +205,16 @@
                 "look again in 10 s; if it stays, check the QUIC ports (\"peers\") between it and \
                  control"
                     .into(),
-            ));
+            )),
+            Ordering::Greater => found.push(problem(
+                format!(
+                    "{place} has configuration version {}, higher than the {} of control, and \
+                     ignores changes",
+                    vm.version, status.version
+                ),
+                "control has lost its data (docs/operators.md, \"Replace a lost control VM\")"
+                    .into(),
+            )),
         }
     }
     let zones: std::collections::BTreeSet<&str> =
@@ -218,9 +239,15 @@
     }
 }
 
-/// Answers whether the deployment is healthy.
-pub async fn status(server: &Server) -> Result {
-    let client = Client::new(server)?;
+/// Time in which versions may become equal before a difference is reported. A VM that starts reports
+/// version 0 until its first pull, and reports reach control once a second.
+const SETTLE: Duration = Duration::from_secs(3);
+
+/// Pause between two looks.
+const SETTLE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Asks every control replica; returns the best status and what is wrong with the replicas.
+async fn ask(client: &Client) -> Result<(Option<Status>, Vec<Finding>)> {
     let mut best: Option<Status> = None;
     let mut found = Vec::new();
     for address in client.addresses() {
@@ -257,6 +284,24 @@
             )),
         }
     }
+    Ok((best, found))
+}
+
+/// Answers whether the deployment is healthy.
+pub async fn status(server: &Server) -> Result {
+    let client = Client::new(server)?;
+    let settled = Instant::now() + SETTLE;
+    let (best, mut found) = loop {
+        let (best, found) = ask(&client).await?;
+        let differs = best.as_ref().is_some_and(|status| {
+            let mut vms = status.vms.iter();
+            vms.any(|vm| !vm.is_gone() && status.compare(vm).is_ne())
+        });
+        if !differs || Instant::now() >= settled {
+            break (best, found);
+        }
+        actix_rt::time::sleep(SETTLE_PAUSE).await;
+    };
     let mut lines = Vec::new();
     match &best {
         Some(status) => {
--- a/core/src/serving/credit.rs
+++ b/core/src/serving/credit.rs
@@ -26,9 +26,13 @@
 /// Time after which an unanswered ask is given up.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Pause after a denial or an unanswered ask.
+/// Pause of a target after a denial or an unanswered ask.
 const DENIED_PAUSE: Duration = Duration::from_millis(100);
 
+/// Pause of a request after a denial. It is longer than the target's, so that a request that needs
+/// less of the budget gets its turn.
+const ASK_PAUSE: Duration = Duration::from_millis(300);
+
 /// Longest time for which a credit of an unreachable VM can matter: the dispatch limit, the
 /// engine's lease and the transit.
 const CREDIT_LEASE: Duration = Duration::from_millis(ENGINE_LEASE_MS + 2_000);
@@ -207,7 +211,7 @@
         if self.held_epoch().is_some() {
             let own = self.settings.vm.clone();
             if self.grant(&own, attempt, &name, incarnation, tokens) {
-                self.use_credit(attempt, effects);
+                self.use_credit(attempt, DISPATCH_WITHIN, effects);
             } else {
                 self.give_up_credit(id);
                 self.enqueue_quietly(id);
@@ -238,6 +242,7 @@
             return false;
         };
         request.stage = Stage::Queued;
+        request.ask_after = self.now + ASK_PAUSE;
         if let Some(target) = self.table.same_mut(choice.target, generation) {
             target.asks = target.asks.saturating_sub(1);
             target.denied_until = self.now + DENIED_PAUSE;
@@ -246,7 +251,12 @@
     }
 
     /// Dispatches the attempt of a granted credit; returns whether it was dispatched.
-    fn use_credit(&mut self, attempt: Attempt, effects: &mut Vec<Effect>) -> bool {
+    fn use_credit(
+        &mut self,
+        attempt: Attempt,
+        within: Duration,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
         let id = attempt.request;
         let Some(request) = self.requests.get(&id) else {
             return false;
@@ -261,7 +271,7 @@
         else {
             return false;
         };
-        let in_time = self.now.since(asked) <= DISPATCH_WITHIN;
+        let in_time = self.now.since(asked) <= within;
         if asked_for != attempt || !in_time {
             return false;
         }
@@ -344,11 +354,12 @@
                 target,
                 incarnation,
                 epoch,
-                ..
+                dispatch_within_ms,
             } => {
+                let within = Duration::from_millis(dispatch_within_ms).min(DISPATCH_WITHIN);
                 // A grant of an earlier coordinator is not in the report to the present one.
                 let current = epoch >= self.reported_epoch;
-                if !current || !self.use_credit(attempt, effects) {
+                if !current || !self.use_credit(attempt, within, effects) {
                     let unused = Credit::Return {
                         attempt,
                         target,
--- a/core/src/serving/request.rs
+++ b/core/src/serving/request.rs
@@ -37,6 +37,8 @@
     pub delivered: u32,
     /// Targets on which an attempt failed.
     pub failed_on: SmallVec<[Id; 2]>,
+    /// From when the request may ask for a cold credit, so that others can ask after a denial.
+    pub ask_after: Instant,
     /// Zones that refused the request.
     pub refused_by: SmallVec<[Arc<str>; 1]>,
     /// Whether the ledger may hold a claim for the request.
@@ -97,7 +99,11 @@
     pub sent: Instant,
     /// Predicted time from dispatch to the first token, microseconds.
     pub ttft_us: u64,
+    /// Predicted time from the first token to the end of the longest possible answer, microseconds.
+    pub decode_us: u64,
     pub last_progress: Instant,
+    /// Whether the response header arrived.
+    pub header: bool,
     pub first_token: bool,
     /// Whether the first token came within the predicted time.
     pub healthy: bool,
--- a/core/tests/serving_policy.rs
+++ b/core/tests/serving_policy.rs
@@ -25,18 +25,25 @@
     let mut host = Host::alone();
     fleet(&mut host, 6);
     host.arrive(prompt(1, 1_000));
-    let mut long = Vec::new();
-    for id in 10..13 {
-        long.extend(dispatches(&host.arrive(prompt(id, 100_000))));
+    for id in 10..22 {
+        host.arrive(prompt(id, 100_000));
     }
-    assert!(
-        !long.is_empty() && long.len() <= 3,
-        "long work is bounded: {long:?}"
+    host.pass(400);
+    let mut long = dispatches(&host.log);
+    long.retain(|sent| sent.priority == 4);
+    assert_eq!(
+        long.len(),
+        3,
+        "half of the targets take long work: {long:?}"
     );
-    for id in 20..40 {
+    // The other targets stay preferable when they run several short requests each.
+    for id in 30..45 {
         let short = dispatched(&host.arrive(prompt(id, 1_000)));
         assert!(long.iter().all(|long| long.target != short.target));
-        host.end(short.attempt, WHOLE);
+        host.apply(Event::Progress {
+            attempt: short.attempt,
+            tokens: 1,
+        });
     }
 }
 
@@ -68,9 +75,34 @@
 fn own_dispatches_count() {
     let mut host = Host::alone();
     fleet(&mut host, 4);
-    let mut targets: Vec<_> = (0..4)
-        .map(|id| dispatched(&host.arrive(prompt(id, 4_000))).target)
+    // Equal numbers of running requests leave only the prompts that are not prefilled yet.
+    for id in 10..14 {
+        let sent = dispatched(&host.arrive(prompt(id, 10)));
+        host.apply(Event::Progress {
+            attempt: sent.attempt,
+            tokens: 1,
+        });
+    }
+    let running = host.reducer.targets();
+    assert!(running.iter().all(|target| target.running == 1));
+    let mut targets = Vec::new();
+    for id in 0..4 {
+        targets.push(dispatched(&host.arrive(prompt(id, 4_000))).target);
+        // A report that was made before the dispatch arrives after it.
+        for number in 0..4 {
+            let mut report = engine(&format!("t{number:02}"), 101 + number);
+            report.seq = 2 + id as u64;
+            host.announce(report);
+        }
+    }
+    // 4,000 tokens at 20,000 per second.
+    let waits: Vec<u64> = host
+        .reducer
+        .targets()
+        .iter()
+        .map(|target| target.wait_us)
         .collect();
+    assert_eq!(waits, [200_000; 4]);
     targets.sort();
     targets.dedup();
     assert_eq!(targets.len(), 4);
