--- a/control/src/server.rs
+++ b/control/src/server.rs
@@ -4,9 +4,10 @@
 use std::rc::Rc;
 use std::sync::{Arc, mpsc as std_mpsc};
 use std::thread;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use actix_rt::net::TcpListener;
+use actix_rt::time::sleep;
 use eyre::{WrapErr, eyre};
 use primrosepin_config::settings::Control;
 use primrosepin_core::vm;
@@ -23,6 +24,9 @@
 use crate::seen::Signs;
 use crate::shared::Shared;
 
+/// Time in which the last messages, such as the leader's resignation, leave the endpoint before it closes.
+const LINGER: Duration = Duration::from_millis(50);
+
 /// Options of a server that are no settings of the process.
 #[derive(Debug, Clone, Default)]
 pub struct Options {
@@ -204,6 +208,8 @@
     let _ = node_ends.await;
     // The node has dropped its sender, so this ends when its last messages are handed over.
     sender.await?;
+    // The endpoint sends messages by tasks of its own and drops those that wait when it closes.
+    sleep(LINGER).await;
     spreader.abort();
     receiver.abort();
     endpoint.close().await;
--- a/core/tests/consensus.rs
+++ b/core/tests/consensus.rs
@@ -353,7 +353,8 @@
     match cluster.rng.random_range(0..100) {
         0..10 if running => cluster.crash(index),
         0..20 if !running => cluster.start(index),
-        20..25 => {
+        20..22 => cluster.resign(index),
+        22..25 => {
             let time = cluster.rng.random_range(1..3_000);
             cluster.pause(index, Duration::from_millis(time));
         }
