control: Report a replaced entry as unknown until its index is committed

An entry that a former leader replaced in its own log may still be in another log, so the command was not certainly refused. The node's queue is bounded; when it is full, commands are refused and messages dropped. A request to join must name the VM of the sender's certificate.

--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -231,6 +231,8 @@
         let mut commands: Vec<(u64, Arc<[u8]>)> = Vec::new();
         for input in batch.drain(..) {
             match input {
+                // The caller has given up and counts the command as unknown.
+                Input::Propose(_, respond) if respond.is_closed() => {}
                 Input::Propose(command, respond) => {
                     self.proposals += 1;
                     let command = encode(&command.with_now_ms(now_ms))?;
@@ -310,8 +312,10 @@
                     } => {
                         if let Some(respond) = self.proposed.remove(&proposal) {
                             let waiting = Waiting { term, respond };
+                            // The replaced entry may be left in another log until this index is
+                            // committed.
                             if let Some(replaced) = self.waiting.insert(index, waiting) {
-                                let _ = replaced.respond.send(Decision::NotAccepted);
+                                let _ = replaced.respond.send(Decision::Unknown);
                             }
                         }
                     }
--- a/control/src/peers.rs
+++ b/control/src/peers.rs
@@ -39,10 +39,13 @@
         } = message;
         match message {
             Message::Consensus(message) if role == Role::Control => {
-                if let Body::Seen(seen) = message.body {
-                    signs.merge(message.from, seen);
-                } else if proposer.node.send(Input::Received(message)).is_err() {
-                    return;
+                match message.body {
+                    Body::Seen(seen) => signs.merge(message.from, seen),
+                    Body::Join { ref vm, .. } if *vm != from.name => {
+                        log::warn!("{} asked to join as {vm}", from.name);
+                    }
+                    // Dropped if the node waits for its disk.
+                    _ => drop(proposer.node.try_send(Input::Received(message))),
                 }
             }
             Message::ConfigPull { have } => {
--- a/control/src/proposer.rs
+++ b/control/src/proposer.rs
@@ -1,7 +1,7 @@
 //! Brings a command to the leader.
 
 use std::sync::Arc;
-use std::sync::mpsc::Sender;
+use std::sync::mpsc::SyncSender;
 use std::time::{Duration, Instant};
 
 use primrosepin_core::consensus::Role;
@@ -27,7 +27,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Proposer {
     pub(crate) shared: Arc<Shared>,
-    pub(crate) node: Sender<Input>,
+    pub(crate) node: SyncSender<Input>,
     pub(crate) endpoint: Endpoint,
     pub(crate) meters: Meters,
 }
@@ -36,7 +36,12 @@
     /// Proposes on this replica only.
     pub(crate) async fn propose(&self, command: Command) -> Decision {
         let (respond, decision) = oneshot::channel();
-        if self.node.send(Input::Propose(command, respond)).is_err() {
+        // A full queue means that the node waits for its disk.
+        if self
+            .node
+            .try_send(Input::Propose(command, respond))
+            .is_err()
+        {
             return Decision::NotAccepted;
         }
         match timeout(TRY_TIMEOUT, decision).await {
--- a/control/src/server.rs
+++ b/control/src/server.rs
@@ -27,6 +27,10 @@
 /// Time in which the last messages, such as the leader's resignation, leave the endpoint before it closes.
 const LINGER: Duration = Duration::from_millis(50);
 
+/// Inputs that wait for the node. Further messages are dropped, as on a lossy network, and further commands
+/// are refused.
+const QUEUED_INPUTS: usize = 8_192;
+
 /// Options of a server that are no settings of the process.
 #[derive(Debug, Clone, Default)]
 pub struct Options {
@@ -134,7 +138,7 @@
     let meters = Meters::new(&metrics);
     let shared = Arc::new(Shared::new());
     let (outgoing, to_send) = mpsc::unbounded_channel();
-    let (inputs, node_inputs) = std_mpsc::channel();
+    let (inputs, node_inputs) = std_mpsc::sync_channel(QUEUED_INPUTS);
     // Other replicas reach this one at the address in the settings, which may differ from the bound one.
     let listed = settings
         .replicas
