--- a/control/tests/server/support.rs
+++ b/control/tests/server/support.rs
@@ -1,7 +1,8 @@
 //! Control replicas over real sockets, an operator's client and an entry VM's endpoint.
 
-use std::net::{SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use primrosepin_config::settings::{Control, ControlListen, Log, Replica, Tls};
@@ -43,18 +44,20 @@
 }
 
 impl Deployment {
-    /// Prepares `count` replicas with free addresses.
+    /// Prepares `count` replicas.
+    ///
+    /// They need known ports before they start. Loopback addresses of their own keep these from being taken
+    /// by sockets with a port from the system, which are on 127.0.0.1.
     pub fn new(count: usize) -> Self {
-        // The sockets are held until all addresses are known, so that no two are equal.
-        let sockets: Vec<UdpSocket> = (0..count)
-            .map(|_| UdpSocket::bind("127.0.0.1:0").unwrap())
-            .collect();
-        let replicas = sockets
-            .iter()
-            .enumerate()
-            .map(|(index, socket)| Replica {
+        static DEPLOYMENTS: AtomicU8 = AtomicU8::new(1);
+        let process = std::process::id();
+        let high = (process / 250 % 250 + 1) as u8;
+        let low = (process % 250) as u8;
+        let number = DEPLOYMENTS.fetch_add(1, Ordering::Relaxed);
+        let replicas = (0..count)
+            .map(|index| Replica {
                 vm: format!("control-{index}").into(),
-                peers: socket.local_addr().unwrap(),
+                peers: SocketAddr::from(([127, high, low, number], 7_400 + index as u16)),
             })
             .collect();
         Self {
