core: Remember released ledger claims for a minute

A command that is resent while its outcome is in doubt may be in the log twice. A second copy of Begin that came after Finish with not_run claimed the key again, and nobody finished that claim: the key read as in flight, then as unknown for the retention period. Such a copy now gets not_run, and other requests may claim the key.

--- a/core/src/registry/ledgers.rs
+++ b/core/src/registry/ledgers.rs
@@ -1,7 +1,8 @@
 //! The ledger of requests that must run at most once.
 //!
 //! A key is claimed by one request until that request records `not_run`, or until the entry is
-//! forgotten after the retention period. An entry whose holder never reported reads as finished
+//! forgotten after the retention period. A released key may be claimed by any other request, but not by a
+//! late copy of the call that claimed it before: nobody would ever finish that claim. An entry whose holder never reported reads as finished
 //! with outcome `unknown` once its time is over.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -23,6 +24,10 @@
 /// limit keeps a faulty caller from claiming a key for ever.
 const MAX_EXPIRES_MS: u64 = 3_600_000;
 
+/// Time for which copies of a released claim are recognised, milliseconds. Callers resend for a few
+/// seconds.
+const RELEASED_MS: u64 = 60_000;
+
 /// State of a claimed key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 enum Status {
@@ -33,6 +38,8 @@
         outcome: Outcome,
         response: Option<Response>,
     },
+    /// Certainly not run.
+    Released,
 }
 
 /// A claimed key.
@@ -83,7 +90,18 @@
                 expires_ms,
                 content,
             } => {
+                let own = |entry: &Entry| entry.holder == *holder && entry.request == *request;
+                let free = |entry: &Entry| entry.status == Status::Released && !own(entry);
+                if self.entries.get(key).is_some_and(free) {
+                    self.remove(key);
+                }
                 if let Some(entry) = self.entries.get(key) {
+                    if entry.status == Status::Released {
+                        return Answer::Finished {
+                            outcome: Outcome::NotRun,
+                            response: None,
+                        };
+                    }
                     if entry.content != *content {
                         return Answer::Conflict;
                     }
@@ -92,12 +110,8 @@
                             outcome: Outcome::Unknown,
                             response: None,
                         },
-                        Status::Running { .. }
-                            if entry.holder == *holder && entry.request == *request =>
-                        {
-                            Answer::Claimed
-                        }
-                        Status::Running { .. } => Answer::InFlight,
+                        Status::Running { .. } if own(entry) => Answer::Claimed,
+                        Status::Running { .. } | Status::Released => Answer::InFlight,
                         Status::Ended { outcome, response } => Answer::Finished {
                             outcome: *outcome,
                             response: response.clone(),
@@ -147,12 +161,29 @@
         outcome: Outcome,
         response: Option<&Response>,
     ) -> Answer {
-        // A resent `not_run` finds the key released already.
         let Some(entry) = self.entries.get_mut(key) else {
+            if outcome == Outcome::NotRun {
+                // The claim may still be on its way.
+                self.release(now_ms, key, holder, request);
+            }
             return Answer::Recorded;
         };
         if entry.holder != *holder || entry.request != request {
-            return Answer::InFlight;
+            return if entry.status == Status::Released {
+                Answer::Recorded
+            } else {
+                Answer::InFlight
+            };
+        }
+        if entry.status == Status::Released {
+            return if outcome == Outcome::NotRun {
+                Answer::Recorded
+            } else {
+                Answer::Finished {
+                    outcome: Outcome::NotRun,
+                    response: None,
+                }
+            };
         }
         // The first record of a run stands.
         if let Status::Ended {
@@ -171,6 +202,7 @@
         }
         if outcome == Outcome::NotRun {
             self.remove(key);
+            self.release(now_ms, key, holder, request);
             return Answer::Recorded;
         }
         self.forget.remove(&(entry.forget_ms, key.clone()));
@@ -200,6 +232,20 @@
         Answer::Recorded
     }
 
+    /// Remembers a released claim for a short time.
+    fn release(&mut self, now_ms: u64, key: &Key, holder: &vm::Instance, request: request::Id) {
+        let forget_ms = now_ms.saturating_add(RELEASED_MS);
+        self.forget.insert((forget_ms, key.clone()));
+        let entry = Entry {
+            holder: holder.clone(),
+            request,
+            content: 0,
+            forget_ms,
+            status: Status::Released,
+        };
+        self.entries.insert(key.clone(), entry);
+    }
+
     fn remove(&mut self, key: &Key) {
         let Some(entry) = self.entries.remove(key) else {
             return;
--- a/core/tests/registry.rs
+++ b/core/tests/registry.rs
@@ -233,7 +233,8 @@
     assert_eq!(state.apply(&begin(100_014, "k", 3, 7)), CLAIMED);
 }
 
-/// Guards against a key that stays blocked although its request was certainly not run.
+/// Guards against a key that stays blocked although its request was certainly not run, also by a second
+/// copy of the claim that arrives after the release.
 #[test]
 fn a_request_that_was_not_run_releases_its_key() {
     let mut state = State::default();
@@ -241,8 +242,14 @@
     let not_run = finish(11, "k", 1, request::Outcome::NotRun, 0);
     assert_eq!(state.apply(&not_run), RECORDED);
     assert_eq!(state.apply(&not_run), RECORDED);
+    let released = finished(request::Outcome::NotRun, None);
+    assert_eq!(state.apply(&begin(12, "k", 1, 7)), released);
     assert_eq!(state.apply(&begin(12, "k", 2, 9)), CLAIMED);
     assert_eq!(state.ledger_entries(), 1);
+    let early = finish(13, "late", 3, request::Outcome::NotRun, 0);
+    assert_eq!(state.apply(&early), RECORDED);
+    assert_eq!(state.apply(&begin(14, "late", 3, 7)), released);
+    assert_eq!(state.apply(&begin(14, "late", 4, 7)), CLAIMED);
 }
 
 /// Guards against a key that is in flight for ever after its entry VM died, against a second run of it, and
