entry: Compare the relay benchmark with a bare copier

Cause: figures of a busy machine need a reference. Change: benches/relay.rs also measures a thread that copies bytes between the sockets.

--- a/entry/benches/relay.rs
+++ b/entry/benches/relay.rs
@@ -2,7 +2,7 @@
 //!
 //! A fake engine sends events at a fixed rate on many streams. Each event holds the time at which it was
 //! written, so that callers measure the delay of each token, once through an entry process and once on
-//! direct connections. The processor time of the entry thread comes from `/proc`.
+//! direct connections. A copier between the sockets shows the least cost of any relay. The processor time of the entry thread comes from `/proc`.
 //!
 //! `cargo bench -p primrosepin-entry --bench relay -- [STREAMS] [TOKENS] [INTERVAL_MS]`
 
@@ -47,6 +47,14 @@
     );
     let engine = start_engine(load);
     report("direct", &measure(load, engine), None);
+    let copier = start_copier(engine);
+    let before = cpu_time("copier");
+    let run = measure(load, copier);
+    report(
+        "copier",
+        &run,
+        Some(cpu_time("copier").saturating_sub(before)),
+    );
     actix_rt::System::new().block_on(async {
         let mut settings = support::settings();
         settings.limits.connections = 100_000;
@@ -57,12 +65,12 @@
         server.configure(Arc::new(config));
         announce(engine, &server).await;
         let callers = server.addresses().callers;
-        let before = cpu_time();
+        let before = cpu_time("entry-e1");
         let began = Instant::now();
         let run = actix_rt::task::spawn_blocking(move || measure(load, callers))
             .await
             .unwrap();
-        let spent = cpu_time().saturating_sub(before);
+        let spent = cpu_time("entry-e1").saturating_sub(before);
         let share = spent.as_secs_f64() / began.elapsed().as_secs_f64();
         report("entry", &run, Some(spent));
         println!("entry thread: {:.1} % of a core", share * 100.0);
@@ -90,15 +98,15 @@
     }
 }
 
-/// Returns the processor time of the entry thread.
-fn cpu_time() -> Duration {
+/// Returns the processor time of a thread.
+fn cpu_time(thread: &str) -> Duration {
     let tasks = std::fs::read_dir("/proc/self/task").unwrap();
     let spent = tasks.filter_map(|task| {
         let path = task.ok()?.path();
         let name = std::fs::read_to_string(path.join("comm")).ok()?;
         let times = std::fs::read_to_string(path.join("schedstat")).ok()?;
         let nanos: u64 = times.split(' ').next()?.parse().ok()?;
-        (name.trim() == "entry-e1").then_some(nanos)
+        (name.trim() == thread).then_some(nanos)
     });
     Duration::from_nanos(spent.sum())
 }
@@ -127,6 +135,29 @@
     receiver.recv().unwrap()
 }
 
+/// Starts a thread that copies bytes between callers and the engine with the same runtime: the least
+/// that any relay on sockets costs.
+fn start_copier(engine: SocketAddr) -> SocketAddr {
+    let (sender, receiver) = std::sync::mpsc::channel();
+    let copy = move || {
+        actix_rt::Runtime::new().unwrap().block_on(async move {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            sender.send(listener.local_addr().unwrap()).unwrap();
+            loop {
+                let (mut caller, _) = listener.accept().await.unwrap();
+                actix_rt::spawn(async move {
+                    let mut engine = TcpStream::connect(engine).await.unwrap();
+                    caller.set_nodelay(true).unwrap();
+                    drop(tokio::io::copy_bidirectional(&mut caller, &mut engine).await);
+                });
+            }
+        });
+    };
+    let thread = std::thread::Builder::new().name("copier".into());
+    thread.spawn(copy).unwrap();
+    receiver.recv().unwrap()
+}
+
 async fn serve(mut stream: TcpStream, load: Load) {
     while let Some(seen) = support::read_request(&mut stream, 0).await {
         if seen.path != "/v1/completions" {
--- a/entry/src/sse.rs
+++ b/entry/src/sse.rs
@@ -91,7 +91,7 @@
             self.partial.extend_from_slice(&bytes);
             self.partial.split().freeze()
         };
-        let mut output = BytesMut::new();
+        let mut output = BytesMut::with_capacity(bytes.len());
         let mut count = 0;
         while let Some(end) = self.end.find(&bytes) {
             let event = bytes.split_to(end + 2);
