--- a/entry/tests/admin.rs
+++ b/entry/tests/admin.rs
@@ -81,7 +81,7 @@
         })
         .await;
     }
-    let unknown = format!("http://{}/v1/local/zones/y", server.addresses().admin);
+    let unknown = format!("http://{}/v1/local/zones/other", server.addresses().admin);
     let order = Client::default().post(&unknown).bearer_auth(OPERATOR_KEY);
     let response = order.send_json(&json!({"out": true})).await.unwrap();
     assert_eq!(response.status(), 404);
--- /dev/null
+++ b/entry/tests/handover.rs
@@ -0,0 +1,109 @@
+//! Requests that another zone takes.
+
+mod support;
+
+use awc::Client;
+use primrosepin_core::message::Message;
+use primrosepin_core::zone::{Capacity, Summary};
+use primrosepin_entry::Server;
+use primrosepin_transport::keys::Authority;
+use serde_json::json;
+use support::{
+    Answer, Control, OPERATOR_KEY, Target, call, entry_of, generation, settings, tokens, until,
+};
+use tokio::io::AsyncWriteExt;
+
+/// Returns a streamed response with one chunk.
+fn chunked(events: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n\
+         {:x}\r\n{events}\r\n0\r\n\r\n",
+        events.len()
+    )
+}
+
+/// Starts an entry process whose zone is out, next to a zone whose entry VM answers with `text`.
+async fn hand_over(text: String) -> (Server, Target, Answer) {
+    let authority = Authority::new().unwrap();
+    let server = entry_of(settings(), &authority).await;
+    let other = Target::start(move |_, mut stream| {
+        let text = text.clone();
+        async move {
+            stream.write_all(text.as_bytes()).await.unwrap();
+            None
+        }
+    })
+    .await;
+    let url = format!("http://{}/v1/local/zones/z", server.addresses().admin);
+    let order = Client::default().post(url).bearer_auth(OPERATOR_KEY);
+    order.send_json(&json!({"out": true})).await.unwrap();
+    // Any process of the deployment may send a summary.
+    let peer = Control::start(&authority);
+    let sequence = std::cell::Cell::new(0);
+    let answer = std::cell::RefCell::new(None);
+    until(async || {
+        sequence.set(sequence.get() + 1);
+        let summary = Summary {
+            zone: "y".into(),
+            sequence: sequence.get(),
+            epoch: 1,
+            services: vec![Capacity {
+                service: "lm".into(),
+                warm_targets: 4,
+                prefill_tokens_per_s: 1e6,
+                backlog_tokens: 0,
+                largest_kv_tokens: 1_000_000,
+                spanning_kv_tokens: 0,
+            }],
+            entries: vec![other.address],
+        };
+        peer.endpoint
+            .send(server.addresses().peers, Message::Summary(summary));
+        *answer.borrow_mut() = Some(call(&server, "/v1/completions", &generation(true)).await);
+        !other.requests("/v1/completions").is_empty()
+    })
+    .await;
+    let answer = answer.take().unwrap();
+    (server, other, answer)
+}
+
+/// Guards against an answer of another zone that lacks a part, has its outcome twice, or whose hop is
+/// not marked, so that it could be handed over in a circle.
+#[actix_rt::test]
+async fn an_answer_of_another_zone_is_passed_on() {
+    let (server, other, answer) = hand_over(chunked(
+        "data: {\"t\":0}\n\ndata: {\"t\":1}\n\ndata: [DONE]\n\n\
+         event: primrosepin.outcome\ndata: {\"outcome\":\"answered\",\"request\":\"r\"}\n\n",
+    ))
+    .await;
+    let expected = format!(
+        "{}data: [DONE]\n\nevent: primrosepin.outcome\n",
+        tokens(0..2)
+    );
+    assert!(answer.body.starts_with(&expected), "{}", answer.body);
+    assert_eq!(answer.body.matches("primrosepin.outcome").count(), 1);
+    assert_eq!(answer.final_outcome().as_deref(), Some("answered"));
+    let seen = &other.requests("/v1/completions")[0];
+    assert_eq!(seen.headers["x-primrosepin-hop"], "1");
+    assert_eq!(seen.json(), generation(true));
+    server.stop().await.unwrap();
+}
+
+/// Guards against a cut stream of another zone that looks whole.
+#[actix_rt::test]
+async fn a_cut_stream_of_another_zone_is_reported() {
+    let text = chunked("data: {\"t\":0}\n\ndata: [DONE]\n\n");
+    let (server, _, answer) = hand_over(text).await;
+    assert!(!answer.body.contains("[DONE]"), "{}", answer.body);
+    assert_eq!(answer.final_outcome().as_deref(), Some("failed"));
+    server.stop().await.unwrap();
+}
+
+/// Guards against a refusal of another zone that is reported as a request that may have run.
+#[actix_rt::test]
+async fn a_refusal_of_another_zone_stays_certain() {
+    let text = "HTTP/1.1 503 Busy\r\ncontent-length: 2\r\nx-primrosepin-outcome: not_run\r\n\r\n{}";
+    let (server, _, answer) = hand_over(text.to_owned()).await;
+    assert_eq!(answer.outcome(), "not_run");
+    server.stop().await.unwrap();
+}
--- a/entry/tests/relay.rs
+++ b/entry/tests/relay.rs
@@ -282,3 +282,32 @@
     assert_eq!(target.requests("/v1/chat/completions").len(), 1);
     server.stop().await.unwrap();
 }
+
+/// Guards against an HTTP library that sends a request again by itself: every request that a target
+/// reads must be an attempt of its own.
+#[actix_rt::test]
+async fn no_request_is_sent_twice_under_one_attempt() {
+    let server = entry(settings()).await;
+    let count = Cell::new(0);
+    let target = Target::start(move |seen, stream| {
+        count.set(count.get() + 1);
+        let close = count.get() % 3 == 0;
+        async move {
+            if close {
+                return None;
+            }
+            stream_all(stream, &seen, 1).await
+        }
+    })
+    .await;
+    target.join(&server, "t1", "lm").await;
+    for _ in 0..9 {
+        call(&server, "/v1/completions", &generation(true)).await;
+    }
+    let seen = target.requests("/v1/completions");
+    let mut attempts: Vec<&str> = seen.iter().map(support::Seen::attempt).collect();
+    attempts.sort_unstable();
+    attempts.dedup();
+    assert_eq!(attempts.len(), seen.len());
+    server.stop().await.unwrap();
+}
--- a/entry/tests/support/mod.rs
+++ b/entry/tests/support/mod.rs
@@ -37,7 +37,7 @@
     digits.concat().into()
 }
 
-/// Configuration with one zone, an engine service `lm` and a plain service `orders`, whose POST
+/// Configuration with two zones, an engine service `lm` and a plain service `orders`, whose POST
 /// requests run at most once below `/orders/once`.
 pub fn config() -> Config {
     let service = |name: &str, kind, models: &[&str], paths: &[&str]| Service {
@@ -50,11 +50,13 @@
     Config {
         version: 1,
         inventory: Inventory {
-            zones: vec![Zone {
-                name: "z".into(),
-                region: "r".into(),
-                entries: vec!["e1".into()],
-            }],
+            zones: [("z", "e1"), ("y", "e2")]
+                .map(|(name, entry)| Zone {
+                    name: name.into(),
+                    region: "r".into(),
+                    entries: vec![entry.into()],
+                })
+                .to_vec(),
             services: vec![
                 service("lm", Kind::Engine, &["m"], &[]),
                 service("orders", Kind::Plain, &[], &["/orders"]),
@@ -278,6 +280,17 @@
 
     /// Announces the target as warm until the test ends.
     pub async fn join(&self, server: &Server, name: &'static str, service: &'static str) {
+        self.join_with(server, name, service, json!({})).await;
+    }
+
+    /// Announces the target with fields that differ from the usual ones.
+    pub async fn join_with(
+        &self,
+        server: &Server,
+        name: &'static str,
+        service: &'static str,
+        fields: Value,
+    ) {
         let url = format!("http://{}/v1/targets/announce", server.addresses().targets);
         let address = self.address;
         let announce = move |seq| {
@@ -286,13 +299,16 @@
             } else {
                 ("plain", json!([]))
             };
-            let body = json!({
+            let mut body = json!({
                 "name": name, "zone": "z", "service": service, "kind": kind, "models": models,
                 "address": address, "incarnation": 1, "seq": seq, "state": "warm",
                 "cold_budget": {"requests": 8, "tokens": 1_000_000},
                 "max_running": 64, "kv_tokens": 1_000_000, "prefill_tokens_per_s": 1_000_000,
                 "decode_tokens_per_s": 1_000,
             });
+            for (field, value) in fields.as_object().unwrap() {
+                body[field] = value.clone();
+            }
             Client::default()
                 .post(&url)
                 .bearer_auth(ANNOUNCE_KEY)
