entry: Order zone orders strictly, answer slow heads, cut off callers that do not read

Cause: two zone orders within one millisecond got the same sequence number, and the second was ignored (one of two test runs failed). The HTTP library bounded only the first head of a connection and answered it without a body.

--- a/entry/src/admin.rs
+++ b/entry/src/admin.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use actix_http::body::BoxBody;
 use actix_http::header::{CONTENT_TYPE, HeaderValue};
@@ -156,10 +155,7 @@
     }
     let Order { out } =
         serde_json::from_slice(&body).map_err(|error| (400, "bad_body", error.to_string()))?;
-    // Orders of different VMs are put in order by the wall clock, the only order that operators see.
-    let sequence = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |time| time.as_millis() as u64);
+    let sequence = node.order_sequence();
     log::info!("local order: zone {} out: {out}", zone.name);
     node.report(Event::LocalOrder(Override {
         zone: Arc::clone(&zone.name),
--- a/entry/src/listen.rs
+++ b/entry/src/listen.rs
@@ -14,12 +14,10 @@
 use actix_rt::time::sleep;
 use actix_service::{Service, ServiceFactory, fn_service};
 use eyre::eyre;
-use primrosepin_config::settings::Limits;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::sync::watch;
 
 use crate::http2;
-use crate::node::Phase;
+use crate::node::{Node, Phase};
 
 /// Idle time after which a caller's connection is closed.
 pub(crate) const KEEP_ALIVE: Duration = Duration::from_secs(75);
@@ -37,6 +35,13 @@
 /// First bytes of an HTTP/2 connection.
 const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2";
 
+/// Answer to a head that does not arrive in time. It is written by the socket, since no request exists
+/// yet that the HTTP library could answer.
+const HEADER_TIMEOUT: &str = "HTTP/1.1 408 Request Timeout\r\nconnection: close\r\n\
+    content-type: application/json\r\nx-primrosepin-outcome: not_run\r\ncontent-length: 107\r\n\r\n\
+    {\"error\":{\"code\":\"header_timeout\",\"message\":\"the request head did not arrive in time\",\
+    \"outcome\":\"not_run\"}}";
+
 /// State of one connection, shared with its requests.
 #[derive(Debug, Default)]
 pub(crate) struct Connection {
@@ -46,7 +51,8 @@
     head_since: Cell<Option<Instant>>,
     /// Start of a write that the caller does not take.
     blocked_since: Cell<Option<Instant>>,
-    expired: Cell<bool>,
+    /// Why the connection is closed.
+    expired: Cell<Option<&'static str>>,
     wakers: RefCell<Vec<Waker>>,
 }
 
@@ -82,15 +88,24 @@
         }
     }
 
-    /// Marks the connection as expired if its caller is too slow.
-    fn check(&self, now: Instant, head: Duration, write: Duration) {
+    /// Marks the connection as expired if its caller is too slow, and returns the reason once.
+    fn check(&self, now: Instant, head: Duration, write: Duration) -> Option<&'static str> {
         let passed = |since: &Cell<Option<Instant>>, limit| {
             since.get().is_some_and(|since| now - since > limit)
         };
-        if passed(&self.head_since, head) || passed(&self.blocked_since, write) {
-            self.expired.set(true);
-            self.wake();
+        if self.expired.get().is_some() {
+            return None;
         }
+        let reason = if passed(&self.head_since, head) {
+            "header_timeout"
+        } else if passed(&self.blocked_since, write) {
+            "write_timeout"
+        } else {
+            return None;
+        };
+        self.expired.set(Some(reason));
+        self.wake();
+        Some(reason)
     }
 }
 
@@ -114,7 +129,11 @@
 
 impl Socket {
     fn check(&self, context: &Context<'_>) -> io::Result<()> {
-        if self.state.expired.get() {
+        if let Some(reason) = self.state.expired.get() {
+            if reason == "header_timeout" {
+                // A caller that does not take the answer at once does not get it.
+                let _ = self.stream.try_write(HEADER_TIMEOUT.as_bytes());
+            }
             return Err(io::ErrorKind::TimedOut.into());
         }
         self.state.wake_later(context);
@@ -174,19 +193,21 @@
 /// the requests on the others are answered.
 pub(crate) async fn serve<H, F>(
     listener: TcpListener,
-    limits: Limits,
-    mut phase: watch::Receiver<Phase>,
+    node: Rc<Node>,
     handler: H,
 ) -> eyre::Result<()>
 where
     H: Fn(Request) -> F + Clone + 'static,
     F: Future<Output = Response<BoxBody>> + 'static,
 {
+    let limits = *node.limits();
+    let mut phase = node.phase.clone();
     let goodbye = phase.clone();
     let for_http1 = handler.clone();
     let service = HttpService::build()
         .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
-        .client_request_timeout(Duration::from_millis(limits.header_timeout_ms))
+        // The sweep bounds the time for each head, not only for the first of a connection.
+        .client_request_timeout(Duration::ZERO)
         .client_disconnect_timeout(LINGER)
         // A caller that closes its side does not wait for the answer any more.
         .h1_allow_half_closed(false)
@@ -211,7 +232,7 @@
             .map_err(|()| eyre!("cannot create the HTTP service"))?,
     );
     let connections: Rc<RefCell<Vec<Rc<Connection>>>> = Rc::default();
-    let sweep = actix_rt::spawn(sweep(Rc::clone(&connections), limits));
+    let sweep = actix_rt::spawn(sweep(Rc::clone(&connections), node));
     let (done, mut all_done) = tokio::sync::mpsc::channel::<()>(1);
     loop {
         let accepted = tokio::select! {
@@ -283,14 +304,17 @@
 }
 
 /// Expires connections whose callers send a head or take an answer too slowly.
-async fn sweep(connections: Rc<RefCell<Vec<Rc<Connection>>>>, limits: Limits) {
+async fn sweep(connections: Rc<RefCell<Vec<Rc<Connection>>>>, node: Rc<Node>) {
+    let limits = node.limits();
     let head = Duration::from_millis(limits.header_timeout_ms);
     let write = Duration::from_millis(limits.body_timeout_ms);
     loop {
         sleep(SWEEP_INTERVAL).await;
         let now = Instant::now();
         for connection in connections.borrow().iter() {
-            connection.check(now, head, write);
+            if let Some(code) = connection.check(now, head, write) {
+                node.metrics.rejected(code);
+            }
         }
     }
 }
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use awc::http::Method;
 use awc::http::header::{HeaderName, HeaderValue};
@@ -57,6 +57,8 @@
     /// Index of the control process that answered last.
     pub(crate) control: Cell<usize>,
     pub(crate) metrics: Metrics,
+    /// Sequence number of the last zone order.
+    last_order: Cell<u64>,
     /// Calls to engines and control that are not finished.
     pub(crate) background: Cell<usize>,
     in_force: RefCell<Option<Rc<InForce>>>,
@@ -85,6 +87,7 @@
             buffered: Cell::new(0),
             control: Cell::new(0),
             metrics,
+            last_order: Cell::new(0),
             background: Cell::new(0),
             in_force: RefCell::new(None),
             random: RefCell::new(random),
@@ -132,6 +135,17 @@
         });
     }
 
+    /// Returns the sequence number of a zone order. Orders at different VMs are put in order by the wall
+    /// clock, the only order that operators see; orders at this VM always increase.
+    pub(crate) fn order_sequence(&self) -> u64 {
+        let now = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |time| time.as_millis() as u64);
+        let sequence = now.max(self.last_order.get() + 1);
+        self.last_order.set(sequence);
+        sequence
+    }
+
     /// Draws a request id.
     pub(crate) fn request_id(&self) -> Id {
         Id(self.random.borrow_mut().random())
--- a/entry/src/server.rs
+++ b/entry/src/server.rs
@@ -191,26 +191,17 @@
     let receive = actix_rt::spawn(receive(Rc::clone(&node), incoming));
     let pull = actix_rt::spawn(ledger::pull_config(Rc::clone(&node)));
     let for_callers = Rc::clone(&node);
-    let callers = actix_rt::spawn(listen::serve(
-        callers,
-        limits,
-        phases.clone(),
-        move |request| callers::serve(Rc::clone(&for_callers), request),
-    ));
+    let callers = actix_rt::spawn(listen::serve(callers, Rc::clone(&node), move |request| {
+        callers::serve(Rc::clone(&for_callers), request)
+    }));
     let for_targets = Rc::clone(&node);
-    let targets = actix_rt::spawn(listen::serve(
-        targets,
-        limits,
-        phases.clone(),
-        move |request| targets::serve(Rc::clone(&for_targets), request),
-    ));
+    let targets = actix_rt::spawn(listen::serve(targets, Rc::clone(&node), move |request| {
+        targets::serve(Rc::clone(&for_targets), request)
+    }));
     let operators = Rc::new(Operators::new(Rc::clone(&node), query));
-    let admin = actix_rt::spawn(listen::serve(
-        admin,
-        limits,
-        phases.clone(),
-        move |request| admin::serve(Rc::clone(&operators), request),
-    ));
+    let admin = actix_rt::spawn(listen::serve(admin, Rc::clone(&node), move |request| {
+        admin::serve(Rc::clone(&operators), request)
+    }));
     let addresses = Addresses {
         callers: listen.callers,
         targets: listen.targets,
--- a/entry/tests/lifecycle.rs
+++ b/entry/tests/lifecycle.rs
@@ -174,3 +174,30 @@
     assert!(rest.ends_with(b"ok\n"));
     assert_eq!(silent.read_to_end(&mut rest).await.unwrap(), 0);
 }
+
+/// Guards against a caller that takes no bytes and so holds engine memory and buffers until its
+/// deadline.
+#[actix_rt::test]
+async fn a_caller_that_does_not_read_is_cut_off() {
+    let mut settings = settings();
+    settings.limits.body_timeout_ms = 100;
+    let server = entry(settings).await;
+    let target = Target::start(async |seen, mut stream| {
+        write_stream_head(&mut stream, seen.attempt()).await;
+        let filler = "x".repeat(10_000);
+        for index in 0.. {
+            let event = format!("id: {}:{index}\ndata: {filler}\n\n", seen.attempt());
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            if stream.write_all(chunk.as_bytes()).await.is_err() {
+                break;
+            }
+        }
+        None
+    })
+    .await;
+    target.join(&server, "t1", "lm").await;
+    let caller = send(&server, true).await;
+    until(async || !target.requests("/v1/cancel").is_empty()).await;
+    drop(caller);
+    server.stop().await.unwrap();
+}
--- a/entry/tests/limits.rs
+++ b/entry/tests/limits.rs
@@ -127,10 +127,13 @@
     assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
     assert!(answer.contains("body_timeout"), "{answer}");
     let answer = raw(&server, "POST /v1/completions HTTP/1.1\r\nhost:").await;
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    let (head, body) = answer.split_once("\r\n\r\n").unwrap();
     assert!(
-        answer.is_empty() || answer.starts_with("HTTP/1.1 408"),
+        head.contains(&format!("content-length: {}", body.len())),
         "{answer}"
     );
+    assert!(body.contains("header_timeout"), "{answer}");
     let mut stream = TcpStream::connect(server.addresses().callers)
         .await
         .unwrap();
@@ -140,7 +143,8 @@
     stream.write_all(b"GET /healthz HTTP").await.unwrap();
     let mut rest = Vec::new();
     drop(stream.read_to_end(&mut rest).await);
-    assert!(rest.ends_with(b"ok\n"));
+    let rest = String::from_utf8(rest).unwrap();
+    assert!(rest.contains("ok\nHTTP/1.1 408"), "{rest}");
     server.stop().await.unwrap();
 }
 
