--- a/bench/src/changes.rs
+++ b/bench/src/changes.rs
@@ -47,6 +47,8 @@
     unknown: u64,
     refused: BTreeMap<String, u64>,
     lost_answers: u64,
+    /// Configurations read without a zone, by their version.
+    empty_reads: BTreeMap<u64, u64>,
     resends_checked: u64,
     resends_differ: u64,
     calls_ms: Vec<f64>,
@@ -98,6 +100,11 @@
             sleep(Duration::from_millis(50)).await;
             return;
         };
+        if inventory.zones.is_empty() {
+            *self.log.borrow_mut().empty_reads.entry(base).or_default() += 1;
+            sleep(Duration::from_millis(50)).await;
+            return;
+        }
         let organisations = inventory.organisations.len();
         let number = self.random.random_range(0..organisations.max(1));
         if let Some(organisation) = inventory.organisations.get_mut(number) {
@@ -375,7 +382,7 @@
     let holes = last.saturating_sub(first) - log.accepted.len() as u64;
     json!({
         "phases": phases, "conflicts": log.conflicts, "unknown": log.unknown,
-        "refused": log.refused, "lost_answers": log.lost_answers,
+        "refused": log.refused, "empty_reads": log.empty_reads, "lost_answers": log.lost_answers,
         "accepted_twice": log.accepted_twice, "versions_without_operator": holes,
         "resends_checked": log.resends_checked, "resends_differ": log.resends_differ,
         "reverts": log.reverts, "last_in_force_everywhere": last_in_force,
