core: End local zone orders by later orders; delay readiness until targets are known

Change: each accepted zone order raises the version and is listed in the configuration; a later order ends local ones. A process is ready 1 s after its start at the earliest, two announcement intervals. Conclusion: the last order of the operators wins, and the balancer waits for a usable VM.

--- a/bench/src/cluster.rs
+++ b/bench/src/cluster.rs
@@ -343,6 +343,7 @@
                 inventory: Inventory::default(),
                 zones_out: Vec::new(),
                 targets_out: Vec::new(),
+                zone_orders: Vec::new(),
             },
             arbiters: (0..STANDIN_THREADS).map(|_| Arbiter::new()).collect(),
             folder,
--- a/control/src/admin.rs
+++ b/control/src/admin.rs
@@ -332,6 +332,7 @@
                 inventory,
                 zones_out,
                 targets_out,
+                ..
             }) => json!({
                 "version": version,
                 "inventory": inventory,
--- a/core/benches/decision.rs
+++ b/core/benches/decision.rs
@@ -65,6 +65,7 @@
         },
         zones_out: Vec::new(),
         targets_out: Vec::new(),
+        zone_orders: Vec::new(),
     }
 }
 
--- a/core/src/registry/mod.rs
+++ b/core/src/registry/mod.rs
@@ -34,6 +34,9 @@
     pub zones_out: Vec<Arc<str>>,
     /// Targets that operators took out.
     pub targets_out: Vec<Arc<str>>,
+    /// Version of the latest accepted order for each zone that was ordered out or in. Such an order ends
+    /// local orders that were given under an earlier version.
+    pub zone_orders: Vec<(Arc<str>, u64)>,
 }
 
 /// A command for the replicated log.
--- a/core/src/registry/state.rs
+++ b/core/src/registry/state.rs
@@ -133,6 +133,12 @@
             .config
             .as_ref()
             .map_or_else(Vec::new, |config| config.targets_out.clone());
+        let zone_orders = self.config.as_ref().map_or_else(Vec::new, |config| {
+            let known = |(name, _): &&(Arc<str>, u64)| {
+                inventory.zones.iter().any(|zone| zone.name == *name)
+            };
+            config.zone_orders.iter().filter(known).cloned().collect()
+        });
         self.accept(
             id,
             Kind::Inventory,
@@ -141,6 +147,7 @@
                 inventory: inventory.clone(),
                 zones_out,
                 targets_out,
+                zone_orders,
             },
         )
     }
@@ -171,18 +178,24 @@
                 )
             }
         };
-        if list.contains(&name) == out {
+        let in_force = list.contains(&name) == out;
+        // An order that repeats a zone's state is accepted all the same: it ends local orders.
+        if in_force && matches!(subject, Subject::Target(_)) {
             return Outcome::Accepted {
                 version: next.version,
             };
         }
-        if out {
-            list.push(name);
+        if out && !in_force {
+            list.push(Arc::clone(&name));
             list.sort_unstable();
-        } else {
+        } else if !out {
             list.retain(|other| *other != name);
         }
         next.version += 1;
+        if let Subject::Zone(zone) = subject {
+            next.zone_orders.retain(|(ordered, _)| ordered != zone);
+            next.zone_orders.push((Arc::clone(zone), next.version));
+        }
         self.accept(id, kind, next)
     }
 
--- a/core/src/serving/drain.rs
+++ b/core/src/serving/drain.rs
@@ -45,12 +45,21 @@
 
     /// Returns whether the configuration in force replaces a local order.
     ///
-    /// A later configuration ends an order that brought a zone back. It ends an order that took a
-    /// zone out only once it has the zone out itself, so that an unrelated change does not bring
-    /// the zone back.
+    /// A later order for the zone ends any local order, and any later configuration ends one that brought
+    /// the zone back. An unrelated change does not bring a zone back that was taken out locally.
     fn is_superseded(&self, order: &Override) -> bool {
         let later = self.config_version() > order.config;
-        later && (!order.out || self.is_out_by_config(&order.zone))
+        later && (!order.out || self.zone_ordered_at(&order.zone) > order.config)
+    }
+
+    /// Returns the version of the latest accepted order for a zone; zero if there was none.
+    fn zone_ordered_at(&self, zone: &str) -> u64 {
+        let orders = self.config.iter().flat_map(|config| &config.zone_orders);
+        orders
+            .filter(|(name, _)| **name == *zone)
+            .map(|(_, version)| *version)
+            .max()
+            .unwrap_or(0)
     }
 
     /// Applies the availability of zones and targets of a new configuration.
--- a/core/src/serving/reducer.rs
+++ b/core/src/serving/reducer.rs
@@ -65,6 +65,10 @@
 /// Time after which another address under a known name no longer counts as a conflict.
 const CONFLICT_MEMORY: Duration = Duration::from_secs(10);
 
+/// Time after the start before the process is ready. Targets announce themselves every 500 ms and are
+/// spread with the next heartbeat, so that a restarted process then knows all targets of its zone.
+const READY_DELAY: Duration = Duration::from_secs(1);
+
 /// Time between two events after which the process counts as paused. Ticks come every 20 ms.
 const PAUSE_MIN: Duration = Duration::from_secs(1);
 
@@ -106,6 +110,7 @@
     deadlines: BTreeSet<(Instant, Id)>,
     abandoned: BTreeMap<Attempt, (Instant, SocketAddr)>,
     ready: bool,
+    started_at: Instant,
     order: u64,
     next_check: Instant,
     next_decay: Instant,
@@ -142,6 +147,7 @@
             deadlines: BTreeSet::new(),
             abandoned: BTreeMap::new(),
             ready: false,
+            started_at: now,
             order: 0,
             next_check: now,
             next_decay: now,
@@ -218,7 +224,8 @@
     }
 
     pub(super) fn update_ready(&mut self, effects: &mut Vec<Effect>) {
-        let ready = self.config.is_some() && !self.draining;
+        let announced = self.now.since(self.started_at) >= READY_DELAY;
+        let ready = self.config.is_some() && announced && !self.draining;
         if ready != self.ready {
             self.ready = ready;
             effects.push(Effect::Ready(ready));
@@ -1023,6 +1030,7 @@
     }
 
     fn housekeep(&mut self, effects: &mut Vec<Effect>) {
+        self.update_ready(effects);
         self.keep_membership(effects);
         self.keep_lease(effects);
         while self.next_decay <= self.now {
--- a/core/tests/common/mod.rs
+++ b/core/tests/common/mod.rs
@@ -84,6 +84,7 @@
         },
         zones_out: Vec::new(),
         targets_out: Vec::new(),
+        zone_orders: Vec::new(),
     }
 }
 
--- a/core/tests/registry.rs
+++ b/core/tests/registry.rs
@@ -396,3 +396,18 @@
         true
     ))));
 }
+
+/// Guards against a local order that outlives a later order of the operators because that order repeats
+/// what control has in force.
+#[test]
+fn repeated_zone_order_is_a_new_version() {
+    let mut state = State::default();
+    state.apply(&apply("a", 0, 1, &["zone-a"]));
+    let outcome = state.apply(&zone_out("b", "zone-a", false));
+    assert_eq!(outcome, Outcome::Accepted { version: 2 });
+    let orders = state.config().map(|config| config.zone_orders.clone());
+    assert_eq!(orders, Some(vec![("zone-a".into(), 2)]));
+    // A resend is not a new order.
+    assert_eq!(state.apply(&zone_out("b", "zone-a", false)), outcome);
+    assert_eq!(state.version(), 2);
+}
--- a/core/tests/serving_zone.rs
+++ b/core/tests/serving_zone.rs
@@ -496,6 +496,11 @@
     // An unrelated configuration does not bring the zone back.
     host.apply(Event::Configured(Arc::new(config(2, &["e1", "e2"]))));
     assert!(host.reducer.is_out("a"));
+    // A later order for the zone does, although control never had it out.
+    let mut ordered = config(3, &["e1", "e2"]);
+    ordered.zone_orders.push(("a".into(), 3));
+    host.apply(Event::Configured(Arc::new(ordered)));
+    assert!(!host.reducer.is_out("a"));
 }
 
 /// Guards against targets of another zone in the table, and against credits from strangers.
--- a/entry/tests/support/mod.rs
+++ b/entry/tests/support/mod.rs
@@ -77,6 +77,7 @@
         },
         zones_out: Vec::new(),
         targets_out: Vec::new(),
+        zone_orders: Vec::new(),
     }
 }
 
--- a/tests/src/world/mod.rs
+++ b/tests/src/world/mod.rs
@@ -676,6 +676,7 @@
         },
         zones_out: Vec::new(),
         targets_out: Vec::new(),
+        zone_orders: Vec::new(),
     }
 }
 
