core, control: Remove a replica on an operator's order

A control VM that was replaced under another name stayed a voter. POST /v1/replicas/{id}/remove drops it if the other voters have a live quorum without it.

--- a/control/src/admin.rs
+++ b/control/src/admin.rs
@@ -12,7 +12,7 @@
 use bytes::BytesMut;
 use eyre::eyre;
 use futures_util::StreamExt;
-use primrosepin_core::consensus::Role;
+use primrosepin_core::consensus::{Id, Role};
 use primrosepin_core::registry::{Change, Command, Config, Outcome, Subject};
 use primrosepin_telemetry::metrics::Metrics;
 use serde::Deserialize;
@@ -21,7 +21,7 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-use crate::node::Decision;
+use crate::node::{Decision, Input};
 use crate::proposer::Proposer;
 use crate::seen::Signs;
 
@@ -202,6 +202,7 @@
                 Ok(apply) => self.apply(apply).await,
                 Err(answer) => answer,
             },
+            ["v1", "replicas", id, "remove"] if post => self.remove(id).await,
             ["v1", kind @ ("zones" | "targets"), name] if post => {
                 let Some(name) = percent_decode(name).filter(|name| !name.is_empty()) else {
                     return Answer::error(
@@ -274,6 +275,36 @@
         self.change(id, command).await
     }
 
+    /// Removes a replica. The id is never used again, so a resend changes nothing.
+    async fn remove(&self, id: &str) -> Answer {
+        let shared = &self.proposer.shared;
+        let members = shared.view().members;
+        let found = u64::from_str_radix(id, 16).ok().map(Id);
+        let found = found.filter(|id| members.get(*id).is_some() || members.removed.contains(id));
+        let Some(id) = found else {
+            return Answer::error(
+                StatusCode::NOT_FOUND,
+                "unknown_replica",
+                "no replica has this id; the ids are in /v1/status",
+            );
+        };
+        // A full queue shows in the answer, since the member stays.
+        drop(self.proposer.node.try_send(Input::Remove(id)));
+        let mut changes = shared.watch();
+        let removed = changes.wait_for(|view| view.members.get(id).is_none());
+        match timeout(CHANGE_TIMEOUT, removed).await {
+            Ok(_) => {
+                log::info!("replica {:016x} is removed", id.0);
+                Answer::new(StatusCode::OK, json!({ "outcome": "removed" }))
+            }
+            Err(_) => Answer::error(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "unknown",
+                "not removed yet; there is no leader, or the others have no quorum without it",
+            ),
+        }
+    }
+
     /// Proposes a change and turns what became of it into an answer.
     async fn change(&self, id: Arc<str>, command: Command) -> Answer {
         match self.proposer.submit(command, CHANGE_TIMEOUT).await {
--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -9,7 +9,7 @@
 
 use eyre::WrapErr;
 use primrosepin_core::consensus::{
-    Durable, Effect, Event, Message, Payload, Reducer, Role, Settings, Snapshot,
+    Durable, Effect, Event, Id, Message, Payload, Reducer, Role, Settings, Snapshot,
 };
 use primrosepin_core::message::Message as Outgoing;
 use primrosepin_core::registry::{Command, Outcome};
@@ -54,6 +54,8 @@
     Received(Message),
     /// A command with the way to report what became of it.
     Propose(Command, oneshot::Sender<Decision>),
+    /// Remove a member.
+    Remove(Id),
     /// Hand over leadership and stop.
     Stop,
 }
@@ -139,7 +141,7 @@
                 // Fails only if the caller has given up.
                 let _ = respond.send(Decision::NotAccepted);
             }
-            Ok(Input::Received(_)) => {}
+            Ok(Input::Received(_) | Input::Remove(_)) => {}
             Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => return true,
             Err(RecvTimeoutError::Timeout) => return false,
         }
@@ -247,6 +249,7 @@
                     self.reducer
                         .apply(now, Event::Received(message), &mut effects);
                 }
+                Input::Remove(id) => self.reducer.apply(now, Event::Remove(id), &mut effects),
                 Input::Stop => {}
             }
         }
--- a/control/tests/server/cluster.rs
+++ b/control/tests/server/cluster.rs
@@ -62,6 +62,27 @@
     }
 }
 
+/// Guards against a replica that left for good and still counts for the quorum.
+#[actix_rt::test]
+async fn a_replica_is_removed() {
+    let deployment = Deployment::new(3);
+    let mut servers = join_all((0..3).map(|index| deployment.start(index))).await;
+    settled(&servers.iter().collect::<Vec<_>>()).await;
+    let gone = servers.pop().unwrap();
+    let id = get(gone.addresses().admin, "/v1/status").await["id"].clone();
+    gone.stop().await.unwrap();
+    let admin = servers[0].addresses().admin;
+    let path = format!("/v1/replicas/{}/remove", id.as_str().unwrap());
+    for _ in 0..2 {
+        assert_eq!(settle(admin, &path, &json!({})).await.0, 200);
+    }
+    let (status, _) = post(admin, "/v1/replicas/123/remove", json!({})).await;
+    assert_eq!(status, 404);
+    settled(&servers.iter().collect::<Vec<_>>()).await;
+    let change = apply("first", 0, INVENTORY);
+    assert_eq!(settle(admin, "/v1/config/apply", &change).await.0, 200);
+}
+
 /// Guards against a resend that is applied twice or gets another outcome, and against a key that can be
 /// claimed twice, after the leader is cut off without any sign.
 #[actix_rt::test]
--- a/core/src/consensus/event.rs
+++ b/core/src/consensus/event.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::Message;
+use super::{Id, Message};
 
 /// An event of a control replica.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -25,6 +25,8 @@
         /// Encoded state machine.
         state: Arc<[u8]>,
     },
+    /// An operator removes a member that will not return, or is not wanted any more.
+    Remove(Id),
     /// The replica shuts down; a leader hands over to another voter.
     Resign,
 }
--- a/core/src/consensus/message.rs
+++ b/core/src/consensus/message.rs
@@ -153,6 +153,11 @@
         /// Voter that starts the election.
         heir: Id,
     },
+    /// Asks the leader to remove a member.
+    Remove {
+        /// The member.
+        member: Id,
+    },
 }
 
 /// The last sign of an entry VM.
--- a/core/src/consensus/reducer.rs
+++ b/core/src/consensus/reducer.rs
@@ -154,6 +154,8 @@
     receiving: Option<Receiving>,
     joins: BTreeMap<Id, Join>,
     join_at: Instant,
+    /// Members that the leader is to remove.
+    removals: BTreeSet<Id>,
     // Collected during one event.
     dirty: bool,
     unsaved: Vec<Entry>,
@@ -204,6 +206,7 @@
             receiving: None,
             joins: BTreeMap::new(),
             join_at: now,
+            removals: BTreeSet::new(),
             dirty: false,
             unsaved: Vec::new(),
             ready: Vec::new(),
@@ -305,6 +308,7 @@
             Event::Persisted { sequence } => self.on_persisted(sequence),
             Event::Propose(commands) => self.propose(commands, effects),
             Event::Compact { index, state } => self.compact(index, state, effects),
+            Event::Remove(member) => self.remove(member),
             Event::Resign => self.resign(),
         }
         self.finish(effects);
@@ -413,6 +417,7 @@
             self.role = Role::Follower;
         }
         if self.leading.take().is_some() {
+            self.removals.clear();
             self.reset_election();
         }
         self.leader = leader;
@@ -683,6 +688,16 @@
         effects.push(Effect::Save(snapshot));
     }
 
+    /// Removes a member, or asks the leader to do so.
+    fn remove(&mut self, member: Id) {
+        if self.leading.is_some() {
+            self.removals.insert(member);
+        } else if let Some(leader) = self.leader() {
+            let (id, address) = (leader.id, leader.address);
+            self.send(id, address, Body::Remove { member });
+        }
+    }
+
     fn resign(&mut self) {
         if self.leading.is_none() {
             return;
@@ -813,6 +828,11 @@
                     self.on_snapshot_answer(from, index, offset);
                 }
             }
+            Body::Remove { member } => {
+                if self.leading.is_some() {
+                    self.removals.insert(member);
+                }
+            }
             Body::Resign { term, heir } => {
                 if term == self.durable.term && self.leader == Some(from) {
                     self.leader = None;
@@ -1249,7 +1269,10 @@
         if self.log.members_index() > self.commit || leading.start_index > self.commit {
             return;
         }
-        let Some(next) = self.next_members(leading, members) else {
+        let next = self.next_members(leading, members);
+        // A removal that is not possible now needs another order.
+        self.removals.clear();
+        let Some(next) = next else {
             return;
         };
         self.push(Payload::Members(next));
@@ -1287,10 +1310,26 @@
             }
         }
         let alive = |id: Id| {
+            if id == self.own() {
+                return true;
+            }
             let progress = leading.progress.get(&id);
             let acked = progress.and_then(|progress| progress.acked);
             acked.is_some_and(|at| self.now.since(at) < ELECTION)
         };
+        for id in self
+            .removals
+            .iter()
+            .filter(|id| members.get(**id).is_some())
+        {
+            let mut next = members.clone();
+            next.remove(|member| member.id == *id);
+            // The rest must be able to go on without the member.
+            let live = next.voters().filter(|voter| alive(voter.id)).count();
+            if live > 0 && live >= next.quorum() {
+                return Some(next);
+            }
+        }
         for learner in members.list.iter().filter(|member| !member.voter) {
             let progress = leading.progress.get(&learner.id);
             let caught_up = progress.is_some_and(|progress| progress.matched >= self.commit);
--- a/core/tests/consensus.rs
+++ b/core/tests/consensus.rs
@@ -221,6 +221,52 @@
     }
 }
 
+/// Guards against a replica that left for good and still counts for the quorum, and against a removal that
+/// leaves the others without one.
+#[test]
+fn a_member_is_removed_if_the_others_can_go_on() {
+    for seed in 0..10 {
+        let mut cluster = Cluster::founded(4, seed);
+        cluster.run(SECOND);
+        let leader = cluster.leader().unwrap();
+        let [gone, follower, other] = others(&cluster, leader)[..] else {
+            unreachable!()
+        };
+        cluster.crash(gone);
+        cluster.remove(follower, gone);
+        let count = |cluster: &Cluster, index: usize| {
+            cluster
+                .reducer(index)
+                .committed_members()
+                .unwrap()
+                .list
+                .len()
+        };
+        cluster.run_until("removed", |cluster| count(cluster, leader) == 3);
+        // Two of three are left, so the loss of one more is borne, which was not so with four.
+        cluster.crash(other);
+        cluster.commit();
+        cluster.run(SECOND);
+        cluster.remove(leader, follower);
+        cluster.run(SECOND);
+        assert_eq!(
+            count(&cluster, leader),
+            3,
+            "leader and lost replica are no quorum of two"
+        );
+        cluster.start(other);
+        cluster.run(SECOND);
+        // A leader that is removed hands over.
+        cluster.remove(leader, leader);
+        cluster.run_until("handed over", |cluster| {
+            let next = cluster.leader();
+            next.is_some_and(|next| next != leader && count(cluster, next) == 2)
+        });
+        cluster.commit();
+        cluster.verify();
+    }
+}
+
 /// Guards against an entry of an earlier term that is committed by counting its copies: a later leader
 /// could still replace it. It becomes committed only with an entry of the leader's own term.
 #[test]
--- a/core/tests/simulation/mod.rs
+++ b/core/tests/simulation/mod.rs
@@ -266,6 +266,12 @@
         self.handle(index, Event::Resign);
     }
 
+    /// Orders a replica to remove another one.
+    pub fn remove(&mut self, index: usize, removed: usize) {
+        let id = self.replicas[removed].disk.durable.id;
+        self.handle(index, Event::Remove(id));
+    }
+
     /// Cuts a replica off from all others, or connects it again.
     pub fn isolate(&mut self, index: usize, cut: bool) {
         for other in 0..self.replicas.len() {
