--- a/entry/benches/relay.rs
+++ b/entry/benches/relay.rs
@@ -4,7 +4,7 @@
 //! written, so that callers measure the delay of each token, once through an entry process and once on
 //! direct connections. A copier between the sockets shows the least cost of any relay. The processor time of the entry thread comes from `/proc`.
 //!
-//! `cargo bench -p primrosepin-entry --bench relay -- [STREAMS] [TOKENS] [INTERVAL_MS]`
+//! `cargo bench -p primrosepin-entry --bench relay -- [STREAMS] [TOKENS] [INTERVAL_MS] [PROMPT_BYTES]`
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -26,6 +26,7 @@
     streams: usize,
     tokens: u32,
     interval: Duration,
+    prompt_bytes: usize,
 }
 
 fn main() {
@@ -37,13 +38,15 @@
         streams: number(0, 1_000) as usize,
         tokens: number(1, 100) as u32,
         interval: Duration::from_millis(number(2, 20)),
+        prompt_bytes: number(3, 1) as usize,
     };
     let offered = load.streams as f64 / load.interval.as_secs_f64();
     println!(
-        "{} streams of {} tokens, one each {} ms: {offered:.0} tokens/s",
+        "{} streams of {} tokens, one each {} ms, prompts of {} bytes: {offered:.0} tokens/s",
         load.streams,
         load.tokens,
-        load.interval.as_millis()
+        load.interval.as_millis(),
+        load.prompt_bytes
     );
     let engine = start_engine(load);
     report("direct", &measure(load, engine), None);
@@ -89,6 +92,12 @@
         at(0.99),
         at(1.0)
     );
+    let first = |percent| run.first_us.value_at_quantile(percent) as f64 / 1_000.0;
+    println!(
+        "{name}: first token p50 {:.3} ms, p95 {:.3} ms",
+        first(0.5),
+        first(0.95)
+    );
     if let Some(spent) = spent {
         let rate = run.tokens as f64 / spent.as_secs_f64();
         println!(
@@ -216,6 +225,8 @@
 
 struct Run {
     delay_us: Histogram<u64>,
+    /// Time from the first byte of a request to its first token.
+    first_us: Histogram<u64>,
     tokens: u64,
     whole: usize,
 }
@@ -228,15 +239,17 @@
             std::thread::spawn(move || {
                 actix_rt::Runtime::new().unwrap().block_on(async move {
                     let readers: Vec<_> = (0..streams)
-                        .map(|_| actix_rt::spawn(read(address)))
+                        .map(|_| actix_rt::spawn(read(load, address)))
                         .collect();
                     let mut run = Run {
                         delay_us: Histogram::new(3).unwrap(),
+                        first_us: Histogram::new(3).unwrap(),
                         tokens: 0,
                         whole: 0,
                     };
                     for reader in readers {
-                        let (delays, whole) = reader.await.unwrap();
+                        let (first, delays, whole) = reader.await.unwrap();
+                        run.first_us.record(first).unwrap();
                         for delay in delays {
                             run.tokens += 1;
                             run.delay_us.record(delay).unwrap();
@@ -253,6 +266,7 @@
         .map(|thread| thread.join().unwrap())
         .reduce(|mut all, run| {
             all.delay_us.add(&run.delay_us).unwrap();
+            all.first_us.add(&run.first_us).unwrap();
             all.tokens += run.tokens;
             all.whole += run.whole;
             all
@@ -260,10 +274,15 @@
         .unwrap()
 }
 
-/// Reads one stream and returns the delay of each token.
-async fn read(address: SocketAddr) -> (Vec<u64>, bool) {
+/// Reads one stream and returns the time to its first token and the delay of each token.
+async fn read(load: Load, address: SocketAddr) -> (u64, Vec<u64>, bool) {
     let mut stream = TcpStream::connect(address).await.unwrap();
-    let body = r#"{"model":"m","stream":true,"max_tokens":100,"prompt_tokens":100,"prompt":"x"}"#;
+    let prompt = "x".repeat(load.prompt_bytes);
+    let body = format!(
+        r#"{{"model":"m","stream":true,"max_tokens":100,"prompt_tokens":100,"prompt":"{prompt}"}}"#
+    );
+    let began = Instant::now();
+    let mut first = None;
     let text = format!(
         "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {}\r\n\
          content-length: {}\r\n\r\n{body}",
@@ -275,7 +294,7 @@
     let mut buffer = Vec::with_capacity(16 * 1024);
     loop {
         if stream.read_buf(&mut buffer).await.unwrap() == 0 {
-            return (delays, false);
+            return (first.unwrap_or(0), delays, false);
         }
         let now = now_us();
         let mut rest = 0;
@@ -285,16 +304,17 @@
                 break;
             };
             let text = std::str::from_utf8(&buffer[start..start + length]).unwrap();
+            first.get_or_insert(began.elapsed().as_micros() as u64);
             delays.push(now.saturating_sub(text.parse().unwrap()));
             rest = start + length;
         }
         buffer.drain(..rest);
         if memchr::memmem::find(&buffer, b"[DONE]").is_some() {
-            return (delays, true);
+            return (first.unwrap_or(0), delays, true);
         }
         if memchr::memmem::find(&buffer, b"\"error\"").is_some() {
             eprintln!("{}", String::from_utf8_lossy(&buffer));
-            return (delays, false);
+            return (first.unwrap_or(0), delays, false);
         }
     }
 }
--- a/entry/src/server.rs
+++ b/entry/src/server.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use actix_rt::net::TcpListener;
-use actix_rt::time::sleep;
+use actix_rt::time::{sleep, timeout};
 use eyre::{WrapErr, eyre};
 use primrosepin_config::settings::Entry;
 use primrosepin_core::message::Message;
@@ -121,6 +121,9 @@
 /// lease.
 const BACKGROUND_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Longest wait until peers have acknowledged the goodbye.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Interval of the check for such calls.
 const BACKGROUND_PAUSE: Duration = Duration::from_millis(20);
 
@@ -234,7 +237,10 @@
     pull.abort();
     receive.abort();
     driver.abort();
-    endpoint.close().await;
+    // Peers that do not answer would hold the shutdown for several round-trip timeouts.
+    if timeout(CLOSE_TIMEOUT, endpoint.close()).await.is_err() {
+        log::debug!("some peers did not acknowledge the goodbye");
+    }
     log::info!("shutdown: done");
     Ok(())
 }
