entry: Close a target's idle connections when one is silent

Cause: after one connection to a target went silent, retries took the next idle connection, which may be silent as well; each cost the silence limit of 2 s. Change: each target has its own client; a probe closes the target's idle connections.

--- a/entry/src/driver.rs
+++ b/entry/src/driver.rs
@@ -1,6 +1,7 @@
 //! The task that owns the reducer.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,6 +23,9 @@
 /// Longest time between two events for the reducer.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Targets whose idle connections are kept; a zone has about 309 at the design size.
+const CLIENTS_MAX: usize = 1_024;
+
 /// Answers of up to 64 KiB that may wait for the ledger: 64 MiB.
 const UNRECORDED_MAX: usize = 1_024;
 
@@ -32,7 +36,8 @@
 pub(crate) struct Driver {
     node: Rc<Node>,
     reducer: Reducer,
-    client: Client,
+    /// Client of each target, which keeps the target's idle connections.
+    clients: HashMap<SocketAddr, Client>,
     attempts: HashMap<Attempt, JoinHandle<()>>,
     /// Answers that the ledger has not confirmed yet; a repeated call needs them again.
     unrecorded: HashMap<Id, Option<Response>>,
@@ -58,7 +63,7 @@
         Self {
             node,
             reducer,
-            client: attempt::shared_client(),
+            clients: HashMap::new(),
             attempts: HashMap::new(),
             unrecorded: HashMap::new(),
         }
@@ -114,6 +119,15 @@
         }
     }
 
+    /// Returns the client of a target.
+    fn client(&mut self, address: SocketAddr) -> Client {
+        if self.clients.len() > CLIENTS_MAX {
+            self.clients.clear();
+        }
+        let client = self.clients.entry(address);
+        client.or_insert_with(attempt::shared_client).clone()
+    }
+
     fn snapshot(&self) -> Snapshot {
         Snapshot {
             counters: self.reducer.counters().clone(),
@@ -126,7 +140,7 @@
     }
 
     fn carry_out(&mut self, effect: Effect) {
-        let node = &self.node;
+        let node = &Rc::clone(&self.node);
         match effect {
             Effect::Dispatch(dispatch) => {
                 let attempt = dispatch.attempt;
@@ -135,7 +149,8 @@
                 {
                     node.metrics.queued(&call);
                 }
-                let run = attempt::run(Rc::clone(node), self.client.clone(), dispatch);
+                let client = self.client(dispatch.address);
+                let run = attempt::run(Rc::clone(node), client, dispatch);
                 self.attempts.insert(attempt, actix_rt::spawn(run));
             }
             Effect::Abort(attempt) => {
@@ -145,7 +160,7 @@
                 }
             }
             Effect::Cancel { address, attempt } => {
-                node.spawn(engine::cancel(self.client.clone(), address, attempt));
+                node.spawn(engine::cancel(self.client(address), address, attempt));
             }
             Effect::Reserve {
                 attempt,
@@ -154,14 +169,14 @@
             } => {
                 actix_rt::spawn(engine::reserve(
                     Rc::clone(node),
-                    self.client.clone(),
+                    attempt::shared_client(),
                     attempt,
                     parts,
                     lease_ms,
                 ));
             }
             Effect::Unreserve { attempt, parts } => {
-                node.spawn(engine::unreserve(self.client.clone(), attempt, parts));
+                node.spawn(engine::unreserve(attempt::shared_client(), attempt, parts));
             }
             Effect::Respond(refusal) => {
                 if let Some(call) = node.call(refusal.request) {
@@ -206,10 +221,13 @@
                 node.spawn(ledger::call(Rc::clone(node), request, call));
             }
             Effect::Probe { target, address } => {
+                // One connection is silent, so the idle ones of the target may be as well. They are
+                // closed; running attempts keep theirs.
+                self.clients.remove(&address);
                 actix_rt::spawn(engine::probe(Rc::clone(node), target, address));
             }
             Effect::Reconcile { address, live, .. } => {
-                actix_rt::spawn(reconcile::run(self.client.clone(), address, live));
+                actix_rt::spawn(reconcile::run(self.client(address), address, live));
             }
             Effect::Send { to, message, .. } => {
                 node.endpoint.send(to, message);
--- a/entry/tests/lifecycle.rs
+++ b/entry/tests/lifecycle.rs
@@ -201,3 +201,43 @@
     drop(caller);
     server.stop().await.unwrap();
 }
+
+/// Guards against requests that wait behind idle connections that went silent one after the other,
+/// while new connections to the target work.
+#[actix_rt::test]
+async fn silent_idle_connections_are_not_used_after_a_probe() {
+    const IDLE: usize = 3;
+    let server = entry(settings()).await;
+    let silent = Rc::new(Cell::new(false));
+    let gate = Rc::clone(&silent);
+    let begun = Rc::new(Cell::new(0));
+    let target = Target::start(move |seen, stream| {
+        let (gate, begun) = (Rc::clone(&gate), Rc::clone(&begun));
+        async move {
+            if gate.get() && seen.connection < IDLE {
+                std::future::pending::<()>().await;
+            }
+            begun.set(begun.get() + 1);
+            until(async || begun.get() >= IDLE).await;
+            stream_all(stream, &seen, 1).await
+        }
+    })
+    .await;
+    target.join(&server, "t1", "lm").await;
+    let body = generation(true);
+    // Requests at the same time open one connection each, which stay idle afterwards.
+    let calls = (0..IDLE).map(|_| call(&server, "/v1/completions", &body));
+    futures_util::future::join_all(calls).await;
+    silent.set(true);
+    call(&server, "/v1/completions", &body).await;
+    let answer = call(&server, "/v1/completions", &body).await;
+    assert_eq!(answer.final_outcome().as_deref(), Some("answered"));
+    let on_idle = target
+        .requests("/v1/completions")
+        .iter()
+        .skip(IDLE)
+        .filter(|seen| seen.connection < IDLE)
+        .count();
+    assert_eq!(on_idle, 1);
+    server.stop().await.unwrap();
+}
