core: Count the KV memory that running attempts need; bench: Measure the cost of control

Change: each entry VM counts the memory that its running attempts need to their end and tells the zone in heartbeats; the larger of this and the reported use decides. 'primrosepin-bench capacity' measures messages, bytes, processor time and memory of control by zone size.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod audit;
 pub mod caller;
+pub mod capacity;
 pub mod changes;
 pub mod clock;
 pub mod cluster;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,7 +7,7 @@
 use eyre::WrapErr;
 use primrosepin_bench::report::{Report, compare};
 use primrosepin_bench::scenario::{self, Scenario};
-use primrosepin_bench::{changes, plot, quickstart, relay};
+use primrosepin_bench::{capacity, changes, plot, quickstart, relay};
 use primrosepin_core::serving::Policy;
 
 /// Load driver, experiments, tables, plots and JSON reports
@@ -55,6 +55,13 @@
         #[bpaf(positional("SCENARIO"))]
         scenario: String,
     },
+    /// Measures the cost of control in one zone by its size
+    #[bpaf(command)]
+    Capacity {
+        /// Writes the result as JSON
+        #[bpaf(argument("FILE"))]
+        json: Option<PathBuf>,
+    },
     /// Prints the ratios of two reports, the second relative to the first
     #[bpaf(command)]
     Compare {
@@ -174,6 +181,11 @@
             print!("{}", report.table());
             write(json.as_deref(), &report)?;
         }
+        Command::Capacity { json } => {
+            let (table, costs) = capacity::run()?;
+            print!("{table}");
+            write(json.as_deref(), &costs)?;
+        }
         Command::Compare { first, second } => {
             print!("{}", compare(&read(&first)?, &read(&second)?));
         }
--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -49,6 +49,8 @@
     pub long: u32,
     /// Prompt tokens of running attempts before their first token, by class.
     pub unprefilled: [u64; 4],
+    /// KV memory that running attempts need up to their end, tokens.
+    pub kv_tokens: u64,
 }
 
 /// Usage of one organisation at one entry VM.
--- a/core/src/serving/target.rs
+++ b/core/src/serving/target.rs
@@ -77,6 +77,8 @@
     recent: VecDeque<Recent>,
     /// KV memory of the recent dispatches, tokens.
     recent_kv: u64,
+    /// KV memory that each running attempt of this VM needs up to its end, tokens.
+    committed: BTreeMap<Attempt, u64>,
     /// Highest backlog reported lately and its time.
     peak: (u64, Instant),
     /// First tokens in a row that were late.
@@ -183,6 +185,8 @@
     pub unprefilled: [u64; 4],
     /// Prompt tokens sent since the last load report.
     pub since: u64,
+    /// KV memory that running attempts need up to their end, tokens.
+    pub kv_tokens: u64,
 }
 
 /// Bounds the numbers of an announcement, so that sums over all targets cannot overflow.
@@ -213,6 +217,7 @@
         self.running += other.running;
         self.long += other.long;
         self.since += other.since;
+        self.kv_tokens += other.kv_tokens;
         for (sum, tokens) in self.unprefilled.iter_mut().zip(other.unprefilled) {
             *sum += tokens;
         }
@@ -222,6 +227,7 @@
         self.running = self.running.saturating_sub(other.running);
         self.long = self.long.saturating_sub(other.long);
         self.since = self.since.saturating_sub(other.since);
+        self.kv_tokens = self.kv_tokens.saturating_sub(other.kv_tokens);
         for (sum, tokens) in self.unprefilled.iter_mut().zip(other.unprefilled) {
             *sum = sum.saturating_sub(tokens);
         }
@@ -235,6 +241,7 @@
             long: sent.long,
             unprefilled: sent.unprefilled,
             since: sent.tokens,
+            kv_tokens: sent.kv_tokens.min(TOKENS_MAX),
         }
     }
 }
@@ -411,6 +418,7 @@
             backlog_at: now,
             recent: VecDeque::new(),
             recent_kv: 0,
+            committed: BTreeMap::new(),
             peak: (0, now),
             slow: 0,
             unresponsive_until: None,
@@ -693,6 +701,7 @@
         self.backlog = 0.0;
         self.recent.clear();
         self.recent_kv = 0;
+        self.committed.clear();
         self.slow = 0;
         self.unresponsive_until = None;
         self.conflict = None;
@@ -752,6 +761,8 @@
         self.own.long += u32::from(class >= Class::Long);
         self.own.unprefilled[class as usize] += tokens;
         self.own.since += tokens;
+        self.own.kv_tokens += kv_tokens;
+        self.committed.insert(attempt, kv_tokens);
         self.recent_kv += kv_tokens;
         self.recent.push_back(Recent {
             sent: now,
@@ -781,6 +792,8 @@
     /// Counts the end of an attempt of this VM.
     pub fn ended(&mut self, attempt: Attempt, class: Class) {
         self.own.running = self.own.running.saturating_sub(1);
+        let committed = self.committed.remove(&attempt).unwrap_or(0);
+        self.own.kv_tokens = self.own.kv_tokens.saturating_sub(committed);
         if class >= Class::Long {
             self.own.long = self.own.long.saturating_sub(1);
         }
@@ -880,8 +893,12 @@
     }
 
     /// Returns the KV memory in use, with dispatches that the report lacks, tokens.
+    ///
+    /// An engine reports the memory of a long prompt only once it starts it, so the memory that all
+    /// running attempts of the zone need is a lower bound.
     pub fn kv_used(&self) -> u64 {
-        self.announcement.load.kv_tokens_used + self.recent_kv + self.peers.since
+        let reported = self.announcement.load.kv_tokens_used + self.recent_kv + self.peers.since;
+        reported.max(self.own.kv_tokens + self.peers.kv_tokens)
     }
 
     /// Predicts the time to generate tokens, in microseconds.
@@ -906,6 +923,7 @@
             tokens: self.own.since,
             long: self.own.long,
             unprefilled: self.own.unprefilled,
+            kv_tokens: self.own.kv_tokens,
         })
     }
 
