--- a/entry/tests/support/mod.rs
+++ b/entry/tests/support/mod.rs
@@ -27,6 +27,8 @@
 
 pub const CALLER_KEY: &str = "caller-key";
 pub const ANNOUNCE_KEY: &str = "announce-key";
+/// Key of the plain service; operators' inventories refuse a key that two services share.
+pub const ORDERS_KEY: &str = "orders-key";
 pub const OPERATOR_KEY: &str = "operator-key";
 
 pub fn sha256(key: &str) -> Arc<str> {
@@ -37,6 +39,14 @@
     digits.concat().into()
 }
 
+pub fn announce_key(service: &str) -> &'static str {
+    if service == "lm" {
+        ANNOUNCE_KEY
+    } else {
+        ORDERS_KEY
+    }
+}
+
 /// Configuration with two zones, an engine service `lm` and a plain service `orders`, whose POST
 /// requests run at most once below `/orders/once`.
 pub fn config() -> Config {
@@ -45,7 +55,7 @@
         kind,
         models: models.iter().map(|&model| model.into()).collect(),
         paths: paths.iter().map(|&path| path.into()).collect(),
-        announce_keys_sha256: vec![sha256(ANNOUNCE_KEY)],
+        announce_keys_sha256: vec![sha256(announce_key(name))],
     };
     Config {
         version: 1,
@@ -291,9 +301,20 @@
         service: &'static str,
         fields: Value,
     ) {
-        let url = format!("http://{}/v1/targets/announce", server.addresses().targets);
+        let entries = vec![server.addresses().targets];
+        self.join_at(entries, name, service, fields).await;
+    }
+
+    /// Announces the target to the first of several entry processes that accepts it.
+    pub async fn join_at(
+        &self,
+        entries: Vec<SocketAddr>,
+        name: &'static str,
+        service: &'static str,
+        fields: Value,
+    ) {
         let address = self.address;
-        let announce = move |seq| {
+        let announce = async move |seq| {
             let (kind, models) = if service == "lm" {
                 ("engine", json!([{"name": "m", "version": "1"}]))
             } else {
@@ -309,17 +330,24 @@
             for (field, value) in fields.as_object().unwrap() {
                 body[field] = value.clone();
             }
-            Client::default()
-                .post(&url)
-                .bearer_auth(ANNOUNCE_KEY)
-                .send_json(&body)
+            for entry in &entries {
+                let url = format!("http://{entry}/v1/targets/announce");
+                let request = Client::default()
+                    .post(url)
+                    .bearer_auth(announce_key(service));
+                let answer = request.send_json(&body).await;
+                if answer.is_ok_and(|answer| answer.status() == 200) {
+                    return true;
+                }
+            }
+            false
         };
-        assert_eq!(announce(1).await.unwrap().status(), 200);
+        assert!(announce(1).await, "no entry process accepts {name}");
         actix_rt::spawn(async move {
             for seq in 2.. {
                 sleep(Duration::from_millis(500)).await;
                 // Fails once the entry process has stopped.
-                drop(announce(seq).await);
+                announce(seq).await;
             }
         });
     }
@@ -459,7 +487,16 @@
     body: &Value,
     headers: &[(&'static str, &'static str)],
 ) -> Answer {
-    let url = format!("http://{}{path}", server.addresses().callers);
+    call_at(server.addresses().callers, path, body, headers).await
+}
+
+pub async fn call_at(
+    callers: SocketAddr,
+    path: &str,
+    body: &Value,
+    headers: &[(&'static str, &'static str)],
+) -> Answer {
+    let url = format!("http://{callers}{path}");
     let client = awc::ClientBuilder::new().disable_timeout().finish();
     let mut request = client.post(url).bearer_auth(CALLER_KEY);
     for header in headers {
