entry: Name a second run in the process test's failure

Cause: with a ledger that lets a key be claimed twice (trial on a scratch copy), the resend test failed only after 30 s, and said that the gate had not opened. Change: only the first run waits at the gate; a second one answers at once and shows in the resend's answer. Conclusion: the failure says what went wrong.

--- a/entry/tests/process.rs
+++ b/entry/tests/process.rs
@@ -473,7 +473,10 @@
     let target = Target::start(move |seen, mut stream| {
         let open = Rc::clone(&open);
         async move {
-            wait_for("the test opens the gate", async || open.get()).await;
+            // Only the first run waits, so that a second one shows in the answer to the resend.
+            if seen.connection == 0 {
+                wait_for("the test opens the gate", async || open.get()).await;
+            }
             write_json(&mut stream, &seen, 201, &json!({"order": 1})).await;
             Some(stream)
         }
