--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -254,13 +254,15 @@
             End::NotRun { busy: true }
         };
     }
-    if call.kind != CallKind::Plain {
-        let owned = headers
-            .get(reply::ATTEMPT)
-            .is_some_and(|echo| echo.as_bytes() == id.as_bytes());
-        if !owned || status >= 500 {
-            return lost();
-        }
+    let echo = headers.get(reply::ATTEMPT);
+    let owned = echo.map(|echo| echo.as_bytes() == id.as_bytes());
+    // An engine must name the attempt. A plain service need not, but must not name another one.
+    let accepted = match call.kind {
+        CallKind::Plain => owned.unwrap_or(true),
+        _ => owned == Some(true) && status < 500,
+    };
+    if !accepted {
+        return lost();
     }
     node.report(Event::Started(dispatch.attempt));
     let is_stream = headers
--- a/entry/tests/relay.rs
+++ b/entry/tests/relay.rs
@@ -123,28 +123,30 @@
     }
 }
 
-/// Guards against a late answer to an earlier request that is taken for the answer to this one.
+/// Guards against a late answer to an earlier request that is taken for the answer to this one, from an
+/// engine and from a plain service that names the attempt.
 #[actix_rt::test]
 async fn an_answer_with_another_attempt_id_is_not_passed_on() {
-    let server = entry(settings()).await;
-    let target = Target::start(async |mut seen, mut stream| {
-        let other = format!("{}1", seen.attempt());
-        seen.headers.insert("x-primrosepin-attempt".into(), other);
-        write_json(
-            &mut stream,
-            &seen,
-            200,
-            &json!({"text": "of another caller"}),
-        )
+    let calls = [
+        ("t1", "lm", "/v1/completions", generation(false)),
+        ("p1", "orders", "/orders/1", json!({})),
+    ];
+    for (name, service, path, body) in calls {
+        let server = entry(settings()).await;
+        let target = Target::start(async |mut seen, mut stream| {
+            let other = format!("{}1", seen.attempt());
+            seen.headers.insert("x-primrosepin-attempt".into(), other);
+            let text = json!({"text": "of another caller"});
+            write_json(&mut stream, &seen, 200, &text).await;
+            Some(stream)
+        })
         .await;
-        Some(stream)
-    })
-    .await;
-    target.join(&server, "t1", "lm").await;
-    let answer = call(&server, "/v1/completions", &generation(false)).await;
-    assert_eq!(answer.outcome(), "unknown");
-    assert!(!answer.body.contains("another caller"), "{}", answer.body);
-    server.stop().await.unwrap();
+        target.join(&server, name, service).await;
+        let answer = call(&server, path, &body).await;
+        assert_eq!(answer.outcome(), "unknown", "{path}");
+        assert!(!answer.body.contains("another caller"), "{}", answer.body);
+        server.stop().await.unwrap();
+    }
 }
 
 /// Guards against a cut answer of a plain service that looks whole: `awc` ends a chunked body at a
