core: Split the serving reducer by concern

Cause: the reducer was one file of 1,122 lines. Change: attempts and queueing have files of their own; the tests' world reports the end of a stream in one place. No behaviour changes. Conclusion: each file has one concern.

--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -15,6 +15,7 @@
 //! - Each attempt at an engine that did not give a whole answer is cancelled there.
 
 mod admission;
+mod attempts;
 mod cache;
 mod claim;
 mod coordinator;
@@ -29,6 +30,7 @@
 mod health;
 mod membership;
 mod placement;
+mod queueing;
 mod reducer;
 mod request;
 mod retry;
--- /dev/null
+++ b/core/src/serving/queueing.rs
@@ -0,0 +1,179 @@
+//! Admission, waiting and placement of requests.
+
+use crate::request::{Arrival, Class, Id, Reason};
+
+use super::effect::Effect;
+use super::fairness::Blocked;
+use super::placement::{self, Ask};
+use super::reducer::{LONG_WAIT, Reducer};
+use super::request::Stage;
+use super::settings::Policy;
+
+impl Reducer {
+    /// Lets a request wait for a target, after its claim if it must run at most once.
+    pub(super) fn admit(&mut self, id: Id, effects: &mut Vec<Effect>) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let largest = self.table.group(request.group).largest_memory;
+        request.spanning = request.cost.kv_tokens > largest;
+        if request.arrival.at_most_once && !request.claimed {
+            self.claim(id, effects);
+        } else {
+            self.enqueue(id);
+        }
+    }
+
+    /// Ends a request that this zone cannot serve, unless another zone takes it.
+    pub(super) fn deny(
+        &mut self,
+        id: Id,
+        (reason, hint): super::admission::Denial,
+        effects: &mut Vec<Effect>,
+    ) {
+        if reason != Reason::OrganisationLimit && self.hand_over(id, effects) {
+            return;
+        }
+        self.fail(id, reason, hint, effects);
+    }
+
+    /// Lets a request wait for a target and tries to find one.
+    pub(super) fn enqueue(&mut self, id: Id) {
+        self.enqueue_quietly(id);
+        self.reschedule = true;
+    }
+
+    /// Lets a request wait for a target.
+    pub(super) fn enqueue_quietly(&mut self, id: Id) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.stage = Stage::Queued;
+        self.queue.push(
+            &request.arrival.organisation,
+            request.class,
+            request.order,
+            id,
+            request.group,
+            request.arrived,
+        );
+        let group = self.table.group_mut(request.group);
+        group.waiting[request.class as usize] += 1;
+        group.waiting_tokens[request.class as usize] += request.cost.prefill_tokens;
+    }
+
+    /// Takes a request out of the queue, if it waits there.
+    pub(super) fn dequeue(&mut self, id: Id) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let (organisation, class) = (&request.arrival.organisation, request.class);
+        if !self.queue.remove(organisation, class, request.order) {
+            return;
+        }
+        let group = self.table.group_mut(request.group);
+        let waiting = &mut group.waiting[class as usize];
+        *waiting = waiting.saturating_sub(1);
+        let tokens = &mut group.waiting_tokens[class as usize];
+        *tokens = tokens.saturating_sub(request.cost.prefill_tokens);
+        if group.reserved.is_some_and(|(_, holder)| holder == id) {
+            group.reserved = None;
+        }
+    }
+
+    /// Finds targets for waiting requests.
+    pub(super) fn schedule(&mut self, effects: &mut Vec<Effect>) {
+        if self.now < self.settled_at {
+            return;
+        }
+        if !std::mem::take(&mut self.reschedule) || self.queue.len() == 0 {
+            return;
+        }
+        if self.zone_out() {
+            self.evict(effects);
+            return;
+        }
+        let mut blocked = Blocked::new();
+        let mut skipped = Vec::new();
+        let (members, silent) = self.limit_basis();
+        while let Some(id) = self
+            .queue
+            .next(self.now, &blocked, &skipped, members, silent)
+        {
+            if self.place(id, effects) {
+                continue;
+            }
+            let Some(request) = self.requests.get(&id) else {
+                continue;
+            };
+            let alike = request.failed_on.is_empty() && request.ask_after <= self.now;
+            if alike && !request.spanning {
+                blocked.push((request.group, request.class));
+            } else {
+                skipped.push(id);
+            }
+        }
+    }
+
+    /// Finds a target for a waiting request; returns false if it has to wait.
+    pub(super) fn place(&mut self, id: Id, effects: &mut Vec<Effect>) -> bool {
+        let Some(request) = self.requests.get(&id) else {
+            return false;
+        };
+        if request.spanning {
+            return self.place_span(id, effects);
+        }
+        let cached = self.cached(&request.arrival);
+        let aged = self.now.since(request.arrived) >= LONG_WAIT;
+        let ask = Ask {
+            request: id,
+            group: request.group,
+            class: request.class,
+            prompt_tokens: request.arrival.prompt_tokens,
+            kv_tokens: request.cost.kv_tokens,
+            excluded: &request.failed_on,
+            cached: &cached,
+            aged,
+            credits: self.has_coordinator() && request.ask_after <= self.now,
+        };
+        let choice = self.placement.choose(
+            self.settings.policy,
+            &mut self.table,
+            &ask,
+            self.now,
+            &mut self.rng,
+        );
+        let Some(choice) = choice else {
+            let long = ask.class >= Class::Long && self.settings.policy == Policy::Length;
+            if aged && long {
+                placement::reserve(&mut self.table, &ask, self.now);
+            }
+            return false;
+        };
+        let Some(target) = self.table.get(choice.target) else {
+            return false;
+        };
+        let needed = choice.ttft_us + target.decode_us(request.cost.decode_tokens);
+        if let Some(denial) = self.late_by(id, needed) {
+            self.deny(id, denial, effects);
+            return true;
+        }
+        if choice.cold {
+            self.ask_credit(id, choice, effects);
+            return true;
+        }
+        self.dequeue(id);
+        self.count_start(id);
+        self.dispatch(id, choice, None, effects);
+        true
+    }
+
+    /// Returns the targets that probably cache a part of the prompt.
+    pub(super) fn cached(&self, arrival: &Arrival) -> placement::Cached {
+        self.cache
+            .find(&arrival.prefix, arrival.prompt_tokens, |id, generation| {
+                let target = self.table.get(id);
+                target.is_some_and(|target| target.generation == generation)
+            })
+    }
+}
--- a/core/src/serving/reducer.rs
+++ b/core/src/serving/reducer.rs
@@ -9,9 +9,8 @@
 use rand::rngs::Xoshiro256PlusPlus;
 use smallvec::SmallVec;
 
-use crate::inventory::Kind;
 use crate::registry::Config;
-use crate::request::{Arrival, Attempt, Class, End, Id, Outcome, Reason};
+use crate::request::{Arrival, Attempt, Class, Id, Outcome, Reason};
 use crate::target;
 use crate::target::{Announcement, State};
 use crate::time::Instant;
@@ -22,45 +21,30 @@
 use super::coordinator::Lease;
 use super::cost::{self, Cost};
 use super::counters::Counters;
-use super::credit::{Book, Held};
-use super::effect::{Dispatch, Effect, Notice, Refusal};
+use super::credit::Book;
+use super::effect::{Effect, Notice, Refusal};
 use super::event::Event;
-use super::fairness::{Blocked, DECAY_INTERVAL, Queue};
+use super::fairness::{DECAY_INTERVAL, Queue};
 use super::handover::Zones;
 use super::membership::Members;
-use super::placement::{self, Ask, Choice, Placement};
-use super::request::{Request, Run, Stage};
+use super::placement::{self, Placement};
+use super::request::{Request, Stage};
 use super::retry::Budget;
-use super::settings::{Policy, Settings};
-use super::span::{Parts, Spans};
+use super::settings::Settings;
+use super::span::Spans;
 use super::target::{Change, LEASE, TOKENS_MAX, Table, View};
 
 /// Lease of what an engine holds for an attempt, renewed by reading.
 pub(super) const ENGINE_LEASE_MS: u64 = 10_000;
 
 /// How long an abandoned attempt is remembered, so that its late events are cancelled again.
-const ABANDONED: Duration = Duration::from_mins(1);
+pub(super) const ABANDONED: Duration = Duration::from_mins(1);
 
 /// Interval of checks that need no immediate reaction.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Wait after which a long request gets a target reserved and may leave the long set.
-const LONG_WAIT: Duration = Duration::from_secs(10);
-
-/// Best engine priority that ageing gives to a long request; short requests stay ahead.
-const AGED_PRIORITY: u8 = 2;
-
-/// Parts of the time limit by which ageing improves the engine priority.
-const AGEING_PARTS: u128 = 4;
-
-/// Resumes without progress in between before a stream counts as broken.
-const RESUMES_MAX: u8 = 2;
-
-/// Weight of a new value in the running means of answers.
-const MEAN_WEIGHT: f64 = 0.1;
-
-/// Retry hint when the retry budget is used up.
-const RETRY_BUDGET_HINT_MS: u64 = 1_000;
+pub(super) const LONG_WAIT: Duration = Duration::from_secs(10);
 
 /// Time after which another address under a known name no longer counts as a conflict.
 const CONFLICT_MEMORY: Duration = Duration::from_secs(10);
@@ -104,11 +88,11 @@
     /// Highest epoch of a coordinator that got a report of the credits held here.
     pub(super) reported_epoch: u64,
     pub(super) next_holdings: Instant,
-    placement: Placement,
-    cache: Cache,
-    budget: Budget,
+    pub(super) placement: Placement,
+    pub(super) cache: Cache,
+    pub(super) budget: Budget,
     deadlines: BTreeSet<(Instant, Id)>,
-    abandoned: BTreeMap<Attempt, (Instant, SocketAddr)>,
+    pub(super) abandoned: BTreeMap<Attempt, (Instant, SocketAddr)>,
     ready: bool,
     started_at: Instant,
     order: u64,
@@ -332,25 +316,6 @@
         }
     }
 
-    /// Ends the attempts that a restarted target has lost.
-    fn lose_runs(&mut self, target: target::Id, effects: &mut Vec<Effect>) {
-        let generation = self.table.get(target).map(|target| target.generation);
-        let lost: Vec<(Id, Attempt, bool)> = self
-            .requests
-            .iter()
-            .filter_map(|(&id, request)| {
-                let run = request.run()?;
-                let lost = run.target == target && Some(run.generation) != generation;
-                lost.then_some((id, run.attempt, request.delivered > 0))
-            })
-            .collect();
-        for (id, attempt, delivered) in lost {
-            effects.push(Effect::Abort(attempt));
-            let end = if delivered { End::Broken } else { End::Lost };
-            self.attempt_failed(id, end, effects);
-        }
-    }
-
     fn arrived(&mut self, mut arrival: Box<Arrival>, effects: &mut Vec<Effect>) {
         let id = arrival.id;
         arrival.prompt_tokens = arrival.prompt_tokens.min(TOKENS_MAX);
@@ -445,491 +410,6 @@
         }
     }
 
-    /// Returns the targets that probably cache a part of the prompt.
-    fn cached(&self, arrival: &Arrival) -> placement::Cached {
-        self.cache
-            .find(&arrival.prefix, arrival.prompt_tokens, |id, generation| {
-                let target = self.table.get(id);
-                target.is_some_and(|target| target.generation == generation)
-            })
-    }
-
-    /// Lets a request wait for a target, after its claim if it must run at most once.
-    pub(super) fn admit(&mut self, id: Id, effects: &mut Vec<Effect>) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        let largest = self.table.group(request.group).largest_memory;
-        request.spanning = request.cost.kv_tokens > largest;
-        if request.arrival.at_most_once && !request.claimed {
-            self.claim(id, effects);
-        } else {
-            self.enqueue(id);
-        }
-    }
-
-    /// Ends a request that this zone cannot serve, unless another zone takes it.
-    pub(super) fn deny(
-        &mut self,
-        id: Id,
-        (reason, hint): super::admission::Denial,
-        effects: &mut Vec<Effect>,
-    ) {
-        if reason != Reason::OrganisationLimit && self.hand_over(id, effects) {
-            return;
-        }
-        self.fail(id, reason, hint, effects);
-    }
-
-    /// Lets a request wait for a target and tries to find one.
-    pub(super) fn enqueue(&mut self, id: Id) {
-        self.enqueue_quietly(id);
-        self.reschedule = true;
-    }
-
-    /// Lets a request wait for a target.
-    pub(super) fn enqueue_quietly(&mut self, id: Id) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        request.stage = Stage::Queued;
-        self.queue.push(
-            &request.arrival.organisation,
-            request.class,
-            request.order,
-            id,
-            request.group,
-            request.arrived,
-        );
-        let group = self.table.group_mut(request.group);
-        group.waiting[request.class as usize] += 1;
-        group.waiting_tokens[request.class as usize] += request.cost.prefill_tokens;
-    }
-
-    /// Takes a request out of the queue, if it waits there.
-    pub(super) fn dequeue(&mut self, id: Id) {
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
-        let (organisation, class) = (&request.arrival.organisation, request.class);
-        if !self.queue.remove(organisation, class, request.order) {
-            return;
-        }
-        let group = self.table.group_mut(request.group);
-        let waiting = &mut group.waiting[class as usize];
-        *waiting = waiting.saturating_sub(1);
-        let tokens = &mut group.waiting_tokens[class as usize];
-        *tokens = tokens.saturating_sub(request.cost.prefill_tokens);
-        if group.reserved.is_some_and(|(_, holder)| holder == id) {
-            group.reserved = None;
-        }
-    }
-
-    /// Finds targets for waiting requests.
-    fn schedule(&mut self, effects: &mut Vec<Effect>) {
-        if self.now < self.settled_at {
-            return;
-        }
-        if !std::mem::take(&mut self.reschedule) || self.queue.len() == 0 {
-            return;
-        }
-        if self.zone_out() {
-            self.evict(effects);
-            return;
-        }
-        let mut blocked = Blocked::new();
-        let mut skipped = Vec::new();
-        let (members, silent) = self.limit_basis();
-        while let Some(id) = self
-            .queue
-            .next(self.now, &blocked, &skipped, members, silent)
-        {
-            if self.place(id, effects) {
-                continue;
-            }
-            let Some(request) = self.requests.get(&id) else {
-                continue;
-            };
-            let alike = request.failed_on.is_empty() && request.ask_after <= self.now;
-            if alike && !request.spanning {
-                blocked.push((request.group, request.class));
-            } else {
-                skipped.push(id);
-            }
-        }
-    }
-
-    /// Finds a target for a waiting request; returns false if it has to wait.
-    fn place(&mut self, id: Id, effects: &mut Vec<Effect>) -> bool {
-        let Some(request) = self.requests.get(&id) else {
-            return false;
-        };
-        if request.spanning {
-            return self.place_span(id, effects);
-        }
-        let cached = self.cached(&request.arrival);
-        let aged = self.now.since(request.arrived) >= LONG_WAIT;
-        let ask = Ask {
-            request: id,
-            group: request.group,
-            class: request.class,
-            prompt_tokens: request.arrival.prompt_tokens,
-            kv_tokens: request.cost.kv_tokens,
-            excluded: &request.failed_on,
-            cached: &cached,
-            aged,
-            credits: self.has_coordinator() && request.ask_after <= self.now,
-        };
-        let choice = self.placement.choose(
-            self.settings.policy,
-            &mut self.table,
-            &ask,
-            self.now,
-            &mut self.rng,
-        );
-        let Some(choice) = choice else {
-            let long = ask.class >= Class::Long && self.settings.policy == Policy::Length;
-            if aged && long {
-                placement::reserve(&mut self.table, &ask, self.now);
-            }
-            return false;
-        };
-        let Some(target) = self.table.get(choice.target) else {
-            return false;
-        };
-        let needed = choice.ttft_us + target.decode_us(request.cost.decode_tokens);
-        if let Some(denial) = self.late_by(id, needed) {
-            self.deny(id, denial, effects);
-            return true;
-        }
-        if choice.cold {
-            self.ask_credit(id, choice, effects);
-            return true;
-        }
-        self.dequeue(id);
-        self.count_start(id);
-        self.dispatch(id, choice, None, effects);
-        true
-    }
-
-    /// Sends a request to a target.
-    pub(super) fn dispatch(
-        &mut self,
-        id: Id,
-        choice: Choice,
-        credit: Option<Held>,
-        effects: &mut Vec<Effect>,
-    ) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        let attempt = match &credit {
-            Some(held) => held.attempt,
-            None => request.attempt(),
-        };
-        self.dispatch_attempt(id, attempt, choice, credit, Parts::new(), effects);
-    }
-
-    /// Notes how fast the queue of a request's class moves.
-    fn count_start(&mut self, id: Id) {
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
-        let class = request.class as usize;
-        let group = self.table.group_mut(request.group);
-        if let Some(last) = group.last_start[class] {
-            let interval = self.now.since(last).as_micros() as f64;
-            mean(&mut group.interval_us[class], interval);
-        }
-        group.last_start[class] = (group.waiting[class] > 0).then_some(self.now);
-    }
-
-    /// Sends an attempt to a target.
-    pub(super) fn dispatch_attempt(
-        &mut self,
-        id: Id,
-        attempt: Attempt,
-        choice: Choice,
-        credit: Option<Held>,
-        parts: Parts,
-        effects: &mut Vec<Effect>,
-    ) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        let Some(target) = self.table.get_mut(choice.target) else {
-            return;
-        };
-        let engine = target.announcement.kind == Kind::Engine;
-        target.sent(
-            self.now,
-            attempt,
-            request.class,
-            choice.prefill_tokens,
-            request.cost.kv_tokens,
-        );
-        self.queue.start(&request.arrival.organisation);
-        self.queue
-            .charge(&request.arrival.organisation, request.cost.weight());
-        if request.dispatched {
-            self.counters.retries += 1;
-        } else {
-            request.dispatched = true;
-            self.budget.first_attempt();
-        }
-        self.counters.dispatched += 1;
-        effects.push(Effect::Dispatch(Dispatch {
-            attempt,
-            target: Arc::clone(&target.announcement.name),
-            address: target.announcement.address,
-            priority: match self.settings.policy {
-                Policy::Length => aged_priority(request, self.now),
-                Policy::RoundRobin | Policy::LeastLoad => 0,
-            },
-            lease_ms: ENGINE_LEASE_MS,
-            fresh_connection: false,
-            resume: None,
-            parts: parts.iter().copied().collect(),
-        }));
-        request.stage = Stage::Running(Run {
-            attempt,
-            engine_attempt: attempt,
-            target: choice.target,
-            generation: target.generation,
-            name: Arc::clone(&target.announcement.name),
-            address: target.announcement.address,
-            engine,
-            prefill_tokens: choice.prefill_tokens,
-            sent: self.now,
-            ttft_us: choice.ttft_us as u64,
-            decode_us: target.decode_us(request.arrival.max_tokens) as u64,
-            last_progress: self.now,
-            header: false,
-            first_token: false,
-            healthy: false,
-            probed: false,
-            silences: 0,
-            resumes: 0,
-            credit,
-            parts,
-        });
-    }
-
-    fn progress(&mut self, attempt: Attempt, tokens: u32, effects: &mut Vec<Effect>) {
-        let now = self.now;
-        let Some(request) = self.requests.get_mut(&attempt.request) else {
-            return self.late(attempt, effects);
-        };
-        let class = request.class;
-        let Some(run) = request.run_mut().filter(|run| run.attempt == attempt) else {
-            return self.late(attempt, effects);
-        };
-        run.last_progress = now;
-        run.header = true;
-        if tokens > 0 {
-            run.probed = false;
-            run.silences = 0;
-            run.resumes = 0;
-        }
-        let first = tokens > 0 && !run.first_token;
-        run.first_token |= first;
-        let mut judged = first.then(|| run.clone());
-        request.started = true;
-        request.delivered = request.delivered.saturating_add(tokens);
-        let Some(run) = &mut judged else {
-            return;
-        };
-        if let Some(target) = self.table.same_mut(run.target, run.generation) {
-            target.prefilled(run.engine_attempt, class, run.prefill_tokens);
-        }
-        self.judge_first_token(run, class, true, effects);
-        let healthy = run.healthy;
-        if let Some(run) = self
-            .requests
-            .get_mut(&attempt.request)
-            .and_then(Request::run_mut)
-        {
-            run.healthy = healthy;
-        }
-        self.reschedule = true;
-    }
-
-    fn ended(&mut self, attempt: Attempt, end: End, effects: &mut Vec<Effect>) {
-        let id = attempt.request;
-        let current = self.requests.get(&id).and_then(Request::run);
-        if current.is_none_or(|run| run.attempt != attempt) {
-            self.counters.late_events += 1;
-            return;
-        }
-        let End::Whole {
-            cached_tokens,
-            generated_tokens,
-            ..
-        } = end
-        else {
-            self.attempt_failed(id, end, effects);
-            return;
-        };
-        if let Some(run) = self.release(id, false, effects) {
-            self.learn(id, &run, cached_tokens, generated_tokens);
-        }
-        if let Some(request) = self.remove(id) {
-            self.record(&request, Outcome::Answered, effects);
-        }
-        self.counters.ended(Outcome::Answered);
-        effects.push(Effect::Complete(id));
-    }
-
-    /// Updates the running means and prefix hints from a whole answer.
-    fn learn(&mut self, id: Id, run: &Run, cached_tokens: u64, generated_tokens: u64) {
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
-        let group = self.table.group_mut(request.group);
-        let service = &mut group.service_us[request.class as usize];
-        mean(service, self.now.since(run.sent).as_micros() as f64);
-        if !run.engine {
-            return;
-        }
-        mean(&mut group.generated_tokens, generated_tokens as f64);
-        let prompt = request.arrival.prompt_tokens;
-        let expected = prompt.saturating_sub(run.prefill_tokens);
-        if cached_tokens < expected / 2 {
-            self.cache.forget(&request.arrival.prefix, run.target);
-        }
-        self.cache
-            .learn(&request.arrival.prefix, prompt, run.target, run.generation);
-    }
-
-    /// Decides what follows an attempt without a whole answer.
-    pub(super) fn attempt_failed(&mut self, id: Id, end: End, effects: &mut Vec<Effect>) {
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
-        let Some(run) = request.run() else {
-            return;
-        };
-        // A refused resume proves nothing about the attempt that it continues.
-        let resumed = run.attempt != run.engine_attempt;
-        if let End::NotRun { busy } = end
-            && !resumed
-        {
-            let run = run.clone();
-            self.release(id, true, effects);
-            if !busy {
-                self.doubt(&run, effects);
-            }
-            self.retry(id, run.target, Reason::FleetBusy, effects);
-            return;
-        }
-        let can_resume = run.engine
-            && request.delivered > 0
-            && !request.arrival.at_most_once
-            && run.resumes < RESUMES_MAX
-            && !matches!(end, End::NotRun { .. });
-        let same = self
-            .table
-            .get(run.target)
-            .is_some_and(|target| target.generation == run.generation);
-        if can_resume && same {
-            self.resume(id, effects);
-            return;
-        }
-        let target = run.target;
-        self.release(id, true, effects);
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        request.uncertain = true;
-        let repeatable = request.arrival.repeatable && !request.arrival.at_most_once;
-        if repeatable && request.delivered == 0 {
-            self.retry(id, target, Reason::TargetFailed, effects);
-        } else {
-            self.fail(id, Reason::TargetFailed, None, effects);
-        }
-    }
-
-    /// Lets a request wait for another target, within the retry budget.
-    fn retry(&mut self, id: Id, failed_on: target::Id, reason: Reason, effects: &mut Vec<Effect>) {
-        if !self.budget.take() {
-            self.counters.retries_over_budget += 1;
-            self.fail(id, reason, Some(RETRY_BUDGET_HINT_MS), effects);
-            return;
-        }
-        if let Some(request) = self.requests.get_mut(&id) {
-            request.failed_on.push(failed_on);
-        }
-        self.enqueue(id);
-    }
-
-    /// Continues a stream on a new connection to the same engine.
-    pub(super) fn resume(&mut self, id: Id, effects: &mut Vec<Effect>) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        let attempt = request.attempt();
-        let delivered = request.delivered;
-        let priority = match self.settings.policy {
-            Policy::Length => aged_priority(request, self.now),
-            Policy::RoundRobin | Policy::LeastLoad => 0,
-        };
-        let Some(run) = request.run_mut() else {
-            return;
-        };
-        run.attempt = attempt;
-        run.resumes += 1;
-        run.last_progress = self.now;
-        self.counters.resumes += 1;
-        effects.push(Effect::Dispatch(Dispatch {
-            attempt,
-            target: Arc::clone(&run.name),
-            address: run.address,
-            priority,
-            lease_ms: ENGINE_LEASE_MS,
-            fresh_connection: true,
-            resume: Some((run.engine_attempt, delivered)),
-            parts: SmallVec::new(),
-        }));
-    }
-
-    /// Ends the bookkeeping of a running attempt and cancels it at the engine.
-    fn release(&mut self, id: Id, cancel: bool, effects: &mut Vec<Effect>) -> Option<Run> {
-        let request = self.requests.get_mut(&id)?;
-        request.run()?;
-        let Stage::Running(mut run) = std::mem::replace(&mut request.stage, Stage::Queued) else {
-            return None;
-        };
-        let class = request.class;
-        self.queue.stop(&request.arrival.organisation);
-        if let Some(target) = self.table.same_mut(run.target, run.generation) {
-            if !run.first_token {
-                target.prefilled(run.engine_attempt, class, run.prefill_tokens);
-            }
-            target.ended(run.engine_attempt, class);
-        }
-        if cancel {
-            // A silent connection to a live target says nothing about the target.
-            if !run.first_token && run.silences == 0 {
-                self.judge_first_token(&mut run, class, false, effects);
-            }
-            if run.engine {
-                effects.push(Effect::Cancel {
-                    address: run.address,
-                    attempt: run.engine_attempt,
-                });
-                let until = self.now + ABANDONED;
-                self.abandoned
-                    .insert(run.engine_attempt, (until, run.address));
-            }
-        }
-        self.return_credit(&run, effects);
-        if !run.parts.is_empty() {
-            self.release_parts(run.engine_attempt, &run.parts, effects);
-        }
-        self.reschedule = true;
-        Some(run)
-    }
-
     /// Ends a request without a whole answer, with what is certain about its run.
     pub(super) fn fail(
         &mut self,
@@ -1010,15 +490,6 @@
         Some(request)
     }
 
-    /// Ignores an event of an attempt that is no longer wanted and cancels it again.
-    fn late(&mut self, attempt: Attempt, effects: &mut Vec<Effect>) {
-        self.counters.late_events += 1;
-        if let Some(&(_, address)) = self.abandoned.get(&attempt) {
-            effects.push(Effect::Abort(attempt));
-            effects.push(Effect::Cancel { address, attempt });
-        }
-    }
-
     fn expire(&mut self, effects: &mut Vec<Effect>) {
         while let Some(&(deadline, id)) = self.deadlines.first() {
             if deadline > self.now {
@@ -1083,40 +554,4 @@
         self.check_silence(effects);
         self.resend_records(effects);
     }
-
-    /// Lets a waiting request use the targets on which it failed, if there are no others.
-    fn forgive(&mut self, id: Id) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        if request.failed_on.is_empty() {
-            return;
-        }
-        let mut open = self.table.members(request.group);
-        let other =
-            open.any(|(id, target)| !request.failed_on.contains(&id) && target.is_open(self.now));
-        if !other {
-            request.failed_on.clear();
-        }
-    }
-}
-
-/// Returns the engine priority of a request, better by one for each part of its time limit that has
-/// passed. Long work that waited only a little stays behind medium work, which it would delay by many
-/// times its own prefill.
-fn aged_priority(request: &Request, now: Instant) -> u8 {
-    let priority = cost::priority(request.class);
-    let limit = request.deadline.since(request.arrived).as_micros();
-    let waited = now.since(request.arrived).as_micros();
-    let parts = (waited * AGEING_PARTS).checked_div(limit).unwrap_or(0);
-    let aged = priority.saturating_sub(parts.min(8) as u8);
-    aged.max(AGED_PRIORITY).min(priority)
-}
-
-fn mean(known: &mut f64, value: f64) {
-    *known = if *known > 0.0 {
-        *known + MEAN_WEIGHT * (value - *known)
-    } else {
-        value
-    };
 }
--- a/tests/src/world/engines.rs
+++ b/tests/src/world/engines.rs
@@ -39,20 +39,7 @@
                 self.streams += 1;
                 kept.stream = self.streams;
             }
-            let end = if held.next == 0 {
-                End::Lost
-            } else {
-                End::Broken
-            };
-            let delay = self.latency();
-            self.push_after(
-                delay,
-                Delivery::Node {
-                    node: held.owner.0,
-                    incarnation: held.owner.1,
-                    event: Event::Ended { attempt, end },
-                },
-            );
+            self.end_stream(attempt, &held);
         }
     }
 
@@ -322,23 +309,30 @@
             if held.finished {
                 continue;
             }
-            let end = if held.next == 0 {
-                End::Lost
-            } else {
-                End::Broken
-            };
-            let delay = self.latency();
-            self.push_after(
-                delay,
-                Delivery::Node {
-                    node: held.owner.0,
-                    incarnation: held.owner.1,
-                    event: Event::Ended { attempt, end },
-                },
-            );
+            self.end_stream(attempt, &held);
         }
         self.engines[engine]
             .reserved
             .retain(|_, (_, owner)| is_live(*owner));
     }
+
+    /// Reports the end of an attempt's connection to the node that reads it.
+    fn end_stream(&mut self, attempt: Attempt, held: &Held) {
+        let end = if held.next == 0 {
+            End::Lost
+        } else {
+            End::Broken
+        };
+        let (node, incarnation) = held.owner;
+        let delay = self.latency();
+        let event = Event::Ended { attempt, end };
+        self.push_after(
+            delay,
+            Delivery::Node {
+                node,
+                incarnation,
+                event,
+            },
+        );
+    }
 }
