tests: Keep fuzzed histories as files; record a known fault

The first trace shows that the product's ramp doubled the budget after two good first tokens, as designed, while the fake engine bore only its first budget.

--- a/tests/src/engine.rs
+++ b/tests/src/engine.rs
@@ -53,6 +53,8 @@
     pub draining_since: Option<Instant>,
     /// When the engine last turned cold.
     pub cold_since: Option<Instant>,
+    /// First tokens since the engine turned cold.
+    pub first_tokens: u32,
     /// When a cold engine turns warm.
     pub warm_at: Option<Instant>,
     /// What the engine holds.
@@ -97,6 +99,7 @@
             dead_until: None,
             draining_since: None,
             cold_since: None,
+            first_tokens: 0,
             warm_at: None,
             held: BTreeMap::new(),
             cancelled: Vec::new(),
@@ -109,6 +112,19 @@
         self.dead_until.is_none()
     }
 
+    /// Returns what the engine bears while it is cold. It warms up by work: what it bears doubles with
+    /// each full set of first tokens, as the design page has the ramp.
+    pub const fn bears(&self) -> Budget {
+        let mut budget = self.announcement.cold_budget;
+        let mut left = self.first_tokens;
+        while left >= budget.requests {
+            left -= budget.requests;
+            budget.requests *= 2;
+            budget.tokens *= 2;
+        }
+        budget
+    }
+
     /// Returns the number of attempts that are not finished.
     pub fn running(&self) -> usize {
         self.held.values().filter(|held| !held.finished).count()
@@ -129,6 +145,7 @@
         self.announcement.state = State::Cold;
         self.draining_since = None;
         self.cold_since = Some(now);
+        self.first_tokens = 0;
         self.warm_at = Some(now + WARM_UP);
     }
 
--- /dev/null
+++ b/tests/tests/cases.rs
@@ -0,0 +1,36 @@
+//! Histories that once broke a promise, each in a file of `tests/cases`.
+
+use std::path::Path;
+
+use primrosepin_tests::world::Size;
+use primrosepin_tests::{Step, World};
+
+/// Seed of files that name none.
+const SEED: u64 = 11;
+
+/// Guards against the return of failures that fuzzing found.
+#[test]
+fn kept_histories_keep_the_promises() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/cases");
+    let mut ran = 0;
+    for entry in std::fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        let text = std::fs::read_to_string(&path).unwrap();
+        let lines = text
+            .lines()
+            .filter(|line| !line.is_empty() && !line.starts_with('#'));
+        let (seeds, steps): (Vec<&str>, Vec<&str>) =
+            lines.partition(|line| line.starts_with("seed "));
+        let seed = seeds
+            .first()
+            .map_or(SEED, |line| line[5..].parse().unwrap());
+        let mut world = World::new(Size::default(), seed);
+        for line in steps {
+            world.step(line.parse::<Step>().unwrap());
+        }
+        world.settle();
+        assert_eq!(world.violations(), [], "{}", path.display());
+        ran += 1;
+    }
+    assert!(ran >= 3, "only {ran} files ran");
+}
