Wait for shutdown signals in one place

Cause: four binaries had the same wait for SIGTERM and SIGINT; the entry binary converted a log form to itself; the description of a world was used by no test. Change: the crate process has Shutdown, which entry, control, standin and bench use; the conversion is gone; a kept history that fails prints what became of each request. Conclusion: no behaviour changes. Not merged: the two server starts (control/src/server.rs, entry/src/server.rs), whose started values differ, and the shared shape of the two main functions.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -9,6 +9,7 @@
 use primrosepin_bench::scenario::{self, Scenario};
 use primrosepin_bench::{capacity, changes, plot, quickstart, relay};
 use primrosepin_core::serving::Policy;
+use primrosepin_process::Shutdown;
 
 /// Load driver, experiments, tables, plots and JSON reports
 #[derive(Debug, Clone, Bpaf)]
@@ -140,7 +141,7 @@
             let cluster = quickstart::start().await?;
             if !once {
                 println!("{}", quickstart::help(&cluster));
-                interrupted().await?;
+                Shutdown::new()?.wait().await;
                 cluster.stop().await?;
                 return Ok(ExitCode::SUCCESS);
             }
@@ -210,17 +211,3 @@
     }
     Ok(ExitCode::SUCCESS)
 }
-
-/// Waits for SIGINT or SIGTERM.
-async fn interrupted() -> eyre::Result<()> {
-    use tokio::signal::unix::{SignalKind, signal};
-    let (mut interrupt, mut terminate) = (
-        signal(SignalKind::interrupt())?,
-        signal(SignalKind::terminate())?,
-    );
-    tokio::select! {
-        _ = interrupt.recv() => {}
-        _ = terminate.recv() => {}
-    }
-    Ok(())
-}
--- a/control/src/main.rs
+++ b/control/src/main.rs
@@ -7,8 +7,8 @@
 use eyre::WrapErr;
 use primrosepin_config::settings::Control;
 use primrosepin_control::{Options, Server};
+use primrosepin_process::Shutdown;
 use primrosepin_telemetry::log::init;
-use tokio::signal::unix::{SignalKind, signal};
 
 /// Control process of primrosepin: keeps configuration and ledger on VMs with a disk.
 #[derive(Debug, Clone, Bpaf)]
@@ -55,13 +55,9 @@
     init(&settings.log.level, settings.log.form)?;
     let runtime = actix_rt::Runtime::new().wrap_err("cannot start the runtime")?;
     runtime.block_on(async {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
+        let shutdown = Shutdown::new()?;
         let server = Server::start(settings, Options::default()).await?;
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
+        shutdown.wait().await;
         server.stop().await
     })
 }
--- a/entry/src/main.rs
+++ b/entry/src/main.rs
@@ -5,10 +5,10 @@
 
 use bpaf::Bpaf;
 use eyre::WrapErr;
-use primrosepin_config::settings::{Entry, LogForm};
+use primrosepin_config::settings::Entry;
 use primrosepin_entry::{Options, Server};
-use primrosepin_telemetry::log::{Form, init};
-use tokio::signal::unix::{SignalKind, signal};
+use primrosepin_process::Shutdown;
+use primrosepin_telemetry::log::init;
 
 /// Entry process of primrosepin: takes callers' requests and relays them to targets.
 #[derive(Debug, Clone, Bpaf)]
@@ -54,20 +54,12 @@
 }
 
 fn run(settings: Entry) -> eyre::Result<()> {
-    let form = match settings.log.form {
-        LogForm::Human => Form::Human,
-        LogForm::Json => Form::Json,
-    };
-    init(&settings.log.level, form)?;
+    init(&settings.log.level, settings.log.form)?;
     let runtime = actix_rt::Runtime::new().wrap_err("cannot start the runtime")?;
     runtime.block_on(async {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
+        let shutdown = Shutdown::new()?;
         let server = Server::start(settings, Options::default()).await?;
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
+        shutdown.wait().await;
         server.stop().await
     })
 }
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -2,6 +2,7 @@
 
 use bpaf::Bpaf;
 use eyre::WrapErr;
+use primrosepin_process::Shutdown;
 use primrosepin_standin::{Engine, Plain, engine, plain};
 
 /// Stand-in model engine or plain service
@@ -42,30 +43,16 @@
             let settings: engine::Settings = read(settings.as_deref())?;
             let engine = Engine::start(settings).await?;
             println!("engine listens on http://{}", engine.address());
-            interrupted().await?;
+            Shutdown::new()?.wait().await;
             engine.stop().await;
         }
         Command::Plain { settings } => {
             let settings: plain::Settings = read(settings.as_deref())?;
             let plain = Plain::start(settings).await?;
             println!("plain service listens on http://{}", plain.address());
-            interrupted().await?;
+            Shutdown::new()?.wait().await;
             plain.stop().await;
         }
     }
     Ok(())
 }
-
-/// Waits for SIGINT or SIGTERM.
-async fn interrupted() -> eyre::Result<()> {
-    use tokio::signal::unix::{SignalKind, signal};
-    let (mut interrupt, mut terminate) = (
-        signal(SignalKind::interrupt())?,
-        signal(SignalKind::terminate())?,
-    );
-    tokio::select! {
-        _ = interrupt.recv() => {}
-        _ = terminate.recv() => {}
-    }
-    Ok(())
-}
--- a/tests/tests/cases.rs
+++ b/tests/tests/cases.rs
@@ -29,7 +29,13 @@
             world.step(line.parse::<Step>().unwrap());
         }
         world.settle();
-        assert_eq!(world.violations(), [], "{}", path.display());
+        assert_eq!(
+            world.violations(),
+            [],
+            "{}: {:#?}",
+            path.display(),
+            world.describe()
+        );
         ran += 1;
     }
     assert!(ran >= 3, "only {ran} files ran");
