--- a/control/src/disk.rs
+++ b/control/src/disk.rs
@@ -14,7 +14,7 @@
 use serde::de::DeserializeOwned;
 
 /// Version of the format on the disk.
-const FORMAT: u8 = 1;
+const FORMAT: u8 = 2;
 
 /// Prefix of folders that keep damaged files.
 const DAMAGED: &str = "damaged-";
@@ -150,6 +150,11 @@
     Ok(false)
 }
 
+/// Sets the data of a replica that was replaced aside, so that it joins again without.
+pub(crate) fn retire(folder: &Path) -> eyre::Result<()> {
+    set_aside(folder)
+}
+
 /// Moves all files into a folder of their own, for analysis. The folder comes first: while it exists the
 /// replica founds no deployment.
 fn set_aside(folder: &Path) -> eyre::Result<()> {
--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -7,6 +7,8 @@
 //! - the peers task answers messages from other processes;
 //! - the admin task answers operators' HTTP calls.
 //!
+//! A [`replica::Replica`] is the node thread alone, for a process that brings its own network.
+//!
 //! Invariants:
 //! - An outcome is reported only after the command is committed by a quorum and applied.
 //! - `not_accepted` is reported only if no copy of the command can be committed later; in all other
@@ -20,6 +22,7 @@
 mod node;
 mod peers;
 mod proposer;
+pub mod replica;
 mod seen;
 mod server;
 mod shared;
--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use eyre::WrapErr;
+use eyre::{WrapErr, bail};
 use primrosepin_core::consensus::{
     Durable, Effect, Event, Id, Message, Payload, Reducer, Role, Settings, Snapshot,
 };
@@ -17,7 +17,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::Clock;
-use crate::disk::{Disk, decode, encode, encode_snapshot};
+use crate::disk::{self, Disk, decode, encode, encode_snapshot};
 use crate::meters::Meters;
 use crate::shared::{Shared, View};
 
@@ -38,7 +38,7 @@
 
 /// What became of a proposed command.
 #[derive(Debug, Clone, PartialEq)]
-pub(crate) enum Decision {
+pub enum Decision {
     /// Committed and applied.
     Decided(Outcome),
     /// Certainly not committed, now or later.
@@ -68,6 +68,8 @@
     pub(crate) address: SocketAddr,
     pub(crate) replicas: Vec<(vm::Name, SocketAddr)>,
     pub(crate) bootstrap: bool,
+    /// Whether replicas that are not listed may join.
+    pub(crate) open: bool,
     pub(crate) seed: u64,
     pub(crate) shared: Arc<Shared>,
     pub(crate) meters: Meters,
@@ -118,6 +120,7 @@
         };
         log::error!("the replica acknowledges nothing more: {error:#}");
         setup.meters.store_failures.add(1, &[]);
+        setup.shared.show_quorum_at(None);
         let view = setup.shared.view();
         setup.shared.show(View {
             role: Role::Follower,
@@ -128,7 +131,8 @@
         if refuse(inputs) {
             return;
         }
-        opened = Disk::open(&setup.data, setup.replicas.len());
+        let others = if setup.open { 2 } else { setup.replicas.len() };
+        opened = Disk::open(&setup.data, others);
     }
 }
 
@@ -155,16 +159,24 @@
         .unwrap_or_default()
 }
 
+/// Returns the time since the VM started, suspension included. Unlike the wall clock it is never set.
+fn boot() -> Duration {
+    Duration::from_micros(primrosepin_process::now().as_micros())
+}
+
 impl<'s> Node<'s> {
     fn new(setup: &'s Setup, mut disk: Disk) -> eyre::Result<Self> {
         let started = Instant::now();
-        let settings = Settings::new(
-            vm::Name::clone(&setup.vm),
-            setup.address,
-            setup.replicas.clone(),
-            setup.bootstrap && !disk.damaged,
-            setup.seed,
-        );
+        let settings = Settings {
+            open: setup.open,
+            ..Settings::new(
+                vm::Name::clone(&setup.vm),
+                setup.address,
+                setup.replicas.clone(),
+                setup.bootstrap && !disk.damaged,
+                setup.seed,
+            )
+        };
         let snapshot = disk.snapshot.take();
         let snapshot_index = snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
         restore(&setup.shared, snapshot.as_ref())?;
@@ -179,7 +191,7 @@
         Ok(Self {
             setup,
             started,
-            clock: Clock::new(Duration::ZERO, wall()),
+            clock: Clock::new(Duration::ZERO, boot()),
             disk,
             reducer,
             proposed: BTreeMap::new(),
@@ -192,7 +204,7 @@
     }
 
     fn now(&mut self) -> time::Instant {
-        self.clock.read(self.started.elapsed(), wall())
+        self.clock.read(self.started.elapsed(), boot())
     }
 
     fn run(mut self, inputs: &Receiver<Input>) -> eyre::Result<()> {
@@ -307,6 +319,10 @@
                         let body = encode_snapshot(&snapshot)?;
                         self.disk.store.save(snapshot.index, &body)?;
                     }
+                    Effect::Retire => {
+                        disk::retire(&self.setup.data)?;
+                        bail!("this replica was replaced; it joins again without data");
+                    }
                     Effect::Apply(entry) => self.apply(entry.index, entry.term, &entry.payload)?,
                     Effect::Accepted {
                         proposal,
@@ -440,8 +456,12 @@
         Ok(())
     }
 
-    fn show(&self) {
+    fn show(&mut self) {
+        let now = self.now();
         let reducer = &self.reducer;
+        let at = reducer.quorum_at();
+        let at = at.map(|at| primrosepin_process::now() - now.since(at));
+        self.setup.shared.show_quorum_at(at);
         let leader = reducer.leader();
         let view = View {
             id: reducer.id(),
--- a/control/src/peers.rs
+++ b/control/src/peers.rs
@@ -135,7 +135,11 @@
     match command {
         Command::Issue { issuer, .. } => issuer.name == from.name,
         Command::Complete { .. } => true,
-        Command::Apply { .. } | Command::SetOut { .. } | Command::Ledger { .. } => false,
+        Command::Apply { .. }
+        | Command::SetOut { .. }
+        | Command::Ledger { .. }
+        | Command::Publish { .. }
+        | Command::Evacuate { .. } => false,
     }
 }
 
--- /dev/null
+++ b/control/src/replica.rs
@@ -0,0 +1,154 @@
+//! A control replica without a network of its own.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::mpsc::{SyncSender, sync_channel};
+use std::thread;
+use std::time::Duration;
+
+use primrosepin_core::consensus::{self, Role};
+use primrosepin_core::message::Message;
+use primrosepin_core::registry::{Command, Published};
+use primrosepin_core::time::Instant;
+use primrosepin_core::vm;
+use primrosepin_telemetry::metrics::Metrics;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::timeout;
+
+use crate::disk::Disk;
+use crate::meters::Meters;
+use crate::node::{self, Input, Setup};
+use crate::server::QUEUED_INPUTS;
+use crate::shared::{Shared, View};
+
+pub use crate::node::Decision;
+
+/// Settings of a replica.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Data folder.
+    pub data: PathBuf,
+    /// Name of the VM.
+    pub vm: vm::Name,
+    /// Address for messages of other replicas.
+    pub address: SocketAddr,
+    /// The first replicas, by name; further ones may join.
+    pub replicas: Vec<(vm::Name, SocketAddr)>,
+    /// Whether a replica without data may found a deployment.
+    pub bootstrap: bool,
+}
+
+/// A running replica. Messages to other replicas leave through a channel; whoever owns the network hands
+/// in what arrives.
+#[derive(Debug, Clone)]
+pub struct Replica {
+    node: SyncSender<Input>,
+    shared: Arc<Shared>,
+}
+
+/// Changes of what a replica has applied, or of its role.
+#[derive(Debug, Clone)]
+pub struct Changes(watch::Receiver<View>);
+
+impl Changes {
+    /// Waits for a change; returns whether the replica still runs.
+    pub async fn changed(&mut self) -> bool {
+        self.0.changed().await.is_ok()
+    }
+}
+
+impl Replica {
+    /// Opens the data folder and starts the replica's thread. `ended` reports its end.
+    pub fn start(
+        settings: Settings,
+        metrics: &Metrics,
+        outgoing: mpsc::UnboundedSender<(SocketAddr, Message)>,
+    ) -> eyre::Result<(Self, oneshot::Receiver<()>)> {
+        /// Damaged data is set aside, since other replicas have it.
+        const REPLICAS: usize = 2;
+        let disk = Disk::open(&settings.data, REPLICAS)?;
+        let shared = Arc::new(Shared::new());
+        let (node, inputs) = sync_channel(QUEUED_INPUTS);
+        let setup = Setup {
+            data: settings.data,
+            vm: settings.vm,
+            address: settings.address,
+            replicas: settings.replicas,
+            bootstrap: settings.bootstrap,
+            open: true,
+            seed: rand::random(),
+            shared: Arc::clone(&shared),
+            meters: Meters::new(metrics),
+            outgoing,
+        };
+        let (ended, ends) = oneshot::channel();
+        thread::Builder::new().name("node".into()).spawn(move || {
+            node::run(&setup, disk, &inputs);
+            // Fails only if the process ends first.
+            let _ = ended.send(());
+        })?;
+        Ok((Self { node, shared }, ends))
+    }
+
+    /// Hands in a message of another replica. It is dropped if the replica waits for its disk.
+    pub fn receive(&self, message: consensus::Message) {
+        drop(self.node.try_send(Input::Received(message)));
+    }
+
+    /// Proposes a command if this replica leads.
+    pub async fn propose(&self, command: Command, within: Duration) -> Decision {
+        let (respond, decision) = oneshot::channel();
+        let input = Input::Propose(command, respond);
+        if self.node.try_send(input).is_err() {
+            return Decision::NotAccepted;
+        }
+        match timeout(within, decision).await {
+            Ok(Ok(decision)) => decision,
+            Ok(Err(_)) | Err(_) => Decision::Unknown,
+        }
+    }
+
+    /// Returns whether this replica leads.
+    pub fn leads(&self) -> bool {
+        self.shared.view().role == Role::Leader
+    }
+
+    /// Returns the address of the known leader.
+    pub fn leader(&self) -> Option<SocketAddr> {
+        self.shared.view().leader.map(|(_, address)| address)
+    }
+
+    /// Returns the term and role for logs.
+    pub fn term(&self) -> (u64, Role) {
+        let view = self.shared.view();
+        (view.term, view.role)
+    }
+
+    /// Returns the addresses of all replicas of the deployment.
+    pub fn members(&self) -> Vec<SocketAddr> {
+        let members = self.shared.view().members;
+        members.list.iter().map(|member| member.address).collect()
+    }
+
+    /// Returns the time up to which a quorum followed this leader; none unless leader.
+    pub fn quorum_at(&self) -> Option<Instant> {
+        self.shared.quorum_at()
+    }
+
+    /// Returns the published configuration that this replica has applied.
+    pub fn published(&self) -> Published {
+        self.shared.state().published().clone()
+    }
+
+    /// Returns a receiver of changes.
+    pub fn changes(&self) -> Changes {
+        Changes(self.shared.watch())
+    }
+
+    /// Hands over leadership and stops.
+    pub fn stop(&self) {
+        // Fails only if the node ended by itself.
+        drop(self.node.try_send(Input::Stop));
+    }
+}
--- a/control/src/server.rs
+++ b/control/src/server.rs
@@ -29,7 +29,7 @@
 
 /// Inputs that wait for the node. Further messages are dropped, as on a lossy network, and further commands
 /// are refused.
-const QUEUED_INPUTS: usize = 8_192;
+pub(crate) const QUEUED_INPUTS: usize = 8_192;
 
 /// Options of a server that are no settings of the process.
 #[derive(Debug, Clone, Default)]
@@ -155,6 +155,7 @@
             .map(|replica| (Arc::clone(&replica.vm), replica.peers))
             .collect(),
         bootstrap: settings.bootstrap,
+        open: false,
         seed: options.seed.unwrap_or_else(rand::random),
         shared: Arc::clone(&shared),
         meters: meters.clone(),
--- a/control/src/shared.rs
+++ b/control/src/shared.rs
@@ -1,10 +1,12 @@
 //! State that the parts of a replica share.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
 
 use primrosepin_core::consensus::{Id, Members, Role};
 use primrosepin_core::registry::State;
+use primrosepin_core::time::Instant;
 use primrosepin_core::vm;
 use tokio::sync::watch;
 
@@ -27,6 +29,9 @@
 pub(crate) struct Shared {
     state: RwLock<State>,
     view: watch::Sender<View>,
+    /// Time up to which a quorum followed this leader, microseconds of [`primrosepin_process::now`]; zero
+    /// unless leader.
+    quorum_at: AtomicU64,
 }
 
 impl Shared {
@@ -43,6 +48,7 @@
         Self {
             state: RwLock::default(),
             view: watch::Sender::new(view),
+            quorum_at: AtomicU64::new(0),
         }
     }
 
@@ -72,6 +78,18 @@
         });
     }
 
+    /// Returns the time up to which a quorum is known to have followed this leader.
+    pub(crate) fn quorum_at(&self) -> Option<Instant> {
+        let micros = self.quorum_at.load(Ordering::Relaxed);
+        (micros > 0).then(|| Instant::from_micros(micros))
+    }
+
+    /// Publishes the time up to which a quorum followed.
+    pub(crate) fn show_quorum_at(&self, at: Option<Instant>) {
+        self.quorum_at
+            .store(at.map_or(0, Instant::as_micros), Ordering::Relaxed);
+    }
+
     /// Returns a receiver of changes of the view.
     pub(crate) fn watch(&self) -> watch::Receiver<View> {
         self.view.subscribe()
--- a/core/src/consensus/effect.rs
+++ b/core/src/consensus/effect.rs
@@ -52,6 +52,8 @@
     },
     /// Writes a snapshot; entries up to its index are no longer needed on the disk.
     Save(Snapshot),
+    /// Sets all data aside and starts again without: the replica was replaced.
+    Retire,
     /// Applies a committed entry to the state machine.
     Apply(Entry),
     /// A proposed command is in the leader's log and will be committed, or replaced after a change of
--- a/core/src/consensus/leader.rs
+++ b/core/src/consensus/leader.rs
@@ -15,6 +15,8 @@
     pub(super) matched: u64,
     /// Next index to send.
     pub(super) next: u64,
+    /// When the leader began to replicate to it.
+    pub(super) since: Instant,
     /// Start of the last round that was answered.
     pub(super) acked: Option<Instant>,
     /// When entries or a part of a snapshot were sent that are not answered yet.
@@ -26,10 +28,11 @@
 }
 
 impl Progress {
-    fn new(next: u64) -> Self {
+    fn new(now: Instant, next: u64) -> Self {
         Self {
             matched: 0,
             next,
+            since: now,
             acked: None,
             sent: None,
             blank: false,
@@ -66,13 +69,13 @@
     }
 
     /// Follows a change of the members.
-    pub(super) fn update(&mut self, own: Id, members: &Members, next: u64) {
+    pub(super) fn update(&mut self, now: Instant, own: Id, members: &Members, next: u64) {
         self.progress.retain(|id, _| members.get(*id).is_some());
         for member in &members.list {
             if member.id != own {
                 self.progress
                     .entry(member.id)
-                    .or_insert_with(|| Progress::new(next));
+                    .or_insert_with(|| Progress::new(now, next));
             }
         }
     }
--- a/core/src/consensus/message.rs
+++ b/core/src/consensus/message.rs
@@ -153,6 +153,11 @@
         /// Voter that starts the election.
         heir: Id,
     },
+    /// Tells a replica that it was replaced, so that it joins again without data.
+    Removed {
+        /// Term of the leader.
+        term: u64,
+    },
     /// Asks the leader to remove a member.
     Remove {
         /// The member.
--- a/core/src/consensus/reducer.rs
+++ b/core/src/consensus/reducer.rs
@@ -43,6 +43,17 @@
 /// Time after which unanswered entries are sent again.
 const RESEND: Duration = Duration::from_millis(400);
 
+/// Voters of an open deployment. Five stay able to act when two are lost; further replicas are learners
+/// that take the place of a lost voter.
+const MAX_VOTERS: usize = 5;
+
+/// Silence of a voter after which a learner that has caught up takes its place in an open deployment.
+const REPLACE_AFTER: Duration = Duration::from_millis(1_500);
+
+/// Silence after which an open deployment removes a replica without a successor: a learner, or a voter
+/// whose removal lowers the quorum.
+const FORGET_AFTER: Duration = Duration::from_secs(6);
+
 /// Settings of a replica.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -54,6 +65,9 @@
     pub replicas: Vec<(vm::Name, SocketAddr)>,
     /// Whether a replica without data may found a deployment.
     pub bootstrap: bool,
+    /// Whether replicas that the settings do not name may join. The platform replaces VMs at new
+    /// addresses, so the leader also removes voters that stay silent.
+    pub open: bool,
     /// Seed of election timeouts.
     pub seed: u64,
     /// Entries kept in memory behind a snapshot, so that a replica that was away for a short time needs
@@ -77,6 +91,7 @@
             address,
             replicas,
             bootstrap,
+            open: false,
             seed,
             kept_entries: 1_000,
             part_bytes: 512 * 1024,
@@ -297,6 +312,18 @@
         }
     }
 
+    /// Returns the time up to which a quorum is known to have followed this leader; none unless leader.
+    /// No later leader had committed anything at that time.
+    pub fn quorum_at(&self) -> Option<Instant> {
+        let (leading, members) = (self.leading.as_ref()?, self.log.members()?);
+        // Before its first entry is committed, a leader may not know of all that is committed.
+        if leading.start_index > self.applied {
+            return None;
+        }
+        let at = leading.quorum_at(self.own(), self.now, members);
+        (at > leading.since || members.voters().count() == 1).then_some(at)
+    }
+
     /// Processes an event and appends its effects.
     pub fn apply(&mut self, now: Instant, event: Event, effects: &mut Vec<Effect>) {
         self.now = self.now.max(now);
@@ -632,7 +659,7 @@
         let next = self.log.last_index() + 1;
         let mut leading = Leader::new(self.now, next);
         if let Some(members) = self.log.members() {
-            leading.update(self.own(), members, next);
+            leading.update(self.now, self.own(), members, next);
         }
         leading.start_round(self.now);
         leading.heartbeat_at = self.now + HEARTBEAT;
@@ -833,6 +860,11 @@
                     self.removals.insert(member);
                 }
             }
+            Body::Removed { term } => {
+                if term >= self.durable.term && self.role != Role::Blank && self.leading.is_none() {
+                    effects.push(Effect::Retire);
+                }
+            }
             Body::Resign { term, heir } => {
                 if term == self.durable.term && self.leader == Some(from) {
                     self.leader = None;
@@ -866,6 +898,18 @@
         if self.role == Role::Blank && !blank {
             return;
         }
+        if self.settings.open
+            && self.leading.is_some()
+            && self
+                .committed_members()
+                .is_some_and(|members| members.removed.contains(&from))
+        {
+            // It may have been cut off while it was replaced. Its id never counts again, so it starts
+            // anew without data.
+            let term = self.durable.term;
+            self.send(from, address, Body::Removed { term });
+            return;
+        }
         let join = Join {
             vm,
             address,
@@ -1278,7 +1322,7 @@
         self.push(Payload::Members(next));
         let next = self.log.last_index() + 1;
         if let (Some(leading), Some(members)) = (&mut self.leading, self.log.members()) {
-            leading.update(self.durable.id, members, next);
+            leading.update(self.now, self.durable.id, members, next);
         }
     }
 
@@ -1298,7 +1342,7 @@
             }
             let listed = self.settings.replicas.iter().any(|(vm, _)| *vm == join.vm);
             let known = members.list.iter().any(|member| member.vm == join.vm);
-            if (listed || known) && join.vm != self.settings.vm {
+            if (listed || known || self.settings.open) && join.vm != self.settings.vm {
                 next.remove(|member| !member.voter && member.vm == join.vm);
                 next.list.push(Member {
                     id: *id,
@@ -1338,6 +1382,22 @@
             }
             let mut next = members.clone();
             let replaced = members.voters().find(|voter| voter.vm == learner.vm);
+            if replaced.is_none() && self.settings.open {
+                let lost = members
+                    .voters()
+                    .find(|voter| self.silent(leading, voter.id) >= REPLACE_AFTER);
+                if let Some(lost) = lost {
+                    next.remove(|member| member.id == lost.id);
+                    let live = next.voters().filter(|voter| alive(voter.id)).count();
+                    if live >= next.quorum() {
+                        return Some(next);
+                    }
+                    continue;
+                }
+                if members.voters().count() >= MAX_VOTERS {
+                    continue;
+                }
+            }
             if let Some(replaced) = replaced {
                 // Removing the lost id first never needs more live replicas than before, since that id
                 // cannot answer any more. Exchanging both at once would be two changes in one.
@@ -1351,6 +1411,34 @@
             }
             return Some(next);
         }
+        if self.settings.open {
+            return self.without_lost(leading, members, alive);
+        }
         None
     }
+
+    /// Returns how long a member has not answered this leader.
+    fn silent(&self, leading: &Leader, id: Id) -> Duration {
+        if id == self.own() {
+            return Duration::ZERO;
+        }
+        let progress = leading.progress.get(&id);
+        let heard = progress.map(|progress| progress.acked.unwrap_or(progress.since));
+        self.now.since(heard.unwrap_or(leading.since))
+    }
+
+    /// Returns the members without a learner or surplus voter that has been silent for long.
+    fn without_lost<F>(&self, leading: &Leader, members: &Members, alive: F) -> Option<Members>
+    where
+        F: Fn(Id) -> bool,
+    {
+        let surplus = members.voters().count().is_multiple_of(2);
+        let lost = members.list.iter().find(|member| {
+            (surplus || !member.voter) && self.silent(leading, member.id) >= FORGET_AFTER
+        })?;
+        let mut next = members.clone();
+        next.remove(|member| member.id == lost.id);
+        let live = next.voters().filter(|voter| alive(voter.id)).count();
+        (live > 0 && live >= next.quorum()).then_some(next)
+    }
 }
--- /dev/null
+++ b/core/src/fleet/budget.rs
@@ -0,0 +1,47 @@
+//! Requests in a sliding window.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::time::Instant;
+
+/// Counts events of the last `window`.
+#[derive(Debug, Clone)]
+pub struct Budget {
+    window: Duration,
+    times: VecDeque<Instant>,
+}
+
+impl Budget {
+    /// Creates an empty window.
+    pub fn new(window: Duration) -> Self {
+        Self {
+            window,
+            times: VecDeque::new(),
+        }
+    }
+
+    /// Returns the number of events in the window that ends now.
+    pub fn count(&mut self, now: Instant) -> usize {
+        while let Some(first) = self.times.front()
+            && now.since(*first) > self.window
+        {
+            self.times.pop_front();
+        }
+        self.times.len()
+    }
+
+    /// Adds an event.
+    pub fn add(&mut self, now: Instant) {
+        self.times.push_back(now);
+    }
+
+    /// Adds an event if fewer than `limit` are in the window.
+    pub fn take(&mut self, now: Instant, limit: f64) -> bool {
+        let free = (self.count(now) as f64) < limit.floor();
+        if free {
+            self.add(now);
+        }
+        free
+    }
+}
--- /dev/null
+++ b/core/src/fleet/effect.rs
@@ -0,0 +1,91 @@
+//! Effects of the serving decisions.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use super::{Id, Load, Repeat, Target};
+
+/// Why a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// No route matches.
+    NoRoute,
+    /// The key is missing or unknown.
+    BadKey,
+    /// No configuration is known yet, or it is not known to be fresh.
+    Uncertain,
+    /// No target of the service takes work.
+    NoTarget,
+    /// No target can serve the request in time.
+    Busy,
+    /// The attempts or the budget for repeats are used up; the request did not run.
+    NotRun,
+    /// A target failed; the request may have run.
+    Failed,
+    /// The time is over.
+    Late,
+}
+
+/// Refuses a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Reason.
+    pub reason: Reason,
+    /// Whether the request certainly did not run and never will.
+    pub not_run: bool,
+    /// When a new try may succeed.
+    pub retry_after: Option<Duration>,
+}
+
+/// Sends a request to a target.
+#[derive(Debug, Clone)]
+pub struct Dispatch {
+    /// The target.
+    pub target: Target,
+    /// Its name, so that another target at the address refuses the request.
+    pub name: Arc<str>,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Targets that read parts of the prompt.
+    pub helpers: SmallVec<[SocketAddr; 4]>,
+    /// Organisation of the caller.
+    pub organisation: Option<Arc<str>>,
+    /// Rank at the target; 0 comes first.
+    pub priority: u8,
+    /// Number of the attempt, from 1.
+    pub attempt: u32,
+    /// Time that is left for the answer.
+    pub time_left: Duration,
+    /// Time in which the first byte is expected.
+    pub predicted: Duration,
+    /// How often the request may run.
+    pub repeat: Repeat,
+    /// Whether the answer is a stream of events.
+    pub stream: bool,
+    /// Name of the route, for logs and metrics.
+    pub route: Arc<str>,
+}
+
+/// Work of a VM at the targets, for its peers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Share {
+    /// Grows with each message of one process.
+    pub sequence: u64,
+    /// Targets by name hash with the work there. A target that is not listed has none.
+    pub loads: Vec<(u64, Load)>,
+}
+
+/// An effect.
+#[derive(Debug, Clone)]
+pub enum Effect {
+    /// Sends a request to a target.
+    Dispatch(Id, Box<Dispatch>),
+    /// Ends a request with a refusal.
+    Refuse(Id, Refusal),
+    /// Tells peers of the work at targets.
+    Share(Share),
+}
--- /dev/null
+++ b/core/src/fleet/event.rs
@@ -0,0 +1,72 @@
+//! Events of the serving decisions.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{Config, Entry, Id, Request, Share};
+
+/// What became of a dispatched request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The whole answer was delivered.
+    Served,
+    /// No connection to the target; nothing was sent.
+    Unreachable,
+    /// The target says that it did not run the request, since it has no room.
+    Full,
+    /// Another target has the address; the request did not run.
+    Moved,
+    /// The target answered with an error of its own.
+    Error,
+    /// The answer is missing or broken; the request may have run. Whether events were delivered.
+    Broken {
+        /// Whether a part of the answer went to the caller.
+        delivered: bool,
+    },
+    /// The caller left.
+    Abandoned,
+    /// The time is over.
+    TimedOut,
+}
+
+/// An event.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// Time passed.
+    Tick,
+    /// A configuration is committed, with the zones that operators took out.
+    Configured {
+        /// Grows with each committed change.
+        revision: u64,
+        /// The configuration.
+        config: Arc<Config>,
+        /// Zones that get no new work.
+        zones_out: Vec<Arc<str>>,
+    },
+    /// The configuration was the committed one.
+    Confirmed {
+        /// When this VM asked.
+        asked: crate::time::Instant,
+        /// Age of the leader's contact with a quorum when it answered.
+        age: Duration,
+        /// Revision at the leader.
+        revision: u64,
+    },
+    /// A target announced itself.
+    Announced(Entry),
+    /// Number of entry VMs that are known to run, this one included.
+    Peers(usize),
+    /// A peer tells of its work at targets.
+    Shared {
+        /// Name of the VM.
+        peer: Arc<str>,
+        /// Its work.
+        share: Share,
+    },
+    /// A request arrived.
+    Arrived(Id, Request),
+    /// The first byte of a target's answer arrived.
+    Started(Id),
+    /// A dispatched request ended at its target.
+    Ended(Id, Outcome),
+}
--- /dev/null
+++ b/core/src/fleet/mod.rs
@@ -0,0 +1,44 @@
+//! Serving decisions for a region whose targets take work from every entry VM.
+//!
+//! [`Reducer`] is the one reducer of an entry VM. It owns the view of the fleet and decides for each
+//! request where it runs, when it is repeated and when it is refused. It takes the time and an
+//! [`Event`] and appends [`Effect`]s; it reads no clock, socket or random source.
+//!
+//! # State
+//!
+//! - [`Directory`]: targets by their own announcements, ordered by start time and sequence number.
+//! - [`Tally`]: work that this VM and its peers have at each target.
+//! - [`Budget`]: requests in sliding windows, for repeats and for targets in cold start.
+//! - [`Freshness`]: until when the configuration is known to hold every committed revocation.
+//!
+//! # Invariants
+//!
+//! - A configuration never goes back to an older revision.
+//! - A request with a key is dispatched only while the configuration is fresh.
+//! - A request that may not be repeated is dispatched again only after proof that it did not run.
+
+mod budget;
+mod config;
+mod directory;
+mod effect;
+mod engine;
+mod event;
+mod freshness;
+mod health;
+mod placement;
+mod reducer;
+mod request;
+mod tally;
+
+pub use budget::Budget;
+pub use config::{Config, Invalid, Limits, Organisation, Repeat, Route, Service};
+pub use directory::{Announcement, Directory, Entry, State, Target};
+pub use effect::{Dispatch, Effect, Reason, Refusal, Share};
+pub use engine::Engine;
+pub use event::{Event, Outcome};
+pub use freshness::Freshness;
+pub use health::Health;
+pub use placement::{Choice, Placement};
+pub use reducer::{Counters, Reducer, Settings};
+pub use request::{Id, Request, Tokens};
+pub use tally::{Load, Tally};
--- /dev/null
+++ b/core/src/fleet/tally.rs
@@ -0,0 +1,150 @@
+//! Work at each target, of this VM and of its peers.
+//!
+//! Engines report their load with a lag, so what was sent since counts: every VM knows its own work at
+//! once and tells its peers of it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::Share;
+use crate::time::Instant;
+
+/// Age after which a peer's work counts no more; its own requests have been cut by then.
+const PEER_LEASE: Duration = Duration::from_secs(10);
+
+/// Work at one target.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests there.
+    pub running: u16,
+    /// Of these, prompts that read on targets of their own.
+    pub exclusive: u16,
+    /// Time until all prompts are read, ms.
+    pub read_ms: u32,
+    /// Memory of prompts and answers, tokens.
+    pub kv_tokens: u32,
+}
+
+impl Load {
+    /// Adds work.
+    pub fn add(&mut self, other: Self) {
+        self.running += other.running;
+        self.exclusive += other.exclusive;
+        self.read_ms += other.read_ms;
+        self.kv_tokens += other.kv_tokens;
+    }
+
+    /// Returns the load after `passed`, during which prompts were read.
+    fn after(mut self, passed: Duration) -> Self {
+        self.read_ms = self.read_ms.saturating_sub(passed.as_millis() as u32);
+        self
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Peer {
+    heard: Instant,
+    sequence: u64,
+    loads: HashMap<u64, Load>,
+}
+
+/// One piece of this VM's work at a target.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Piece {
+    pub(super) load: Load,
+    /// When its prompt is read, as predicted.
+    pub(super) read_at: Instant,
+}
+
+/// Work at all targets, by hash of the target's name.
+#[derive(Debug, Clone, Default)]
+pub struct Tally {
+    own: HashMap<u64, Vec<(super::Id, Piece)>>,
+    peers: HashMap<Arc<str>, Peer>,
+}
+
+impl Tally {
+    /// Adds work of this VM.
+    pub(super) fn add(&mut self, target: u64, request: super::Id, piece: Piece) {
+        self.own.entry(target).or_default().push((request, piece));
+    }
+
+    /// Marks the prompt of a request as read.
+    pub(super) fn read(&mut self, request: super::Id, now: Instant) {
+        let pieces = self.own.values_mut().flatten();
+        for (_, piece) in pieces.filter(|(id, _)| *id == request) {
+            piece.read_at = piece.read_at.min(now);
+        }
+    }
+
+    /// Removes the work of a request.
+    pub(super) fn remove(&mut self, request: super::Id) {
+        self.own.retain(|_, pieces| {
+            pieces.retain(|(id, _)| *id != request);
+            !pieces.is_empty()
+        });
+    }
+
+    fn own(&self, target: u64, now: Instant) -> Load {
+        let mut load = Load::default();
+        for (_, piece) in self.own.get(&target).into_iter().flatten() {
+            load.add(Load {
+                read_ms: 0,
+                ..piece.load
+            });
+            let left = piece.read_at.since(now).as_millis() as u32;
+            load.read_ms = load.read_ms.max(left);
+        }
+        load
+    }
+
+    /// Takes a peer's message.
+    pub(super) fn share(&mut self, now: Instant, peer: Arc<str>, share: Share) {
+        let known = self.peers.get(&peer);
+        let restarted = share.sequence <= 1;
+        if !restarted && known.is_some_and(|known| known.sequence >= share.sequence) {
+            return;
+        }
+        let state = Peer {
+            heard: now,
+            sequence: share.sequence,
+            loads: share.loads.into_iter().collect(),
+        };
+        self.peers.insert(peer, state);
+    }
+
+    /// Forgets silent peers.
+    pub(super) fn expire(&mut self, now: Instant) {
+        self.peers
+            .retain(|_, peer| now.since(peer.heard) < PEER_LEASE);
+    }
+
+    /// Returns the work at a target.
+    pub fn load(&self, target: u64, now: Instant) -> Load {
+        let mut load = self.own(target, now);
+        for peer in self.peers.values() {
+            if let Some(other) = peer.loads.get(&target) {
+                let other = other.after(now.since(peer.heard));
+                // Prompts are read one after the other, and each VM gives the end of all it knows.
+                let read_ms = load.read_ms.max(other.read_ms);
+                load.add(other);
+                load.read_ms = read_ms;
+            }
+        }
+        load
+    }
+
+    /// Returns this VM's work for its peers.
+    pub(super) fn own_loads(&self, now: Instant) -> Vec<(u64, Load)> {
+        let mut loads: Vec<_> = self
+            .own
+            .keys()
+            .map(|target| (*target, self.own(*target, now)))
+            .collect();
+        loads.sort_unstable_by_key(|(target, _)| *target);
+        loads
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -1,11 +1,12 @@
 //! Decision logic of primrosepin.
 //!
-//! The crate holds pure reducers: [`serving`] decides for an entry VM and [`consensus`] for a control
-//! replica. A reducer takes the time and an [`event`](serving::event) and appends effects as data; it
+//! The crate holds pure reducers: [`serving`] decides for an entry VM of a self-contained zone, [`fleet`]
+//! for one whose targets serve a whole region, and [`consensus`] for a control replica. A reducer takes the time and an [`event`](serving::event) and appends effects as data; it
 //! reads no clock, socket, file or random source, so that any history can be replayed from its
 //! events and a seed.
 
 pub mod consensus;
+pub mod fleet;
 pub mod inventory;
 pub mod ledger;
 pub mod membership;
--- a/core/src/registry/mod.rs
+++ b/core/src/registry/mod.rs
@@ -8,6 +8,7 @@
 mod ledgers;
 mod orders;
 mod outcomes;
+mod published;
 mod state;
 
 use std::sync::Arc;
@@ -21,6 +22,7 @@
 pub use ledgers::MAX_RESPONSE_BYTES;
 pub use orders::{CLOCK_BOUND_MS, TRANSIT_BOUND_MS};
 pub use outcomes::MAX_OUTCOMES;
+pub use published::Published;
 pub use state::State;
 
 /// The configuration in force.
@@ -89,6 +91,20 @@
         /// Lease of the issuer, milliseconds.
         lease_ms: u64,
     },
+    /// Publishes a configuration whose versions the operators choose; the highest one counts.
+    Publish {
+        /// Version that the operators gave.
+        version: u64,
+        /// The document as the operators sent it.
+        document: Arc<[u8]>,
+    },
+    /// Takes a zone of the published configuration out, or brings it back.
+    Evacuate {
+        /// The zone.
+        zone: Arc<str>,
+        /// Whether its targets get no new work.
+        out: bool,
+    },
     /// Ends an order and gives its weight-store permit back.
     Complete {
         /// Call id of the order.
@@ -105,7 +121,7 @@
             | Self::SetOut { now_ms, .. }
             | Self::Ledger { now_ms, .. }
             | Self::Issue { now_ms, .. } => *now_ms = at,
-            Self::Complete { .. } => {}
+            Self::Publish { .. } | Self::Evacuate { .. } | Self::Complete { .. } => {}
         }
         self
     }
@@ -155,4 +171,9 @@
     },
     /// The order is complete.
     Completed,
+    /// The published configuration or its zones are in force under this revision.
+    Published {
+        /// Grows with each change.
+        revision: u64,
+    },
 }
--- /dev/null
+++ b/core/src/registry/published.rs
@@ -0,0 +1,44 @@
+//! A configuration whose versions the operators choose.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// The published configuration. The highest version counts; a lower or equal one changes nothing.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Published {
+    /// Grows by one with each change of document or zones; zero before the first one.
+    pub revision: u64,
+    /// Version that the operators gave.
+    pub version: u64,
+    /// The document as the operators sent it; empty before the first one.
+    pub document: Arc<[u8]>,
+    /// Zones whose targets get no new work, sorted.
+    pub zones_out: Vec<Arc<str>>,
+}
+
+impl Published {
+    /// Publishes a document; returns the revision in force.
+    pub(super) fn publish(&mut self, version: u64, document: &Arc<[u8]>) -> u64 {
+        if version > self.version || self.document.is_empty() {
+            self.revision += 1;
+            self.version = version;
+            self.document = Arc::clone(document);
+        }
+        self.revision
+    }
+
+    /// Takes a zone out or brings it back; returns the revision in force.
+    pub(super) fn evacuate(&mut self, zone: &Arc<str>, out: bool) -> u64 {
+        if self.zones_out.contains(zone) != out {
+            self.revision += 1;
+            if out {
+                self.zones_out.push(Arc::clone(zone));
+                self.zones_out.sort_unstable();
+            } else {
+                self.zones_out.retain(|other| other != zone);
+            }
+        }
+        self.revision
+    }
+}
--- a/core/src/registry/state.rs
+++ b/core/src/registry/state.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Change, Command, Config, Kind, Outcome, Subject};
+use super::{Change, Command, Config, Kind, Outcome, Published, Subject};
 use super::{history, ledgers, orders, outcomes};
 use crate::inventory::{Inventory, Rules};
 
@@ -18,6 +18,7 @@
     outcomes: outcomes::Memory,
     ledger: ledgers::Table,
     orders: orders::Table,
+    published: Published,
 }
 
 impl State {
@@ -31,6 +32,11 @@
         self.config.as_ref().map_or(0, |config| config.version)
     }
 
+    /// Returns the published configuration.
+    pub fn published(&self) -> &Published {
+        &self.published
+    }
+
     /// Returns the last accepted changes, oldest first.
     pub fn history(&self) -> &VecDeque<Change> {
         self.history.changes()
@@ -108,6 +114,12 @@
                     .issue(self.now_ms, permits, id, target, issuer, *loads, *lease_ms)
             }
             Command::Complete { id } => self.orders.complete(id),
+            Command::Publish { version, document } => Outcome::Published {
+                revision: self.published.publish(*version, document),
+            },
+            Command::Evacuate { zone, out } => Outcome::Published {
+                revision: self.published.evacuate(zone, *out),
+            },
         }
     }
 
--- a/core/tests/consensus.rs
+++ b/core/tests/consensus.rs
@@ -204,6 +204,97 @@
     }
 }
 
+/// Guards against a VM that is replaced at another address and never gets a vote, so that the loss of a
+/// second VM stops the deployment.
+#[test]
+fn a_replica_at_another_address_takes_the_place_of_a_lost_one() {
+    for seed in 0..10 {
+        let mut cluster = Cluster::open(3, seed);
+        let number = cluster.commit();
+        let lost = if seed % 2 == 0 { 0 } else { 2 };
+        cluster.crash(lost);
+        let joined = cluster.join();
+        let voters: Vec<usize> = others(&cluster, lost);
+        cluster.run_until("replaced", |cluster| cluster.voters_are(&voters));
+        cluster.crash(joined);
+        cluster.commit();
+        assert!(cluster.acknowledged.contains(&number));
+        cluster.start(joined);
+        cluster.run(SECOND);
+        cluster.verify();
+    }
+}
+
+/// Guards against a planned replacement that leaves an even number of voters behind, with which fewer
+/// losses are borne.
+#[test]
+fn a_voter_that_left_after_its_successor_joined_is_removed() {
+    for seed in 0..10 {
+        let mut cluster = Cluster::open(3, seed);
+        cluster.commit();
+        cluster.join();
+        cluster.run_until("joined", |cluster| cluster.voters_are(&[0, 1, 2, 3]));
+        let left = cluster.leader().unwrap();
+        cluster.resign(left);
+        cluster.crash(left);
+        let rest = others(&cluster, left);
+        cluster.run_until("removed", |cluster| cluster.voters_are(&rest));
+        cluster.crash(rest[0]);
+        cluster.commit();
+        cluster.verify();
+    }
+}
+
+/// Guards against a replica that was cut off while it was replaced and is kept out for good, or counts
+/// under its old id.
+#[test]
+fn a_replica_that_was_replaced_joins_again_without_data() {
+    for seed in 0..10 {
+        let mut cluster = Cluster::open(3, seed);
+        cluster.commit();
+        let away = others(&cluster, cluster.leader().unwrap())[0];
+        cluster.isolate(away, true);
+        cluster.join();
+        let voters = others(&cluster, away);
+        cluster.run_until("replaced", |cluster| cluster.voters_are(&voters));
+        let number = cluster.commit();
+        cluster.isolate(away, false);
+        cluster.run_until("all vote", |cluster| cluster.voters_are(&[0, 1, 2, 3]));
+        let target = cluster.reducer(cluster.leader().unwrap()).commit();
+        cluster.run_until("caught up", |c| c.reducer(away).applied() >= target);
+        assert!(cluster.acknowledged.contains(&number));
+        cluster.verify();
+    }
+}
+
+/// Guards against a leader that answers a read by an old lease: what it says was committed up to a time
+/// must hold when another leader may have committed since.
+#[test]
+fn contact_with_a_quorum_ends_with_isolation() {
+    let mut cluster = Cluster::open(3, 7);
+    cluster.commit();
+    cluster.run(SECOND);
+    let old = cluster.leader().unwrap();
+    let known = cluster.reducer(old).quorum_at().unwrap();
+    assert!(cluster.now.since(known) < Duration::from_millis(300));
+    cluster.isolate(old, true);
+    let cut_at = cluster.now;
+    for _ in 0..30 {
+        cluster.run(Duration::from_millis(100));
+        if let Some(at) = cluster.reducer(old).quorum_at() {
+            assert!(at <= cut_at, "contact with a quorum after the cut");
+        }
+    }
+    assert_eq!(cluster.reducer(old).quorum_at(), None);
+    let new = cluster.leader().unwrap();
+    assert!(
+        cluster
+            .reducer(new)
+            .quorum_at()
+            .is_some_and(|at| at > cut_at)
+    );
+}
+
 /// Guards against a graceful shutdown that stops service for an election timeout.
 #[test]
 fn a_leader_that_shuts_down_hands_over() {
--- a/core/tests/simulation/mod.rs
+++ b/core/tests/simulation/mod.rs
@@ -106,6 +106,22 @@
     starts: u64,
 }
 
+impl Replica {
+    fn new(vm: vm::Name, address: SocketAddr) -> Self {
+        Self {
+            vm,
+            address,
+            reducer: None,
+            paused_until: None,
+            disk: Disk::default(),
+            writes: VecDeque::new(),
+            machine: Machine::default(),
+            waiting: BTreeMap::new(),
+            starts: 0,
+        }
+    }
+}
+
 /// What the network does to messages, in percent.
 #[derive(Debug, Clone, Copy)]
 pub struct Faults {
@@ -136,6 +152,10 @@
     pub refused: BTreeSet<u64>,
     /// Applied entries after which a replica writes a snapshot.
     pub snapshot_entries: u64,
+    /// Whether replicas that the settings do not name may join.
+    open: bool,
+    /// Replicas that the settings name.
+    listed: usize,
     network: Vec<(Instant, SocketAddr, Message)>,
     lost_disks: Vec<Disk>,
     proposals: u64,
@@ -144,16 +164,9 @@
 impl Cluster {
     /// Creates replicas without data and starts them.
     pub fn new(count: usize, seed: u64) -> Self {
-        let replicas = (0..count).map(|index| Replica {
-            vm: format!("control-{index}").into(),
-            address: SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16)),
-            reducer: None,
-            paused_until: None,
-            disk: Disk::default(),
-            writes: VecDeque::new(),
-            machine: Machine::default(),
-            waiting: BTreeMap::new(),
-            starts: 0,
+        let replicas = (0..count).map(|index| {
+            let address = SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16));
+            Replica::new(format!("control-{index}").into(), address)
         });
         let mut cluster = Self {
             now: Instant::default(),
@@ -165,6 +178,8 @@
             acknowledged: BTreeSet::new(),
             refused: BTreeSet::new(),
             snapshot_entries: 30,
+            open: false,
+            listed: count,
             network: Vec::new(),
             lost_disks: Vec::new(),
             proposals: 0,
@@ -185,9 +200,45 @@
         cluster
     }
 
+    /// Creates replicas of a deployment that others may join, and waits until they have a leader.
+    pub fn open(count: usize, seed: u64) -> Self {
+        let mut cluster = Self::new(count, seed);
+        cluster.open = true;
+        for index in 0..count {
+            cluster.start(index);
+        }
+        cluster.run_until("founded", |cluster| {
+            cluster.leader().is_some() && cluster.all_vote()
+        });
+        cluster
+    }
+
+    /// Starts a replica without data at an address that no settings name; returns its index.
+    pub fn join(&mut self) -> usize {
+        let index = self.replicas.len();
+        let name = format!("joined-{index}");
+        let address = SocketAddr::from(([127, 0, 1, 1], index as u16 + 1));
+        self.replicas.push(Replica::new(name.into(), address));
+        self.lose_disk(index);
+        self.start(index);
+        index
+    }
+
+    /// Returns whether the members that the leader has committed are voters with the disks of these
+    /// replicas, and no others.
+    pub fn voters_are(&self, indexes: &[usize]) -> bool {
+        let Some(leader) = self.leader() else {
+            return false;
+        };
+        let members = self.reducer(leader).committed_members().unwrap();
+        let id = |index: &usize| self.replicas[*index].disk.durable.id;
+        members.list.len() == indexes.len()
+            && indexes.iter().all(|index| members.is_voter(id(index)))
+    }
+
     /// Starts the process of a replica from its disk.
     pub fn start(&mut self, index: usize) {
-        let replicas = self.replicas.iter();
+        let replicas = self.replicas.iter().take(self.listed);
         let replicas = replicas
             .map(|replica| (vm::Name::clone(&replica.vm), replica.address))
             .collect();
@@ -196,6 +247,7 @@
         let settings = Settings {
             kept_entries: 10,
             part_bytes: 64,
+            open: self.open,
             ..Settings::new(
                 vm::Name::clone(&replica.vm),
                 replica.address,
@@ -496,6 +548,12 @@
                     let last = replica.writes.back().map_or(at, |(last, _)| *last);
                     replica.writes.push_back((at.max(last), write));
                 }
+                Effect::Retire => {
+                    self.crash(index);
+                    self.lose_disk(index);
+                    self.start(index);
+                    return;
+                }
                 Effect::Apply(entry) => self.apply(index, id, &entry),
                 Effect::Accepted {
                     proposal,
--- /dev/null
+++ b/gateway/src/front/caller.rs
@@ -0,0 +1,294 @@
+//! A caller's connection.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use primrosepin_core::fleet::{Event, Outcome, Reason, Refusal};
+use primrosepin_telemetry::metrics::Label;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+use super::attempt::Attempt;
+use super::delivery::Delivery;
+use super::node::{Node, Order, Phase};
+use crate::http::{self, Connection, Error, Request};
+use crate::metrics::{Class, label};
+
+/// Time in which the last answer of a connection is read before it closes.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// Serves the requests of a connection one after the other.
+pub(super) async fn serve(node: Rc<Node>, stream: TcpStream) {
+    crate::net::prepare(&stream);
+    let mut caller = Connection::new(stream);
+    let mut phases = node.phase.subscribe();
+    loop {
+        let limits = node.limits();
+        let head = tokio::select! {
+            head = caller.request(limits.head_bytes, limits.idle_timeout, limits.head_timeout) => head,
+            _ = phases.wait_for(|phase| *phase == Phase::Closing) => {
+                // A request that has begun to arrive is still served.
+                if caller.input.is_empty() && caller.is_idle() {
+                    return;
+                }
+                caller.request(limits.head_bytes, limits.head_timeout, limits.head_timeout).await
+            }
+        };
+        let head = match head {
+            Ok(Some(head)) => head,
+            Ok(None) => return,
+            Err(error) => return reject(&node, &mut caller, None, &error).await,
+        };
+        if head.headers.has_word("expect", "100-continue")
+            && caller
+                .write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                .await
+                .is_err()
+        {
+            return;
+        }
+        let body = caller
+            .body(head.body, limits.body_bytes, limits.head_timeout)
+            .await;
+        let body = match body {
+            Ok(body) => body,
+            Err(error) => return reject(&node, &mut caller, Some(&head), &error).await,
+        };
+        let close = head.closes || *node.phase.borrow() != Phase::Serving;
+        if !serve_request(&node, &mut caller, &head, &body, close).await {
+            return;
+        }
+        if close {
+            return linger(&mut caller).await;
+        }
+    }
+}
+
+/// Closes a connection so that its last answer is delivered.
+async fn linger(caller: &mut Connection) {
+    caller.shutdown().await;
+    tokio::select! {
+        () = caller.closed() => {}
+        () = sleep(LINGER) => {}
+    }
+}
+
+/// Answers a request that cannot be read.
+async fn reject(node: &Node, caller: &mut Connection, head: Option<&Request>, error: &Error) {
+    let (status, what) = match error {
+        Error::Io(_) => return,
+        Error::Malformed(malformed) => (400, malformed.0),
+        Error::HeadTooLong => (431, "the head is too long"),
+        Error::BodyTooLong => (413, "the body is too long"),
+        Error::Slow => (408, "the request came too slowly"),
+    };
+    log::info!(status = status, cause = what; "request rejected");
+    let labels = [label("outcome", "rejected"), label("class", "unread")];
+    node.meters.requests.add(1, &labels);
+    let name = head.and_then(|head| node.protocol.admit(head).ok());
+    let name = name.as_ref().map(|admission| &*admission.request.name);
+    let headers = node.protocol.own_headers(name, None);
+    let answer = http::answer(status, &headers, what.as_bytes(), true);
+    // The caller may have left.
+    if caller.write(&answer).await.is_ok() {
+        linger(caller).await;
+    }
+}
+
+/// Serves one request; returns whether the connection can be used further.
+async fn serve_request(
+    node: &Rc<Node>,
+    caller: &mut Connection,
+    head: &Request,
+    body: &Bytes,
+    close: bool,
+) -> bool {
+    let admission = match node.protocol.admit(head) {
+        Ok(admission) => admission,
+        Err(what) => {
+            log::info!(status = 400, cause = what; "request rejected");
+            let headers = node.protocol.own_headers(None, None);
+            let answer = http::answer(400, &headers, what.as_bytes(), close);
+            return caller.write(&answer).await.is_ok();
+        }
+    };
+    let arrived = Instant::now();
+    let request = admission.request;
+    let name = Arc::clone(&request.name);
+    let class = Class::new(request.tokens.map(|tokens| tokens.prompt));
+    let patience = request.patience;
+    let mut delivery = Delivery::new(Arc::clone(&node.protocol), close, admission.resumed_after);
+    let mut registration = node.register();
+    let id = registration.id;
+    node.apply(Event::Arrived(id, request));
+    let mut organisation = None;
+    let (outcome, kept) = loop {
+        let order = tokio::select! {
+            order = registration.order() => order,
+            () = caller.closed() => {
+                node.apply(Event::Ended(id, Outcome::Abandoned));
+                break ("abandoned", false);
+            }
+        };
+        let dispatch = match order {
+            Some(Order::Dispatch(dispatch)) => dispatch,
+            Some(Order::Refuse(refusal)) => {
+                break refuse(node, caller, &mut delivery, &name, refusal).await;
+            }
+            None => break ("abandoned", false),
+        };
+        if let Some(name) = &dispatch.organisation {
+            organisation = Some(node.metrics.organisation(name));
+        }
+        log::info!(
+            request = &*name, target = &*dispatch.name, route = &*dispatch.route,
+            attempt = dispatch.attempt, helpers = dispatch.helpers.len(),
+            predicted_ms = dispatch.predicted.as_millis() as u64,
+            left_ms = dispatch.time_left.as_millis() as u64,
+            revision = node.revision(), config_age_ms = node.config_age_ms();
+            "dispatched"
+        );
+        let attempt = Attempt {
+            node,
+            id,
+            name: &name,
+            head,
+            body,
+            dispatch: &dispatch,
+        };
+        let outcome = attempt.run(caller, &mut delivery).await;
+        let ended = ended_name(outcome);
+        node.meters.attempts.add(1, &[label("outcome", ended)]);
+        log::info!(
+            request = &*name, target = &*dispatch.name, attempt = dispatch.attempt,
+            took_ms = arrived.elapsed().as_millis() as u64, begun = delivery.begun;
+            "attempt ended: {ended}"
+        );
+        node.apply(Event::Ended(id, outcome));
+        match outcome {
+            Outcome::Served => break ("served", true),
+            Outcome::Abandoned => break ("abandoned", false),
+            Outcome::TimedOut => {
+                break time_out(node, caller, &mut delivery, &name).await;
+            }
+            Outcome::Unreachable
+            | Outcome::Full
+            | Outcome::Moved
+            | Outcome::Error
+            | Outcome::Broken { .. } => {}
+        }
+    };
+    drop(registration);
+    let mut labels = vec![label("outcome", outcome), label("class", class.name())];
+    labels.extend(organisation.clone());
+    node.meters.requests.add(1, &labels);
+    if let Some(first) = delivery.first_at {
+        let seconds = first.duration_since(arrived).as_secs_f64();
+        node.meters
+            .first_event
+            .record(seconds, &[label("class", class.name())]);
+    }
+    let seconds = arrived.elapsed().as_secs_f64();
+    let organisation: Vec<Label> = organisation.into_iter().collect();
+    node.meters.answer.record(seconds, &organisation);
+    log::info!(
+        request = &*name, class = class.name(), status = delivery.status,
+        took_ms = arrived.elapsed().as_millis() as u64,
+        patience_ms = patience.map_or(0, |patience| patience.as_millis() as u64);
+        "request ended: {outcome}"
+    );
+    kept
+}
+
+fn ended_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Served => "served",
+        Outcome::Unreachable => "unreachable",
+        Outcome::Full => "full",
+        Outcome::Moved => "moved",
+        Outcome::Error => "error",
+        Outcome::Broken { .. } => "broken",
+        Outcome::Abandoned => "abandoned",
+        Outcome::TimedOut => "timed_out",
+    }
+}
+
+/// Ends a request that is refused; returns the outcome and whether the connection can be used further.
+async fn refuse(
+    node: &Node,
+    caller: &mut Connection,
+    delivery: &mut Delivery,
+    name: &str,
+    refusal: Refusal,
+) -> (&'static str, bool) {
+    log::info!(
+        request = name, reason = reason_name(refusal.reason), not_run = refusal.not_run,
+        retry_after_ms = refusal.retry_after.map_or(0, |time| time.as_millis() as u64),
+        revision = node.revision(), config_age_ms = node.config_age_ms();
+        "refused"
+    );
+    if delivery.begun {
+        // Closing without the end of the body shows that the answer is incomplete.
+        return ("broken", false);
+    }
+    if let Some((head, body)) = delivery.failure.take() {
+        let sent = delivery.whole(caller, &head, &body).await;
+        return ("failed", sent.is_ok());
+    }
+    let status = match refusal.reason {
+        Reason::NoRoute => 404,
+        Reason::BadKey => 401,
+        Reason::Uncertain | Reason::NoTarget | Reason::Busy | Reason::NotRun => 503,
+        Reason::Late if refusal.not_run => 503,
+        Reason::Late => 504,
+        Reason::Failed => 502,
+    };
+    let outcome = if refusal.not_run { "refused" } else { "failed" };
+    let retry_after = refusal.retry_after.filter(|_| status == 503);
+    let sent = own(node, caller, delivery, name, status, retry_after).await;
+    (outcome, sent)
+}
+
+/// Ends a request whose time is over.
+async fn time_out(
+    node: &Node,
+    caller: &mut Connection,
+    delivery: &mut Delivery,
+    name: &str,
+) -> (&'static str, bool) {
+    if delivery.begun {
+        return ("timed_out", false);
+    }
+    let sent = own(node, caller, delivery, name, 504, None).await;
+    ("timed_out", sent)
+}
+
+/// Sends an answer of our own.
+async fn own(
+    node: &Node,
+    caller: &mut Connection,
+    delivery: &mut Delivery,
+    name: &str,
+    status: u16,
+    retry_after: Option<Duration>,
+) -> bool {
+    delivery.status = status;
+    let headers = node.protocol.own_headers(Some(name), retry_after);
+    let answer = http::answer(status, &headers, b"", delivery.close);
+    caller.write(&answer).await.is_ok()
+}
+
+fn reason_name(reason: Reason) -> &'static str {
+    match reason {
+        Reason::NoRoute => "no_route",
+        Reason::BadKey => "bad_key",
+        Reason::Uncertain => "uncertain",
+        Reason::NoTarget => "no_target",
+        Reason::Busy => "busy",
+        Reason::NotRun => "not_run",
+        Reason::Failed => "failed",
+        Reason::Late => "late",
+    }
+}
--- /dev/null
+++ b/gateway/src/front/server.rs
@@ -0,0 +1,128 @@
+//! The entry process as a whole.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use primrosepin_core::fleet::Event;
+use primrosepin_process::Shutdown;
+use primrosepin_telemetry::metrics::Metrics;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::time::{Instant, interval, sleep};
+
+use super::node::{Node, Phase};
+use super::{caller, uplink};
+use crate::http::{self, Connection};
+use crate::protocol::Protocol;
+use crate::settings::Front;
+use crate::{metrics, net};
+
+/// Interval of the reducer's ticks.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Time after the request to stop for which new connections are taken: the platform asks once a second and
+/// sends callers elsewhere after two misses.
+const LEAVE: Duration = Duration::from_millis(2_600);
+
+/// Time before the end of the grace period at which the process ends by itself.
+const MARGIN: Duration = Duration::from_millis(300);
+
+/// Longest head of a question for readiness, bytes, and the time for it.
+const READY_HEAD: (usize, Duration) = (8 * 1024, Duration::from_secs(3));
+
+/// Runs an entry process until it is told to stop and its requests have ended.
+pub async fn run(settings: Front, protocol: Arc<dyn Protocol>) -> eyre::Result<()> {
+    let shutdown = Shutdown::new()?;
+    let common = settings.common.clone();
+    let callers = net::listen(settings.callers)
+        .wrap_err_with(|| format!("cannot listen on {}", settings.callers))?;
+    let ready = net::listen(settings.ready)
+        .wrap_err_with(|| format!("cannot listen on {}", settings.ready))?;
+    let datagrams = UdpSocket::bind(common.address())
+        .await
+        .wrap_err_with(|| format!("cannot bind {}", common.address()))?;
+    let registry = Metrics::new("entry", &common.vm, &common.zone)?;
+    let node = Rc::new(Node::new(settings, protocol, registry.clone(), datagrams));
+    log::info!(vm = &*common.vm, zone = &*common.zone, seeds = common.seeds.len(); "entry started");
+    let refreshed = Rc::clone(&node);
+    let served = metrics::serve(common.metrics, registry, move || refreshed.refresh());
+    actix_rt::spawn(async move {
+        if let Err(error) = served.await {
+            log::error!("metrics are not served: {error:#}");
+        }
+    });
+    actix_rt::spawn(uplink::run(Rc::clone(&node)));
+    let sharing = Rc::clone(&node);
+    actix_rt::spawn(async move { sharing.receive_shares().await });
+    actix_rt::spawn(tick(Rc::clone(&node)));
+    actix_rt::spawn(answer_ready(Rc::clone(&node), ready));
+    actix_rt::spawn(accept(Rc::clone(&node), callers));
+    shutdown.wait().await;
+    leave(&node, common.grace).await;
+    log::info!(vm = &*common.vm, pending = node.pending(); "entry stopped");
+    Ok(())
+}
+
+async fn tick(node: Rc<Node>) {
+    let mut ticks = interval(TICK);
+    loop {
+        ticks.tick().await;
+        node.apply(Event::Tick);
+        node.pool.borrow_mut().expire();
+    }
+}
+
+async fn accept(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => drop(actix_rt::spawn(caller::serve(Rc::clone(&node), stream))),
+            Err(error) => {
+                /// Pause after an error, such as a lack of descriptors.
+                const PAUSE: Duration = Duration::from_millis(50);
+                log::warn!("cannot accept a caller: {error}");
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Tells the platform whether this VM takes new callers.
+async fn answer_ready(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let node = Rc::clone(&node);
+        actix_rt::spawn(async move {
+            let mut connection = Connection::new(stream);
+            while let Ok(Some(head)) = connection
+                .request(READY_HEAD.0, READY_HEAD.1, READY_HEAD.1)
+                .await
+            {
+                let status = if node.ready() { 200 } else { 503 };
+                let answer = http::answer(status, "", b"", head.closes);
+                if connection.write(&answer).await.is_err() || head.closes {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+/// Stops without cutting a request: new callers go elsewhere first, then open connections close once they
+/// have no request, and the process ends when all have been answered.
+async fn leave(node: &Node, grace: Duration) {
+    let end = Instant::now() + grace.saturating_sub(MARGIN);
+    log::info!(pending = node.pending(), grace_ms = grace.as_millis() as u64; "entry leaves");
+    node.phase.send_replace(Phase::Leaving);
+    sleep(LEAVE.min(grace / 2)).await;
+    node.phase.send_replace(Phase::Closing);
+    /// Interval at which running requests are looked at.
+    const CHECK: Duration = Duration::from_millis(50);
+    // Connections that closed together with the phase get their last answers out.
+    sleep(CHECK).await;
+    while node.pending() > 0 && Instant::now() < end {
+        sleep(CHECK).await;
+    }
+}
--- /dev/null
+++ b/gateway/src/front/uplink.rs
@@ -0,0 +1,171 @@
+//! Links to the control VMs.
+
+use std::collections::BTreeSet;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use primrosepin_core::fleet::Event;
+use primrosepin_core::time::Instant;
+use tokio::sync::mpsc;
+use tokio::time::{interval, sleep};
+
+use super::node::{Link, Node};
+use crate::message::{Front, Message};
+use crate::{link, net};
+
+/// Interval at which the revision is asked for, which renews the freshness of the configuration.
+const ASK: Duration = Duration::from_millis(500);
+
+/// Interval at which missing links are looked for.
+const CHECK: Duration = Duration::from_millis(250);
+
+/// Pause before a control VM is tried again.
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// Time for a new connection to a control VM.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Keeps a link to every control VM that is known.
+pub(super) async fn run(node: Rc<Node>) {
+    let running = Rc::new(std::cell::RefCell::new(BTreeSet::<IpAddr>::new()));
+    let mut ticks = interval(CHECK);
+    loop {
+        ticks.tick().await;
+        for ip in known(&node) {
+            if running.borrow_mut().insert(ip) {
+                let (node, running) = (Rc::clone(&node), Rc::clone(&running));
+                actix_rt::spawn(async move {
+                    connect(&node, ip).await;
+                    sleep(PAUSE).await;
+                    running.borrow_mut().remove(&ip);
+                });
+            }
+        }
+    }
+}
+
+/// Returns the control VMs of the settings and those that linked ones name.
+fn known(node: &Node) -> BTreeSet<IpAddr> {
+    let links = node.links.borrow();
+    let named = links
+        .values()
+        .flat_map(|link| link.cores.iter().map(SocketAddr::ip));
+    named
+        .chain(node.settings.common.seeds.iter().copied())
+        .collect()
+}
+
+/// Connects to a control VM and runs the link to its end.
+async fn connect(node: &Rc<Node>, ip: IpAddr) {
+    let common = &node.settings.common;
+    let address = SocketAddr::new(ip, common.port);
+    let stream = match net::connect(address, CONNECT_TIMEOUT).await {
+        Ok(stream) => stream,
+        Err(error) => {
+            log::debug!("no link to {address}: {error}");
+            return;
+        }
+    };
+    let (outgoing, queue) = mpsc::channel(link::QUEUE);
+    let hello = Message::Hello(Front {
+        vm: Arc::clone(&common.vm),
+        address: common.address(),
+    });
+    // A new queue has room.
+    drop(outgoing.try_send(hello));
+    let entry = Link {
+        outgoing: outgoing.clone(),
+        fronts: Vec::new(),
+        cores: Vec::new(),
+    };
+    node.links.borrow_mut().insert(ip, entry);
+    log::info!(control = address.to_string(); "link to control opened");
+    let asker = actix_rt::spawn(ask(outgoing));
+    let ended = link::run(stream, queue, |message| take(node, ip, message)).await;
+    asker.abort();
+    node.links.borrow_mut().remove(&ip);
+    let cause = ended
+        .err()
+        .map_or_else(|| "closed".into(), |error| format!("{error:#}"));
+    log::warn!(control = address.to_string(), cause = cause; "link to control lost");
+}
+
+/// Asks for the revision again and again.
+async fn ask(outgoing: mpsc::Sender<Message>) {
+    let mut ticks = interval(ASK);
+    loop {
+        ticks.tick().await;
+        let asked_us = primrosepin_process::now().as_micros();
+        // A full queue means that the link stands still; the next question may pass.
+        drop(outgoing.try_send(Message::Ask { asked_us }));
+    }
+}
+
+fn take(node: &Rc<Node>, ip: IpAddr, message: Message) {
+    match message {
+        Message::Revision {
+            asked_us,
+            quorum_age_us,
+            revision,
+        } => {
+            if revision > node.revision() {
+                if let Some(link) = node.links.borrow().get(&ip) {
+                    // The next answer repeats the revision if the queue is full.
+                    drop(link.outgoing.try_send(Message::Pull));
+                }
+            } else if let (Some(asked_us), Some(age_us)) = (asked_us, quorum_age_us) {
+                node.apply(Event::Confirmed {
+                    asked: Instant::from_micros(asked_us),
+                    age: Duration::from_micros(age_us),
+                    revision,
+                });
+            }
+        }
+        Message::Config {
+            revision,
+            document,
+            zones_out,
+        } => {
+            if revision <= node.revision() || document.is_empty() {
+                return;
+            }
+            match node.protocol.config(&document) {
+                Ok(config) => {
+                    log::info!(
+                        revision = revision, version = config.version,
+                        routes = config.routes().len(), zones_out = zones_out.len();
+                        "configuration in force"
+                    );
+                    node.apply(Event::Configured {
+                        revision,
+                        config: config.into(),
+                        zones_out,
+                    });
+                }
+                Err(error) => log::error!(revision = revision; "configuration unreadable: {error}"),
+            }
+        }
+        Message::Targets(entries) => {
+            for entry in entries {
+                node.apply(Event::Announced(entry));
+            }
+        }
+        Message::Roster { fronts, cores } => {
+            if let Some(link) = node.links.borrow_mut().get_mut(&ip) {
+                link.fronts = fronts;
+                link.cores = cores;
+            }
+            node.update_peers();
+        }
+        Message::Pulse
+        | Message::Hello(_)
+        | Message::Ask { .. }
+        | Message::Pull
+        | Message::Consensus(_)
+        | Message::Relay { .. }
+        | Message::Relayed { .. }
+        | Message::Share { .. } => {}
+    }
+}
--- /dev/null
+++ b/gateway/src/net.rs
@@ -0,0 +1,54 @@
+//! Sockets.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time::timeout;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1_024;
+
+/// Time without an acknowledgement of sent bytes after which a connection is broken. Peers answer within
+/// milliseconds; a VM that is cut off never does.
+const USER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Listens on an address.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+/// Connects within a time.
+pub async fn connect(to: SocketAddr, within: Duration) -> io::Result<TcpStream> {
+    let socket = if to.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    let connected = timeout(within, socket.connect(to)).await;
+    let stream = connected.map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
+    prepare(&stream);
+    Ok(stream)
+}
+
+/// Sets the options that all connections need.
+pub fn prepare(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let set = socket
+        .set_tcp_nodelay(true)
+        .and_then(|()| socket.set_tcp_user_timeout(Some(USER_TIMEOUT)));
+    if let Err(error) = set {
+        log::warn!("cannot set options of a connection: {error}");
+    }
+}
--- /dev/null
+++ b/gateway/src/protocol.rs
@@ -0,0 +1,95 @@
+//! What callers, targets and operators speak.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use primrosepin_core::fleet::{Announcement, Config, Dispatch, Request};
+
+use crate::http;
+
+/// A caller's request as the protocol reads it.
+#[derive(Debug, Clone)]
+pub struct Admission {
+    /// What the decisions need.
+    pub request: Request,
+    /// Last event that the caller has, if it resumes a stream.
+    pub resumed_after: Option<Arc<str>>,
+}
+
+/// What a target's answer means.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It served the request.
+    Served,
+    /// It ran the request and failed.
+    Error,
+    /// It did not run the request.
+    Full,
+    /// It is not the target that was meant, and did not run the request.
+    Moved,
+    /// The answer belongs to another request, or is none.
+    Foreign,
+}
+
+/// A call to control.
+#[derive(Debug, Clone)]
+pub enum Call {
+    /// A target announces itself.
+    Announce(Announcement),
+    /// A target has left.
+    Withdraw {
+        /// Its name.
+        name: Arc<str>,
+    },
+    /// An operator publishes a configuration that was checked.
+    Publish {
+        /// Version that the operator gave.
+        version: u64,
+    },
+    /// An operator reads the configuration.
+    Read,
+    /// An operator takes a zone out, or brings it back.
+    Evacuate {
+        /// The zone.
+        zone: Arc<str>,
+        /// Whether it is taken out.
+        out: bool,
+    },
+    /// The call is refused for good.
+    Refused {
+        /// HTTP status.
+        status: u16,
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+/// What callers, targets and operators speak. An implementation only translates.
+pub trait Protocol: Send + Sync + 'static {
+    /// Reads a caller's request. An error is answered with 400.
+    fn admit(&self, head: &http::Request) -> Result<Admission, &'static str>;
+
+    /// Appends the header lines of a request to a target, without those of its body.
+    fn forward(
+        &self,
+        head: &http::Request,
+        dispatch: &Dispatch,
+        resumed_after: Option<&str>,
+        out: &mut Vec<u8>,
+    );
+
+    /// Judges a target's answer to the request with this name.
+    fn judge(&self, head: &http::Response, name: &str) -> Verdict;
+
+    /// Returns whether a header of a target's answer goes to the caller.
+    fn passes(&self, name: &str) -> bool;
+
+    /// Returns header lines for an answer of our own to the request with this name.
+    fn own_headers(&self, name: Option<&str>, retry_after: Option<Duration>) -> String;
+
+    /// Decodes and checks a configuration.
+    fn config(&self, document: &[u8]) -> Result<Config, String>;
+
+    /// Reads a call to control.
+    fn call(&self, method: &str, path: &str, body: &[u8]) -> Call;
+}
--- a/process/src/lib.rs
+++ b/process/src/lib.rs
@@ -1,5 +1,7 @@
-//! What the binaries of primrosepin share: shutdown on signals.
+//! What the binaries of primrosepin share: shutdown on signals, and a clock.
 
+use primrosepin_core::time::Instant;
+use rustix::time::{ClockId, clock_gettime};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// The signals that start a graceful shutdown.
@@ -28,3 +30,10 @@
         }
     }
 }
+
+/// Returns the time since the VM started. It goes on while the VM is suspended and is never set, so it
+/// suits leases and ages.
+pub fn now() -> Instant {
+    let time = clock_gettime(ClockId::Boottime);
+    Instant::from_micros(time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1_000)
+}
--- a/telemetry/src/log.rs
+++ b/telemetry/src/log.rs
@@ -1,8 +1,11 @@
-//! Log lines on standard error.
+//! Log lines on standard error, or buffered on standard output.
 
 use std::fmt::Arguments;
+use std::io::{self, Write};
 use std::str::FromStr;
-use std::time::SystemTime;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, SystemTime};
 
 use eyre::{WrapErr, eyre};
 use fern::{Dispatch, FormatCallback};
@@ -37,6 +40,80 @@
     Ok(())
 }
 
+/// Bytes of lines that wait for standard output; further lines are dropped and counted.
+const BUFFER_BYTES: usize = 512 * 1024;
+
+/// Interval at which lines are written to standard output.
+const FLUSH: Duration = Duration::from_millis(200);
+
+/// Lines that wait for standard output.
+#[derive(Debug, Default)]
+struct Buffer {
+    bytes: Vec<u8>,
+    dropped: u64,
+}
+
+/// Takes lines without blocking: they are written by a thread of their own.
+#[derive(Debug, Clone, Default)]
+pub struct Output(Arc<Mutex<Buffer>>);
+
+impl Write for Output {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        let mut buffer = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if buffer.bytes.len() + buf.len() > BUFFER_BYTES {
+            buffer.dropped += 1;
+        } else {
+            buffer.bytes.extend_from_slice(buf);
+        }
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Output {
+    /// Writes the lines that wait. Called again before the process ends.
+    pub fn write_out<W>(&self, mut to: W) -> io::Result<()>
+    where
+        W: Write,
+    {
+        let mut buffer = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let Buffer { bytes, dropped } = std::mem::take(&mut *buffer);
+        drop(buffer);
+        if dropped > 0 {
+            writeln!(
+                to,
+                "{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"count\":{dropped}}}"
+            )?;
+        }
+        to.write_all(&bytes)?;
+        to.flush()
+    }
+}
+
+/// Starts to write log lines of `level` and above to standard output. No caller waits for the output: lines
+/// that find no room are dropped and counted.
+pub fn init_buffered(level: &str, form: Form) -> eyre::Result<Output> {
+    let output = Output::default();
+    let sink: Box<dyn Write + Send> = Box::new(output.clone());
+    if let Err(error) = dispatch(level, form)?.chain(sink).apply() {
+        log::debug!("log set-up skipped: {error}");
+    }
+    let writer = output.clone();
+    thread::Builder::new().name("log".into()).spawn(move || {
+        loop {
+            thread::sleep(FLUSH);
+            // Nobody reads the output any more; lines are then counted as dropped.
+            if writer.write_out(io::stdout().lock()).is_err() {
+                return;
+            }
+        }
+    })?;
+    Ok(output)
+}
+
 /// Returns the filter and line form without an output.
 pub fn dispatch(level: &str, form: Form) -> eyre::Result<Dispatch> {
     let level = LevelFilter::from_str(level)
