Split long prompts over targets, reserve memory beyond one engine, keep bytes of closing connections

Change: prompts whose reading would outlast the shortest pause of the service's routes read in parts on targets without short prompts, by the least worth made late; memory beyond one engine is reserved with short leases; is_idle keeps what it reads; SIGHUP reads the seeds again.

--- a/core/src/fleet/config.rs
+++ b/core/src/fleet/config.rs
@@ -59,6 +59,9 @@
     pub cold_per_s: f64,
     /// The model engine; none for a plain service.
     pub engine: Option<Engine>,
+    /// Shortest of the pauses between events that are on time for the routes to it; set by
+    /// [`Config::new`].
+    pub gap: Option<Duration>,
 }
 
 /// An organisation with its keys.
@@ -182,8 +185,16 @@
         organisations: Option<Vec<Organisation>>,
         limits: Limits,
     ) -> Result<Self, Invalid> {
+        let gap = |name: &Arc<str>| {
+            let to = |route: &&Route| route.split.iter().any(|(service, _)| service == name);
+            routes.iter().filter(to).filter_map(|route| route.gap).min()
+        };
         let services: HashMap<_, _> = services
             .into_iter()
+            .map(|service| Service {
+                gap: gap(&service.name),
+                ..service
+            })
             .map(|service| (Arc::clone(&service.name), Arc::new(service)))
             .collect();
         let routes: Vec<_> = routes.into_iter().map(Arc::new).collect();
--- a/core/src/fleet/effect.rs
+++ b/core/src/fleet/effect.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use super::{Id, Load, Repeat, Target};
+use super::{Helper, Id, Load, Repeat, Target};
 
 /// Why a request is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -50,20 +50,28 @@
     pub name: Arc<str>,
     /// Its address.
     pub address: SocketAddr,
+    /// Work there before this request, own and peers'.
+    pub load: Load,
     /// Targets that read parts of the prompt.
-    pub helpers: SmallVec<[SocketAddr; 4]>,
+    pub helpers: SmallVec<[Helper; 4]>,
     /// Organisation of the caller.
     pub organisation: Option<Arc<str>>,
     /// Rank at the target; 0 comes first.
     pub priority: u8,
+    /// Name for memory that is held for this attempt.
+    pub reservation: Arc<str>,
     /// Number of the attempt, from 1.
     pub attempt: u32,
     /// Time that is left for the answer.
     pub time_left: Duration,
+    /// Longest silence before the answer and within it after which another target is tried.
+    pub silence: Duration,
     /// Time in which the first byte is expected.
     pub predicted: Duration,
     /// How often the request may run.
     pub repeat: Repeat,
+    /// Whether another target may be tried if this one is silent.
+    pub repeatable: bool,
     /// Whether the answer is a stream of events.
     pub stream: bool,
     /// Name of the route, for logs and metrics.
--- a/core/src/fleet/engine.rs
+++ b/core/src/fleet/engine.rs
@@ -8,6 +8,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Part of a pause that one prompt's reading may take up together with the pass.
+const PART_OF_GAP: f64 = 0.9;
+
 /// Figures of an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Engine {
@@ -57,6 +60,6 @@
     /// `gap`. Such prompts share targets; others read on targets of their own.
     pub fn shares_passes(&self, tokens: u64, gap: Duration) -> bool {
         let pass = self.pass_ms(self.slots, 0);
-        pass + self.read_ms(tokens) <= gap.as_secs_f64() * 1e3
+        pass + self.read_ms(tokens) <= gap.as_secs_f64() * 1e3 * PART_OF_GAP
     }
 }
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -38,7 +38,7 @@
 pub use event::{Event, Outcome};
 pub use freshness::Freshness;
 pub use health::Health;
-pub use placement::{Choice, Placement};
+pub use placement::{Candidate, Choice, Helper, Placement};
 pub use reducer::{Counters, Reducer, Settings};
 pub use request::{Id, Request, Tokens};
 pub use tally::{Load, Tally};
--- a/core/src/fleet/placement.rs
+++ b/core/src/fleet/placement.rs
@@ -1,9 +1,9 @@
 //! Which targets run a request.
 //!
 //! Short prompts share targets: they fill the targets of their own zone in an order that all entry VMs
-//! know, so that the rest of the fleet stays free of writers. Longer prompts would stretch the passes of
-//! the writers beside them, so they read on targets without other work, taken from the end of the same
-//! order, and on as many of them as it takes to be on time.
+//! know, so that the rest of the fleet stays free of them. Longer prompts would stretch the passes of
+//! the writers beside them, so they read on the other targets, taken from the end of the same order, in
+//! parts that are short enough for the writers there.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,21 +16,25 @@
 /// takes what peers send before this VM hears of it.
 const FILL: f64 = 0.75;
 
-/// Part of the objective within which a target that is first in the order is taken without comparing.
-const EARLY: f64 = 0.5;
-
-/// Part of the objective that the prediction for a long prompt may use; the rest covers passes in
-/// progress and the spread of the model.
-const ON_TIME: f64 = 0.7;
-
 /// Largest number of targets that read one prompt: the engine takes 16 helpers.
 pub const MAX_READERS: usize = 17;
 
 /// Time that a reader waits for the pass of writers beside it, as a part of the pass.
 const PASS_WAIT: f64 = 0.5;
 
-/// Penalty for reading beside the writers of prompts that were read exclusively: their pauses grow, ms.
-const BESIDE_WRITERS_MS: f64 = 300.0;
+/// Reading in one pass that a long prompt is split down to if enough targets are free. It stalls the
+/// writers beside it by less than the shortest pause that counts as late.
+const PART_MS: f64 = 150.0;
+
+/// Fewest readers of a long prompt. Engines read parts ahead of whole prompts, so a prompt without
+/// helpers would wait for all parts that come after it.
+const MIN_READERS: usize = 2;
+
+/// Prompt of a usual short request, tokens.
+const SHORT_TOKENS: u64 = 5_000;
+
+/// Predictions that are this close count as equal, ms.
+const NEAR_MS: f64 = 20.0;
 
 /// Part of an engine's memory that predictions leave free, since answers grow and peers' news is late.
 const KV_RESERVE: f64 = 0.05;
@@ -56,6 +60,27 @@
     pub cold: bool,
     /// How many times longer than predicted it takes.
     pub pace: f64,
+    /// Order among equals that differs from VM to VM, so that those that decide at the same time choose
+    /// different targets.
+    pub spread: u64,
+}
+
+impl Candidate {
+    /// Returns the number of short prompts there.
+    fn shared(&self) -> u16 {
+        self.load.running.saturating_sub(self.load.exclusive)
+    }
+}
+
+/// A target that reads a part of a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Helper {
+    /// The target.
+    pub target: Target,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Memory of the prompt that it holds while the request runs, tokens.
+    pub held_tokens: u64,
 }
 
 /// Where a request runs.
@@ -63,8 +88,8 @@
 pub struct Choice {
     /// The target that answers.
     pub target: Target,
-    /// Targets that read parts of the prompt, with their addresses.
-    pub helpers: SmallVec<[(Target, SocketAddr); 4]>,
+    /// Targets that read parts of the prompt.
+    pub helpers: SmallVec<[Helper; 4]>,
     /// Predicted time to the first event.
     pub predicted: Duration,
     /// Predicted reading at each of the targets, ms.
@@ -78,7 +103,7 @@
 pub struct Placement {
     /// Time within which the first event is on time, counted from now.
     pub objective: Duration,
-    /// Longest pause between events that is on time.
+    /// Shortest of the pauses between events that are on time for the service's routes.
     pub gap: Duration,
 }
 
@@ -119,40 +144,61 @@
         })
     }
 
+    /// Chooses the target with the least reading among those that short prompts fill.
     fn shared(&self, engine: &Engine, tokens: Tokens, candidates: &[Candidate]) -> Option<Choice> {
         let read_ms = engine.read_ms(tokens.prompt);
-        let early_ms = self.objective.as_secs_f64() * 1e3 * EARLY;
-        let mut best: Option<(bool, f64, &Candidate)> = None;
-        let mut first: Option<((bool, bool, u64), f64, &Candidate)> = None;
-        for candidate in candidates.iter().filter(|c| fits(engine, c, tokens)) {
-            let ms = first_event_ms(engine, candidate, read_ms);
-            let key = (candidate.avoided, ms);
-            if best.is_none_or(|(avoided, other, _)| key < (avoided, other)) {
-                best = Some((candidate.avoided, ms, candidate));
-            }
-            let filled = f64::from(candidate.load.running) >= f64::from(candidate.slots) * FILL;
-            let rank = (candidate.cold, !candidate.local, candidate.order);
-            if !candidate.avoided
-                && !filled
-                && candidate.load.exclusive == 0
-                && ms <= early_ms.max(read_ms * 1.5)
-                && first.is_none_or(|(other, ..)| rank < other)
-            {
-                first = Some((rank, ms, candidate));
-            }
-        }
-        let first = first.map(|(_, ms, candidate)| (ms, candidate));
-        let best = best.map(|(_, ms, candidate)| (ms, candidate));
-        let (ms, candidate) = first.or(best)?;
+        let gap_ms = self.gap.as_secs_f64() * 1e3;
+        let mut fitting: SmallVec<[&Candidate; 32]> = candidates
+            .iter()
+            .filter(|candidate| fits(engine, candidate, tokens))
+            .collect();
+        fitting.sort_by_key(|c| (!c.local, c.avoided, c.cold, c.order));
+        let filled = |c: &&Candidate| f64::from(c.shared()) / (f64::from(c.slots) * FILL);
+        let needed = fitting
+            .iter()
+            .filter(|c| c.local)
+            .map(filled)
+            .sum::<f64>()
+            .floor() as usize
+            + 1;
+        let rank = |c: &&&Candidate| {
+            (
+                (first_event_ms(engine, c, read_ms) / NEAR_MS) as u64,
+                c.spread,
+            )
+        };
+        let open = |c: &&&Candidate| {
+            let running = u32::from(c.load.running);
+            let pass = engine.pass_ms(running + 1, u64::from(c.load.kv_tokens));
+            !c.avoided
+                && running < c.slots
+                && c.load.exclusive == 0
+                && pass + f64::from(c.load.read_ms) + read_ms <= gap_ms
+        };
+        let local = fitting.iter().filter(|c| c.local).count();
+        let chosen = fitting[..needed.min(local)]
+            .iter()
+            .filter(open)
+            .min_by_key(rank);
+        let chosen = chosen.or_else(|| fitting[..local].iter().find(open));
+        let chosen = chosen.or_else(|| fitting[local..].iter().filter(open).min_by_key(rank));
+        let chosen =
+            chosen.or_else(|| fitting.iter().min_by_key(|c| (c.avoided, c.cold, rank(c))))?;
         Some(Choice {
-            target: candidate.target,
+            target: chosen.target,
             helpers: SmallVec::new(),
-            predicted: Duration::from_secs_f64(ms / 1e3),
+            predicted: Duration::from_secs_f64(first_event_ms(engine, chosen, read_ms) / 1e3),
             read_ms,
             exclusive: false,
         })
     }
+}
 
+impl Placement {
+    /// Splits the reading of a long prompt over several targets: each part stalls the writers beside it
+    /// for a shorter time, and the first event comes sooner for the same work. Of the possible numbers
+    /// of parts the one is taken that makes the least worth late: that of this prompt, and that of the
+    /// short prompts beside its parts.
     fn exclusive(
         &self,
         engine: &Engine,
@@ -160,58 +206,138 @@
         candidates: &[Candidate],
     ) -> Option<Choice> {
         let read_ms = engine.read_ms(tokens.prompt);
-        let goal_ms = self.objective.as_secs_f64() * 1e3 * ON_TIME;
-        let mut free: SmallVec<[(f64, &Candidate); 32]> = candidates
-            .iter()
-            .map(|candidate| (free_in_ms(engine, candidate), candidate))
-            .collect();
-        free.sort_by(|(a_ms, a), (b_ms, b)| {
-            let key = |ms: &f64, c: &Candidate| (c.avoided, (ms / 50.0) as u64, c.cold, !c.local);
-            let order = key(a_ms, a).cmp(&key(b_ms, b));
-            order.then(b.order.cmp(&a.order))
+        let gap_ms = self.gap.as_secs_f64() * 1e3;
+        let mut free: SmallVec<[&Candidate; 32]> = candidates.iter().collect();
+        free.sort_by_key(|c| {
+            let reading = (f64::from(c.load.read_ms) / NEAR_MS) as u64;
+            (
+                c.avoided,
+                c.cold,
+                c.shared(),
+                reading,
+                std::cmp::Reverse(c.order),
+            )
         });
-        let mut best: Option<(f64, usize, usize)> = None;
-        let mut wait_ms = 0.0_f64;
-        let mut head: Option<usize> = None;
-        for (index, (ms, candidate)) in free.iter().take(MAX_READERS).enumerate() {
-            if candidate.avoided && best.is_some() {
-                break;
-            }
-            wait_ms = wait_ms.max(*ms);
-            if head.is_none() && fits(engine, candidate, tokens) {
-                head = Some(index);
-            }
-            let Some(head) = head else {
+        let sound = free.iter().filter(|c| !c.avoided && !c.cold).count();
+        let wanted = ((read_ms / PART_MS).ceil() as usize).max(MIN_READERS);
+        let most = wanted.min(sound).clamp(1, MAX_READERS).min(free.len());
+        let least = MIN_READERS.min(most);
+        let mut best: Option<(f64, f64, usize, Memory)> = None;
+        for readers in least..=most {
+            let chosen = &free[..readers];
+            let Some(memory) = Memory::new(engine, tokens, chosen) else {
                 continue;
             };
-            let readers = index + 1;
-            let pace = free[..readers]
-                .iter()
-                .map(|(_, c)| c.pace)
-                .fold(1.0, f64::max);
-            let total = wait_ms + read_ms * pace / readers as f64;
-            if best.is_none_or(|(other, ..)| total < other) {
-                best = Some((total, readers, head));
-            }
-            if total <= goal_ms {
-                break;
+            let part = read_ms / readers as f64;
+            let last = chosen.iter().map(|c| first_event_ms(engine, c, part));
+            let last = last.fold(0.0, f64::max);
+            let stalled = chosen.iter().filter(|c| {
+                let pass = engine.pass_ms(u32::from(c.load.running), u64::from(c.load.kv_tokens));
+                pass + f64::from(c.load.read_ms) + part > gap_ms
+            });
+            let stalled: f64 = stalled.map(|c| f64::from(c.shared())).sum();
+            let late = late_part(last, self.objective.as_secs_f64() * 1e3);
+            let cost = late * worth(tokens.prompt) + stalled * worth(SHORT_TOKENS);
+            if best
+                .as_ref()
+                .is_none_or(|(other, ms, ..)| (cost, last) < (*other, *ms))
+            {
+                best = Some((cost, last, readers, memory));
             }
         }
-        let (total, readers, head) = best?;
+        let (_, ms, readers, memory) = match best {
+            Some(best) => best,
+            // Few targets are free, and their memory does not take the prompt.
+            None => {
+                let readers = free.len().min(MAX_READERS);
+                let memory = Memory::new(engine, tokens, &free[..readers])?;
+                let part = read_ms / readers as f64;
+                let chosen = free[..readers]
+                    .iter()
+                    .map(|c| first_event_ms(engine, c, part));
+                (0.0, chosen.fold(0.0, f64::max), readers, memory)
+            }
+        };
         let helpers = free[..readers].iter().enumerate();
-        let helpers = helpers
-            .filter(|(index, _)| *index != head)
-            .map(|(_, (_, candidate))| (candidate.target, candidate.address));
+        let helpers = helpers.filter(|(index, _)| *index != memory.head);
+        let helper = |(index, c): (usize, &&Candidate)| {
+            let held = memory.held.iter().find(|(holder, _)| *holder == index);
+            Helper {
+                target: c.target,
+                address: c.address,
+                held_tokens: held.map_or(0, |(_, tokens)| *tokens),
+            }
+        };
         Some(Choice {
-            target: free[head].1.target,
-            helpers: helpers.collect(),
-            predicted: Duration::from_secs_f64(total / 1e3),
+            target: free[memory.head].target,
+            helpers: helpers.map(helper).collect(),
+            predicted: Duration::from_secs_f64(ms / 1e3),
             read_ms: read_ms / readers as f64,
             exclusive: true,
         })
     }
 }
 
+/// Where the memory of a prompt and its answer is.
+#[derive(Debug)]
+struct Memory {
+    /// Index of the target that answers and holds all that no other does.
+    head: usize,
+    /// Indexes of targets that hold a part, with its tokens.
+    held: SmallVec<[(usize, u64); 2]>,
+}
+
+impl Memory {
+    /// Places the memory on as few targets as possible; none if it does not fit.
+    fn new(engine: &Engine, tokens: Tokens, chosen: &[&Candidate]) -> Option<Self> {
+        let room = |c: &Candidate| {
+            let limit = (engine.kv_tokens as f64 * (1.0 - KV_RESERVE)) as u64;
+            limit.saturating_sub(u64::from(c.load.kv_tokens))
+        };
+        let needed = tokens.prompt + tokens.answer;
+        let fitting = chosen.iter().enumerate().filter(|(_, c)| room(c) >= needed);
+        if let Some((head, _)) = fitting.min_by_key(|(_, c)| (c.load.running, c.order)) {
+            let held = SmallVec::new();
+            return Some(Self { head, held });
+        }
+        let mut rooms: SmallVec<[(u64, usize); 32]> = chosen
+            .iter()
+            .enumerate()
+            .map(|(index, c)| (room(c), index))
+            .collect();
+        rooms.sort_unstable_by(|a, b| b.cmp(a));
+        let (first, head) = *rooms.first()?;
+        // The answer grows at the target that writes it.
+        let mut left = tokens
+            .prompt
+            .checked_sub(first.checked_sub(tokens.answer)?)?;
+        let mut held = SmallVec::new();
+        for (room, index) in rooms.into_iter().skip(1) {
+            if left == 0 {
+                break;
+            }
+            let part = left.min(room);
+            held.push((index, part));
+            left -= part;
+        }
+        (left == 0).then_some(Self { head, held })
+    }
+}
+
+/// Returns the worth of a generation in relation to others. It grows with the prompt; the constant keeps
+/// short ones from counting for nothing.
+fn worth(prompt_tokens: u64) -> f64 {
+    5_000.0 + prompt_tokens as f64
+}
+
+/// Returns the probability that a first event comes late. Predictions are off by a third either way.
+fn late_part(predicted_ms: f64, objective_ms: f64) -> f64 {
+    const EARLY: f64 = 0.6;
+    const LATE: f64 = 1.1;
+    let part = predicted_ms / objective_ms.max(1.0);
+    ((part - EARLY) / (LATE - EARLY)).clamp(0.0, 1.0)
+}
+
 /// Returns whether the memory of a target takes a prompt and its answer.
 fn fits(engine: &Engine, candidate: &Candidate, tokens: Tokens) -> bool {
     let limit = engine.kv_tokens as f64 * (1.0 - KV_RESERVE);
@@ -231,19 +357,3 @@
     let queue = f64::from(queued) * pass * PASSES_OF_ANSWER / f64::from(engine.slots.max(1));
     (wait + queue + f64::from(load.read_ms) + read_ms) * candidate.pace
 }
-
-/// Predicts when a target can start to read a prompt that needs it alone, ms.
-fn free_in_ms(engine: &Engine, candidate: &Candidate) -> f64 {
-    let load = candidate.load;
-    let shared = load.running - load.exclusive.min(load.running);
-    let mut ms = f64::from(load.read_ms);
-    if shared > 0 {
-        // All answers here would be late, so a target with short prompts counts as taken until they end.
-        const PASSES_OF_ANSWER: f64 = 40.0;
-        let pass = engine.pass_ms(u32::from(load.running), u64::from(load.kv_tokens));
-        ms += pass * PASSES_OF_ANSWER * f64::from(shared).sqrt();
-    } else if load.exclusive > 0 && load.read_ms == 0 {
-        ms += BESIDE_WRITERS_MS;
-    }
-    ms
-}
--- a/core/src/fleet/reducer.rs
+++ b/core/src/fleet/reducer.rs
@@ -17,11 +17,11 @@
 use crate::time::Instant;
 
 /// Shortest interval between messages to peers about short requests.
-const SHARE_INTERVAL: Duration = Duration::from_millis(100);
+const SHARE_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Added to the interval for each peer, so that the messages of all VMs grow less than their number
 /// squared.
-const SHARE_PER_PEER: Duration = Duration::from_millis(20);
+const SHARE_PER_PEER: Duration = Duration::from_millis(5);
 
 /// Longest time without a message to peers while there is work: a lost datagram is made up for.
 const SHARE_REPEAT: Duration = Duration::from_secs(2);
@@ -63,6 +63,8 @@
 /// Settings of the decisions.
 #[derive(Debug, Clone)]
 pub struct Settings {
+    /// Name of this VM.
+    pub vm: Arc<str>,
     /// Availability zone of this VM.
     pub zone: Arc<str>,
     /// Repeats allowed for each request to a service, over all VMs.
@@ -116,6 +118,8 @@
     /// Whether an earlier attempt may have run.
     may_have_run: bool,
     running: Option<Running>,
+    /// Whether it was placed on targets without short prompts.
+    exclusive: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -146,12 +150,15 @@
     share_due: bool,
     faded_at: Instant,
     counters: Counters,
+    /// Differs from VM to VM.
+    spread: u64,
 }
 
 impl Reducer {
     /// Creates the decisions of a VM that knows nothing yet.
     pub fn new(settings: Settings) -> Self {
         Self {
+            spread: xxhash_rust::xxh3::xxh3_64(settings.vm.as_bytes()),
             settings,
             revision: 0,
             config: None,
@@ -358,6 +365,7 @@
             tried: SmallVec::new(),
             may_have_run: false,
             running: None,
+            exclusive: false,
             request,
         })
     }
@@ -397,6 +405,7 @@
                 avoided: health.avoided(now),
                 cold,
                 pace: health.pace(),
+                spread: record.order ^ self.spread,
             });
         }
         candidates
@@ -413,10 +422,12 @@
             return;
         }
         let candidates = self.candidates(now, &pending);
-        let waited = now.since(pending.arrived);
         let placement = Placement {
-            objective: pending.route.objective.saturating_sub(waited),
-            gap: pending.route.gap.unwrap_or(DEFAULT_GAP),
+            objective: pending
+                .route
+                .objective
+                .saturating_sub(now.since(pending.arrived)),
+            gap: pending.service.gap.unwrap_or(DEFAULT_GAP),
         };
         let tokens = pending.request.tokens.unwrap_or(DEFAULT_TOKENS);
         let choice = match &pending.service.engine {
@@ -431,6 +442,10 @@
                 let excess = choice.predicted.saturating_sub(left.mul_f64(IN_TIME));
                 self.refuse(id, Reason::Busy, Some(excess), effects);
             }
+            // Targets are there, but their memory does not take the prompt.
+            None if !candidates.is_empty() => {
+                self.refuse(id, Reason::Busy, Some(NO_TARGET_RETRY), effects);
+            }
             None if self.in_line(now, &pending) => {
                 if !self.line.contains(&id) {
                     self.line.push_back(id);
@@ -481,6 +496,7 @@
             return;
         };
         let (order, name) = (record.order, Arc::clone(&record.announcement.name));
+        let before = self.tally.load(order, now);
         let (address, cold) = (record.announcement.address, now < record.cold_until);
         let Some(pending) = self.pending.get_mut(&id) else {
             return;
@@ -493,14 +509,25 @@
             read_ms: choice.read_ms as u32,
             kv_tokens: engine.map_or(0, |_| (tokens.prompt + tokens.answer) as u32),
         };
-        self.tally.add(order, id, Piece { load, read_at });
-        for (helper, _) in &choice.helpers {
-            if let Some(record) = self.directory.record(*helper) {
+        let piece = |load, helps| Piece {
+            load,
+            helps,
+            read_at,
+        };
+        let held: u64 = choice.helpers.iter().map(|helper| helper.held_tokens).sum();
+        let own = Load {
+            kv_tokens: load.kv_tokens.saturating_sub(held as u32),
+            ..load
+        };
+        self.tally.add(order, id, piece(own, false));
+        for helper in &choice.helpers {
+            if let Some(record) = self.directory.record(helper.target) {
                 let load = Load {
-                    kv_tokens: 0,
+                    kv_tokens: helper.held_tokens as u32,
                     ..load
                 };
-                self.tally.add(record.order, id, Piece { load, read_at });
+                self.tally
+                    .add(record.order, id, piece(load, helper.held_tokens == 0));
             }
         }
         if cold {
@@ -508,6 +535,7 @@
             let budget = budget.or_insert_with(|| Budget::new(Duration::from_secs(1)));
             budget.add(now);
         }
+        pending.exclusive = choice.exclusive;
         pending.attempts += 1;
         pending.tried.push(choice.target);
         pending.running = Some(Running {
@@ -532,13 +560,22 @@
                 target: choice.target,
                 name,
                 address,
-                helpers: choice.helpers.iter().map(|(_, address)| *address).collect(),
+                load: before,
+                helpers: choice.helpers.clone(),
                 organisation: pending.organisation.as_ref().map(|o| Arc::clone(&o.name)),
                 priority: rank.unwrap_or(pending.route.priority).min(9),
+                reservation: format!(
+                    "{}-{}-{}",
+                    self.settings.vm, pending.request.name, pending.attempts
+                )
+                .into(),
                 attempt: pending.attempts,
                 time_left: pending.deadline.since(now),
                 predicted: choice.predicted,
+                silence: silence(&pending.route),
                 repeat: pending.route.repeat,
+                repeatable: pending.route.repeat != Repeat::Once
+                    && pending.attempts < pending.route.max_attempts,
                 stream: pending.route.stream,
                 route: Arc::clone(&pending.route.name),
             }),
@@ -562,6 +599,10 @@
             health.first_event(taken, running.predicted);
             self.tally.read(id, now);
             self.share_due = true;
+            if pending.exclusive {
+                // Peers must see at once that the targets that helped are free.
+                self.shared_at = Instant::default();
+            }
         }
     }
 
@@ -695,6 +736,15 @@
     }
 }
 
+/// Returns how long a target may be silent. Callers leave after a gap of two seconds, four times the
+/// objective or eight times the longest pause, whichever is longest; another target needs the rest.
+fn silence(route: &Route) -> Duration {
+    const SHORTEST: Duration = Duration::from_secs(2);
+    const PART: f64 = 0.6;
+    let gap = route.gap.unwrap_or_default();
+    SHORTEST.max(route.objective * 4).max(gap * 8).mul_f64(PART)
+}
+
 /// Chooses a service by the weights of a route; one request always gets the same.
 fn choose_service<'r>(route: &'r Route, request: &str) -> Option<&'r Arc<str>> {
     let total: u64 = route
--- a/core/src/fleet/tally.rs
+++ b/core/src/fleet/tally.rs
@@ -55,6 +55,8 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Piece {
     pub(super) load: Load,
+    /// Whether the target only reads a part of the prompt.
+    pub(super) helps: bool,
     /// When its prompt is read, as predicted.
     pub(super) read_at: Instant,
 }
@@ -72,12 +74,15 @@
         self.own.entry(target).or_default().push((request, piece));
     }
 
-    /// Marks the prompt of a request as read.
+    /// Marks the prompt of a request as read: the targets that helped have nothing more to do with it.
     pub(super) fn read(&mut self, request: super::Id, now: Instant) {
-        let pieces = self.own.values_mut().flatten();
-        for (_, piece) in pieces.filter(|(id, _)| *id == request) {
-            piece.read_at = piece.read_at.min(now);
-        }
+        self.own.retain(|_, pieces| {
+            pieces.retain(|(id, piece)| *id != request || !piece.helps);
+            for (_, piece) in pieces.iter_mut().filter(|(id, _)| *id == request) {
+                piece.read_at = piece.read_at.min(now);
+            }
+            !pieces.is_empty()
+        });
     }
 
     /// Removes the work of a request.
--- a/gateway/src/core/server.rs
+++ b/gateway/src/core/server.rs
@@ -7,7 +7,7 @@
 
 use eyre::WrapErr;
 use primrosepin_control::replica::{self, Replica};
-use primrosepin_process::Shutdown;
+use primrosepin_process::{Hangup, Shutdown};
 use primrosepin_telemetry::metrics::Metrics;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
@@ -32,6 +32,7 @@
 /// Runs a control process until it is told to stop.
 pub async fn run(settings: Core, protocol: Arc<dyn Protocol>) -> eyre::Result<()> {
     let shutdown = Shutdown::new()?;
+    let mut hangup = Hangup::new()?;
     let common = settings.common.clone();
     let own = common.address();
     let links = net::listen(own).wrap_err_with(|| format!("cannot listen on {own}"))?;
@@ -87,6 +88,13 @@
     actix_rt::spawn(accept_calls(context, callers));
     actix_rt::spawn(flush(Rc::clone(&hub)));
     actix_rt::spawn(spread(Rc::clone(&hub)));
+    actix_rt::spawn(async move {
+        loop {
+            hangup.wait().await;
+            // A replica finds the others by its log; the seeds matter only to one that starts.
+            log::info!("settings may have changed; a running replica needs none of them");
+        }
+    });
     shutdown.wait().await;
     log::info!(vm = &*common.vm; "control stops");
     replica.stop();
--- a/gateway/src/front/attempt.rs
+++ b/gateway/src/front/attempt.rs
@@ -9,6 +9,7 @@
 
 use super::delivery::{Delivery, split_events};
 use super::node::Node;
+use super::reservation::Reservation;
 use crate::http::{Body, Connection, Request, Response};
 use crate::net;
 use crate::protocol::Verdict;
@@ -17,19 +18,9 @@
 /// second, and another target is tried sooner.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Silence before the first byte that is too long, beyond a multiple of the prediction.
-const FIRST_BYTE: Duration = Duration::from_millis(1_200);
-
-/// Multiple of the predicted time to the first event that is too long.
-const FIRST_BYTE_FACTOR: u32 = 3;
-
 /// Part of the time left that a request to a plain service may be silent before another target is tried.
 const PLAIN_SILENCE: f64 = 0.4;
 
-/// Silence within a stream after which it is resumed elsewhere. Preemption by the engine causes pauses of
-/// up to a second or so, and callers leave after two.
-const EVENT_SILENCE: Duration = Duration::from_millis(1_700);
-
 /// Longest whole answer that is held, bytes.
 const MAX_ANSWER: usize = 16 * 1024 * 1024;
 
@@ -70,6 +61,23 @@
         let broken = |delivery: &Delivery| Outcome::Broken {
             delivered: delivery.begun,
         };
+        let holds = self
+            .dispatch
+            .helpers
+            .iter()
+            .any(|helper| helper.held_tokens > 0);
+        let _reservation = if holds {
+            let held = tokio::select! {
+                held = Reservation::new(self.node, self.dispatch) => held,
+                () = caller.closed() => return Outcome::Abandoned,
+            };
+            let Some(held) = held else {
+                return Outcome::Full;
+            };
+            Some(held)
+        } else {
+            None
+        };
         // The target may close a connection that waits just when a request is sent. Whether it ran is not
         // known then, so a request that must not be repeated gets a connection of its own.
         let mut kept = match self.dispatch.repeat {
@@ -141,9 +149,9 @@
     /// Returns how long the target may be silent before its answer begins; none if the request must not
     /// be sent elsewhere anyway.
     fn first_byte_limit(&self) -> Option<Duration> {
-        match (self.dispatch.repeat, self.dispatch.stream) {
-            (Repeat::Once, _) => None,
-            (_, true) => Some(FIRST_BYTE + self.dispatch.predicted * FIRST_BYTE_FACTOR),
+        match (self.dispatch.repeatable, self.dispatch.stream) {
+            (false, _) => None,
+            (_, true) => Some(self.dispatch.silence + self.dispatch.predicted),
             (_, false) => Some(self.dispatch.time_left.mul_f64(PLAIN_SILENCE)),
         }
     }
@@ -275,7 +283,7 @@
                 return self.end(target, head, &decoded, caller, delivery).await;
             }
             let limit = if started {
-                EVENT_SILENCE
+                self.dispatch.silence
             } else {
                 self.first_byte_limit().unwrap_or(self.dispatch.time_left)
             };
--- a/gateway/src/front/caller.rs
+++ b/gateway/src/front/caller.rs
@@ -117,7 +117,8 @@
     let arrived = Instant::now();
     let request = admission.request;
     let name = Arc::clone(&request.name);
-    let class = Class::new(request.tokens.map(|tokens| tokens.prompt));
+    let prompt = request.tokens.map(|tokens| tokens.prompt);
+    let (class, prompt_tokens) = (Class::new(prompt), prompt.unwrap_or(0));
     let patience = request.patience;
     let mut delivery = Delivery::new(Arc::clone(&node.protocol), close, admission.resumed_after);
     let mut registration = node.register();
@@ -145,6 +146,8 @@
         log::info!(
             request = &*name, target = &*dispatch.name, route = &*dispatch.route,
             attempt = dispatch.attempt, helpers = dispatch.helpers.len(),
+            prompt_tokens = prompt_tokens, at_target = dispatch.load.running,
+            exclusive = dispatch.load.exclusive, read_ms = dispatch.load.read_ms,
             predicted_ms = dispatch.predicted.as_millis() as u64,
             left_ms = dispatch.time_left.as_millis() as u64,
             revision = node.revision(), config_age_ms = node.config_age_ms();
@@ -190,11 +193,15 @@
             .first_event
             .record(seconds, &[label("class", class.name())]);
     }
+    let first_ms = delivery
+        .first_at
+        .map_or(0, |at| at.duration_since(arrived).as_millis() as u64);
     let seconds = arrived.elapsed().as_secs_f64();
     let organisation: Vec<Label> = organisation.into_iter().collect();
     node.meters.answer.record(seconds, &organisation);
     log::info!(
         request = &*name, class = class.name(), status = delivery.status,
+        first_ms = first_ms, longest_pause_ms = delivery.longest_pause.as_millis() as u64,
         took_ms = arrived.elapsed().as_millis() as u64,
         patience_ms = patience.map_or(0, |patience| patience.as_millis() as u64);
         "request ended: {outcome}"
--- a/gateway/src/front/delivery.rs
+++ b/gateway/src/front/delivery.rs
@@ -1,7 +1,7 @@
 //! The answer to one request, on its way to the caller.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use memchr::memmem;
@@ -20,6 +20,10 @@
     pub(super) last_event: Option<Arc<str>>,
     /// When the first event was sent.
     pub(super) first_at: Option<Instant>,
+    /// When the last events were sent.
+    last_at: Option<Instant>,
+    /// Longest pause between events.
+    pub(super) longest_pause: Duration,
     /// Status that was sent.
     pub(super) status: u16,
     /// Failure that a target answered, in case no other target serves the request.
@@ -38,6 +42,8 @@
             begun: false,
             last_event: resumed_after,
             first_at: None,
+            last_at: None,
+            longest_pause: Duration::ZERO,
             status: 0,
             failure: None,
         }
@@ -90,6 +96,10 @@
             self.first_at = Some(Instant::now());
             out = self.head(head, "Transfer-Encoding: chunked");
         }
+        let now = Instant::now();
+        if let Some(last) = self.last_at.replace(now) {
+            self.longest_pause = self.longest_pause.max(now - last);
+        }
         out.extend_from_slice(format!("{:x}\r\n", events.len()).as_bytes());
         out.extend_from_slice(events);
         out.extend_from_slice(b"\r\n");
--- a/gateway/src/front/mod.rs
+++ b/gateway/src/front/mod.rs
@@ -10,6 +10,7 @@
 mod delivery;
 mod node;
 mod pool;
+mod reservation;
 mod server;
 mod uplink;
 
--- a/gateway/src/front/node.rs
+++ b/gateway/src/front/node.rs
@@ -54,6 +54,8 @@
     pub(super) pool: RefCell<Pool>,
     pub(super) phase: watch::Sender<Phase>,
     pub(super) links: RefCell<HashMap<IpAddr, Link>>,
+    /// Control VMs that the settings name.
+    pub(super) seeds: RefCell<Vec<IpAddr>>,
     reducer: RefCell<Reducer>,
     requests: RefCell<HashMap<Id, mpsc::UnboundedSender<Order>>>,
     next: Cell<u64>,
@@ -94,6 +96,7 @@
     ) -> Self {
         Self {
             reducer: RefCell::new(Reducer::new(settings.decisions.clone())),
+            seeds: RefCell::new(settings.common.seeds.clone()),
             settings,
             protocol,
             meters: metrics::Front::new(&metrics),
--- a/gateway/src/front/pool.rs
+++ b/gateway/src/front/pool.rs
@@ -32,7 +32,7 @@
     pub(super) fn take(&mut self, target: &str) -> Option<Connection> {
         let waiting = self.waiting.get_mut(target)?;
         let now = Instant::now();
-        while let Some(last) = waiting.pop() {
+        while let Some(mut last) = waiting.pop() {
             if now < last.until && last.connection.is_idle() {
                 return Some(last.connection);
             }
--- a/gateway/src/front/server.rs
+++ b/gateway/src/front/server.rs
@@ -6,16 +6,16 @@
 
 use eyre::WrapErr;
 use primrosepin_core::fleet::Event;
-use primrosepin_process::Shutdown;
+use primrosepin_process::{Hangup, Shutdown};
 use primrosepin_telemetry::metrics::Metrics;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::time::{Instant, interval, sleep};
+use tokio::time::{Instant, interval, sleep, timeout};
 
 use super::node::{Node, Phase};
 use super::{caller, uplink};
 use crate::http::{self, Connection};
 use crate::protocol::Protocol;
-use crate::settings::Front;
+use crate::settings::{Front, Source};
 use crate::{metrics, net};
 
 /// Interval of the reducer's ticks.
@@ -32,8 +32,12 @@
 const READY_HEAD: (usize, Duration) = (8 * 1024, Duration::from_secs(3));
 
 /// Runs an entry process until it is told to stop and its requests have ended.
-pub async fn run(settings: Front, protocol: Arc<dyn Protocol>) -> eyre::Result<()> {
+pub async fn run<S>(settings: Front, source: S, protocol: Arc<dyn Protocol>) -> eyre::Result<()>
+where
+    S: Source,
+{
     let shutdown = Shutdown::new()?;
+    let hangup = Hangup::new()?;
     let common = settings.common.clone();
     let callers = net::listen(settings.callers)
         .wrap_err_with(|| format!("cannot listen on {}", settings.callers))?;
@@ -56,6 +60,7 @@
     let sharing = Rc::clone(&node);
     actix_rt::spawn(async move { sharing.receive_shares().await });
     actix_rt::spawn(tick(Rc::clone(&node)));
+    actix_rt::spawn(reload(Rc::clone(&node), source, hangup));
     actix_rt::spawn(answer_ready(Rc::clone(&node), ready));
     actix_rt::spawn(accept(Rc::clone(&node), callers));
     shutdown.wait().await;
@@ -73,6 +78,30 @@
     }
 }
 
+/// Reads the settings again at each signal, and from time to time, since they may change without one.
+async fn reload<S>(node: Rc<Node>, source: S, mut hangup: Hangup)
+where
+    S: Source,
+{
+    loop {
+        /// Interval without a signal. New seeds matter only once control VMs that are known are lost.
+        const INTERVAL: Duration = Duration::from_secs(3);
+        let signalled = timeout(INTERVAL, hangup.wait()).await.is_ok();
+        match source.seeds() {
+            Ok(seeds) => {
+                let known = node.seeds.replace(seeds);
+                if signalled || known != *node.seeds.borrow() {
+                    log::info!(
+                        signalled = signalled, seeds = format!("{:?}", node.seeds.borrow());
+                        "settings read again"
+                    );
+                }
+            }
+            Err(error) => log::warn!("settings cannot be read again: {error:#}"),
+        }
+    }
+}
+
 async fn accept(node: Rc<Node>, listener: TcpListener) {
     loop {
         match listener.accept().await {
--- a/gateway/src/front/uplink.rs
+++ b/gateway/src/front/uplink.rs
@@ -52,9 +52,7 @@
     let named = links
         .values()
         .flat_map(|link| link.cores.iter().map(SocketAddr::ip));
-    named
-        .chain(node.settings.common.seeds.iter().copied())
-        .collect()
+    named.chain(node.seeds.borrow().iter().copied()).collect()
 }
 
 /// Connects to a control VM and runs the link to its end.
--- a/gateway/src/http.rs
+++ b/gateway/src/http.rs
@@ -347,11 +347,12 @@
         }
     }
 
-    /// Returns whether a connection that waits is sound: no bytes have arrived and it is open.
-    pub fn is_idle(&self) -> bool {
-        let mut byte = [0];
+    /// Returns whether a connection that waits is sound: no bytes have arrived and it is open. Bytes that
+    /// have arrived are kept for later.
+    pub fn is_idle(&mut self) -> bool {
+        let would_block = |error: &io::Error| error.kind() == io::ErrorKind::WouldBlock;
         self.input.is_empty()
-            && matches!(self.stream.try_read(&mut byte), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+            && matches!(self.stream.try_read_buf(&mut self.input), Err(error) if would_block(&error))
     }
 
     /// Reads the head of a request; none if the connection ended before it.
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use socket2::{Domain, Protocol, SockRef, Socket, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::timeout;
 
@@ -15,6 +15,9 @@
 /// milliseconds; a VM that is cut off never does.
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Pause after which the peer is probed, and between probes; a peer that answers none is gone.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+
 /// Listens on an address.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(
@@ -45,9 +48,14 @@
 /// Sets the options that all connections need.
 pub fn prepare(stream: &TcpStream) {
     let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE)
+        .with_retries(2);
     let set = socket
         .set_tcp_nodelay(true)
-        .and_then(|()| socket.set_tcp_user_timeout(Some(USER_TIMEOUT)));
+        .and_then(|()| socket.set_tcp_user_timeout(Some(USER_TIMEOUT)))
+        .and_then(|()| socket.set_tcp_keepalive(&keepalive));
     if let Err(error) = set {
         log::warn!("cannot set options of a connection: {error}");
     }
--- a/gateway/src/protocol.rs
+++ b/gateway/src/protocol.rs
@@ -64,6 +64,15 @@
     },
 }
 
+/// An order to a target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Order {
+    /// Path.
+    pub path: &'static str,
+    /// JSON body.
+    pub body: Vec<u8>,
+}
+
 /// What callers, targets and operators speak. An implementation only translates.
 pub trait Protocol: Send + Sync + 'static {
     /// Reads a caller's request. An error is answered with 400.
@@ -78,6 +87,12 @@
         out: &mut Vec<u8>,
     );
 
+    /// Returns the order that holds memory of a target, or renews its lease. It is done if the answer is 200.
+    fn reserve(&self, name: &str, tokens: u64, lease: Duration) -> Order;
+
+    /// Returns the order that gives memory back.
+    fn release(&self, name: &str) -> Order;
+
     /// Judges a target's answer to the request with this name.
     fn judge(&self, head: &http::Response, name: &str) -> Verdict;
 
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -7,6 +7,12 @@
 
 use primrosepin_core::fleet;
 
+/// Where settings come from, so that they can be read again.
+pub trait Source: 'static {
+    /// Returns the control VMs by which others are found, as the settings name them now.
+    fn seeds(&self) -> eyre::Result<Vec<IpAddr>>;
+}
+
 /// Settings that both processes need.
 #[derive(Debug, Clone)]
 pub struct Common {
--- a/process/src/lib.rs
+++ b/process/src/lib.rs
@@ -31,6 +31,22 @@
     }
 }
 
+/// The signal that says that the settings file has changed.
+#[derive(Debug)]
+pub struct Hangup(Signal);
+
+impl Hangup {
+    /// Takes over SIGHUP, which else ends the process. Must run inside a `tokio` or `actix-rt` runtime.
+    pub fn new() -> eyre::Result<Self> {
+        Ok(Self(signal(SignalKind::hangup())?))
+    }
+
+    /// Waits for the next signal.
+    pub async fn wait(&mut self) {
+        self.0.recv().await;
+    }
+}
+
 /// Returns the time since the VM started. It goes on while the VM is suspended and is never set, so it
 /// suits leases and ages.
 pub fn now() -> Instant {
