Read long prompts one at a time on idle targets, most urgent first

Cause: an engine that gets a part of another prompt finishes both later than first in, first out would say, so predictions were off by seconds and long prompts piled up on each other. Change: a long prompt is placed only on targets that read no other one; entry VMs tell each other how long their most urgent prompt in line can wait and leave idle targets to it; medium prompts keep to a lane.

--- a/core/src/fleet/effect.rs
+++ b/core/src/fleet/effect.rs
@@ -85,6 +85,8 @@
     pub sequence: u64,
     /// Targets by name hash with the work there. A target that is not listed has none.
     pub loads: Vec<(u64, Load)>,
+    /// How long the most urgent long prompt in line can wait and be on time, ms; none without any.
+    pub urgent_ms: Option<u32>,
 }
 
 /// An effect.
--- a/core/src/fleet/placement.rs
+++ b/core/src/fleet/placement.rs
@@ -16,6 +16,23 @@
 /// takes what peers send before this VM hears of it.
 const FILL: f64 = 0.75;
 
+/// Part of the objective within which a long prompt is to start, so that errors of the prediction do not
+/// make it late.
+const ON_TIME: f64 = 0.65;
+
+/// Part of the sound targets that usually read a long prompt.
+const USUAL_READERS: f64 = 0.6;
+
+/// Mean reading that waits at the targets above which the fleet is busy, ms.
+const BUSY_MS: f64 = 250.0;
+
+/// Worth of a late answer in relation to one on time, together with what its refusal would cost.
+const LATE_WORTH: f64 = 0.5;
+
+/// Worth for a ms of reading below which a busy fleet refuses a prompt. A prompt of 180,000 tokens has
+/// 48 on time, one of 640,000 has 17.
+const LEAST_WORTH_PER_MS: f64 = 18.0;
+
 /// Largest number of targets that read one prompt: the engine takes 16 helpers.
 pub const MAX_READERS: usize = 17;
 
@@ -33,6 +50,21 @@
 /// Prompt of a usual short request, tokens.
 const SHORT_TOKENS: u64 = 5_000;
 
+/// Prompt of a usual request of medium length, tokens.
+const MEDIUM_TOKENS: u64 = 45_000;
+
+/// Reading on one engine above which a prompt leaves some targets to shorter ones, ms.
+const LONG_MS: f64 = 1_000.0;
+
+/// Reading that waits at a target up to which it counts as idle, ms.
+const IDLE_MS: f64 = 100.0;
+
+/// Reading that waits in the lane for medium prompts up to which they keep to it, ms.
+const LANE_MS: f64 = 500.0;
+
+/// One of so many targets without short prompts is kept for prompts of medium length.
+const LANE_PART: usize = 5;
+
 /// Predictions that are this close count as equal, ms.
 const NEAR_MS: f64 = 20.0;
 
@@ -66,6 +98,11 @@
 }
 
 impl Candidate {
+    /// Returns whether it is sound and has no short prompts.
+    fn apart(&self) -> bool {
+        !self.avoided && !self.cold && self.shared() == 0
+    }
+
     /// Returns the number of short prompts there.
     fn shared(&self) -> u16 {
         self.load.running.saturating_sub(self.load.exclusive)
@@ -96,6 +133,10 @@
     pub read_ms: f64,
     /// Whether the prompt needs targets without other work.
     pub exclusive: bool,
+    /// Worth that the placement is expected to make late, in relation to that of the request.
+    pub cost: f64,
+    /// Whether none of the targets reads another long prompt.
+    pub idle: bool,
 }
 
 /// Limits for one request.
@@ -122,6 +163,30 @@
         }
     }
 
+    /// Returns how long a long prompt may still wait for better targets and be on time.
+    pub fn slack(&self, engine: &Engine, tokens: Tokens, candidates: &[Candidate]) -> Duration {
+        let sound = candidates.iter().filter(|c| !c.avoided && !c.cold).count();
+        let readers = (sound as f64 * USUAL_READERS).clamp(1.0, MAX_READERS as f64);
+        let least_ms = engine.read_ms(tokens.prompt) / readers;
+        self.objective
+            .mul_f64(ON_TIME)
+            .saturating_sub(Duration::from_secs_f64(least_ms / 1e3))
+    }
+
+    /// Returns whether a prompt is worth its reading. While targets have work that waits, one that takes
+    /// many times the reading of others for its worth makes more of them late than it is worth.
+    pub fn pays(
+        engine: &Engine,
+        tokens: Tokens,
+        choice: &Choice,
+        candidates: &[Candidate],
+    ) -> bool {
+        let waiting: f64 = candidates.iter().map(|c| f64::from(c.load.read_ms)).sum();
+        let busy = waiting / candidates.len().max(1) as f64 > BUSY_MS;
+        let late = if choice.cost >= 0.5 { LATE_WORTH } else { 1.0 };
+        !busy || worth(tokens.prompt) * late / engine.read_ms(tokens.prompt) >= LEAST_WORTH_PER_MS
+    }
+
     /// Chooses a target for a request to a plain service.
     pub fn plain(candidates: &[Candidate]) -> Option<Choice> {
         let best = candidates.iter().min_by_key(|candidate| {
@@ -141,6 +206,8 @@
             predicted: Duration::ZERO,
             read_ms: 0.0,
             exclusive: false,
+            cost: 0.0,
+            idle: true,
         })
     }
 
@@ -190,6 +257,8 @@
             predicted: Duration::from_secs_f64(first_event_ms(engine, chosen, read_ms) / 1e3),
             read_ms,
             exclusive: false,
+            cost: 0.0,
+            idle: true,
         })
     }
 }
@@ -208,15 +277,34 @@
         let read_ms = engine.read_ms(tokens.prompt);
         let gap_ms = self.gap.as_secs_f64() * 1e3;
         let mut free: SmallVec<[&Candidate; 32]> = candidates.iter().collect();
+        let long = read_ms > LONG_MS;
+        let lane = lane_end(&free);
+        if long && let Some(end) = lane {
+            free.retain(|c| !(c.apart() && c.order <= end));
+        }
+        // An engine that gets a part of another prompt meanwhile reads both later.
+        let reads = |c: &Candidate| c.load.reading > 0 || f64::from(c.load.read_ms) > IDLE_MS;
+        let idle = !long || free.iter().any(|c| !c.avoided && !reads(c));
+        if long && idle {
+            free.retain(|c| !reads(c));
+        } else if let Some(end) = lane
+            && !long
+            && free
+                .iter()
+                .any(|c| c.apart() && c.order <= end && f64::from(c.load.read_ms) < LANE_MS)
+        {
+            free.retain(|c| c.apart() && c.order <= end);
+        }
+        // Writers of medium length stay within their lane, where no long parts stall them.
+        let head = |c: &Candidate| {
+            let outside = lane.is_some_and(|end| c.order > end);
+            (!long && outside, c.load.running, c.order)
+        };
         free.sort_by_key(|c| {
             let reading = (f64::from(c.load.read_ms) / NEAR_MS) as u64;
-            (
-                c.avoided,
-                c.cold,
-                c.shared(),
-                reading,
-                std::cmp::Reverse(c.order),
-            )
+            // Prompts of medium length take the targets that longer ones leave to them first.
+            let order = if long { u64::MAX - c.order } else { c.order };
+            (c.avoided, c.cold, c.shared(), reading, order)
         });
         let sound = free.iter().filter(|c| !c.avoided && !c.cold).count();
         let wanted = ((read_ms / PART_MS).ceil() as usize).max(MIN_READERS);
@@ -225,19 +313,18 @@
         let mut best: Option<(f64, f64, usize, Memory)> = None;
         for readers in least..=most {
             let chosen = &free[..readers];
-            let Some(memory) = Memory::new(engine, tokens, chosen) else {
+            let Some(memory) = Memory::new(engine, tokens, chosen, head) else {
                 continue;
             };
             let part = read_ms / readers as f64;
             let last = chosen.iter().map(|c| first_event_ms(engine, c, part));
             let last = last.fold(0.0, f64::max);
-            let stalled = chosen.iter().filter(|c| {
-                let pass = engine.pass_ms(u32::from(c.load.running), u64::from(c.load.kv_tokens));
-                pass + f64::from(c.load.read_ms) + part > gap_ms
-            });
-            let stalled: f64 = stalled.map(|c| f64::from(c.shared())).sum();
+            let stalled: f64 = chosen
+                .iter()
+                .map(|c| stalled_worth(engine, c, part, gap_ms))
+                .sum();
             let late = late_part(last, self.objective.as_secs_f64() * 1e3);
-            let cost = late * worth(tokens.prompt) + stalled * worth(SHORT_TOKENS);
+            let cost = late * worth(tokens.prompt) + stalled;
             if best
                 .as_ref()
                 .is_none_or(|(other, ms, ..)| (cost, last) < (*other, *ms))
@@ -245,17 +332,22 @@
                 best = Some((cost, last, readers, memory));
             }
         }
-        let (_, ms, readers, memory) = match best {
+        let (cost, ms, readers, memory) = match best {
             Some(best) => best,
             // Few targets are free, and their memory does not take the prompt.
             None => {
                 let readers = free.len().min(MAX_READERS);
-                let memory = Memory::new(engine, tokens, &free[..readers])?;
+                let memory = Memory::new(engine, tokens, &free[..readers], head)?;
                 let part = read_ms / readers as f64;
                 let chosen = free[..readers]
                     .iter()
                     .map(|c| first_event_ms(engine, c, part));
-                (0.0, chosen.fold(0.0, f64::max), readers, memory)
+                (
+                    worth(tokens.prompt),
+                    chosen.fold(0.0, f64::max),
+                    readers,
+                    memory,
+                )
             }
         };
         let helpers = free[..readers].iter().enumerate();
@@ -274,6 +366,8 @@
             predicted: Duration::from_secs_f64(ms / 1e3),
             read_ms: read_ms / readers as f64,
             exclusive: true,
+            cost: cost / worth(tokens.prompt),
+            idle,
         })
     }
 }
@@ -288,15 +382,19 @@
 }
 
 impl Memory {
-    /// Places the memory on as few targets as possible; none if it does not fit.
-    fn new(engine: &Engine, tokens: Tokens, chosen: &[&Candidate]) -> Option<Self> {
+    /// Places the memory on as few targets as possible; none if it does not fit. If one target can hold
+    /// all, it is the one with the lowest rank.
+    fn new<F>(engine: &Engine, tokens: Tokens, chosen: &[&Candidate], rank: F) -> Option<Self>
+    where
+        F: Fn(&Candidate) -> (bool, u16, u64),
+    {
         let room = |c: &Candidate| {
             let limit = (engine.kv_tokens as f64 * (1.0 - KV_RESERVE)) as u64;
             limit.saturating_sub(u64::from(c.load.kv_tokens))
         };
         let needed = tokens.prompt + tokens.answer;
         let fitting = chosen.iter().enumerate().filter(|(_, c)| room(c) >= needed);
-        if let Some((head, _)) = fitting.min_by_key(|(_, c)| (c.load.running, c.order)) {
+        if let Some((head, _)) = fitting.min_by_key(|(_, c)| rank(c)) {
             let held = SmallVec::new();
             return Some(Self { head, held });
         }
@@ -324,12 +422,38 @@
     }
 }
 
+/// Returns the last position of the targets that are kept for prompts of medium length, if there are
+/// enough. Such prompts would wait behind parts of longer ones that take many times as long.
+fn lane_end(free: &[&Candidate]) -> Option<u64> {
+    let apart = free.iter().filter(|c| c.apart());
+    let mut orders: SmallVec<[u64; 32]> = apart.map(|c| c.order).collect();
+    orders.sort_unstable();
+    let last = (orders.len() / LANE_PART).checked_sub(1)?;
+    Some(orders[last])
+}
+
 /// Returns the worth of a generation in relation to others. It grows with the prompt; the constant keeps
 /// short ones from counting for nothing.
 fn worth(prompt_tokens: u64) -> f64 {
     5_000.0 + prompt_tokens as f64
 }
 
+/// Returns the worth of the answers at a target that a part makes late: their pauses last for a pass and
+/// the reading in it.
+fn stalled_worth(engine: &Engine, candidate: &Candidate, part_ms: f64, gap_ms: f64) -> f64 {
+    let load = candidate.load;
+    let pass = engine.pass_ms(u32::from(load.running), u64::from(load.kv_tokens));
+    let pause = pass + f64::from(load.read_ms) + part_ms;
+    let mut stalled = 0.0;
+    if pause > gap_ms {
+        stalled += f64::from(candidate.shared()) * worth(SHORT_TOKENS);
+    }
+    if load.gap_ms > 0 && pause > f64::from(load.gap_ms) {
+        stalled += f64::from(load.exclusive) * worth(MEDIUM_TOKENS);
+    }
+    stalled
+}
+
 /// Returns the probability that a first event comes late. Predictions are off by a third either way.
 fn late_part(predicted_ms: f64, objective_ms: f64) -> f64 {
     const EARLY: f64 = 0.6;
--- a/core/src/fleet/reducer.rs
+++ b/core/src/fleet/reducer.rs
@@ -24,7 +24,7 @@
 const SHARE_PER_PEER: Duration = Duration::from_millis(5);
 
 /// Longest time without a message to peers while there is work: a lost datagram is made up for.
-const SHARE_REPEAT: Duration = Duration::from_secs(2);
+const SHARE_REPEAT: Duration = Duration::from_millis(500);
 
 /// Connections that may fail before any byte is sent, for one request.
 const MAX_UNREACHABLE: u32 = 3;
@@ -57,6 +57,23 @@
 /// Longest time without a configuration that is confirmed before a route or key counts as unknown.
 const UNKNOWN_BOUND: Duration = Duration::from_millis(1_500);
 
+/// Expected cost of a placement, in relation to the worth of the request, above which a long prompt waits
+/// for better targets while it can.
+const WAIT_COST: f64 = 0.3;
+
+/// Retry hint while the fleet is busy with other long prompts. A burst of them takes seconds to be read.
+const BUSY_RETRY: Duration = Duration::from_millis(2_500);
+
+/// Time for which a prompt that could be placed leaves the targets to a more urgent one of a peer.
+const DEFER: Duration = Duration::from_millis(80);
+
+/// A late prompt waits for targets that no other needs for one of so many parts of the time after which its
+/// caller leaves.
+const LATE_WAIT_PART: u32 = 2;
+
+/// Interval at which requests in line are looked at again.
+const LINE_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Part of its time after which a request in line for a target in cold start is refused.
 const LINE_PART: u32 = 4;
 
@@ -120,6 +137,10 @@
     running: Option<Running>,
     /// Whether it was placed on targets without short prompts.
     exclusive: bool,
+    /// Until when it can wait in line and be on time.
+    urgent_until: Option<Instant>,
+    /// Since when it could be placed but leaves the targets to a more urgent one.
+    chance_at: Option<Instant>,
 }
 
 #[derive(Debug, Clone)]
@@ -145,6 +166,7 @@
     pending: BTreeMap<Id, Pending>,
     /// Requests in line for a target in cold start.
     line: VecDeque<Id>,
+    line_at: Instant,
     shared_at: Instant,
     share_sequence: u64,
     share_due: bool,
@@ -172,6 +194,7 @@
             peers: 1,
             pending: BTreeMap::new(),
             line: VecDeque::new(),
+            line_at: Instant::default(),
             shared_at: Instant::default(),
             share_sequence: 0,
             share_due: false,
@@ -366,6 +389,8 @@
             may_have_run: false,
             running: None,
             exclusive: false,
+            urgent_until: None,
+            chance_at: None,
             request,
         })
     }
@@ -434,6 +459,19 @@
             Some(engine) => placement.generation(engine, tokens, &candidates),
             None => Placement::plain(&candidates),
         };
+        if let (Some(engine), Some(choice)) = (&pending.service.engine, &choice)
+            && choice.exclusive
+        {
+            let slack = placement.slack(engine, tokens, &candidates);
+            if self.waits(now, id, choice, slack) {
+                self.queue(id);
+                return;
+            }
+            if slack.is_zero() && !Placement::pays(engine, tokens, choice, &candidates) {
+                self.refuse(id, Reason::Busy, Some(BUSY_RETRY), effects);
+                return;
+            }
+        }
         match choice {
             Some(choice) if choice.predicted.as_secs_f64() <= left.as_secs_f64() * IN_TIME => {
                 self.dispatch(now, id, &choice, tokens, effects);
@@ -446,15 +484,51 @@
             None if !candidates.is_empty() => {
                 self.refuse(id, Reason::Busy, Some(NO_TARGET_RETRY), effects);
             }
-            None if self.in_line(now, &pending) => {
-                if !self.line.contains(&id) {
-                    self.line.push_back(id);
-                }
-            }
+            None if self.in_line(now, &pending) => self.queue(id),
             None => self.refuse(id, Reason::NoTarget, Some(NO_TARGET_RETRY), effects),
         }
     }
 
+    fn queue(&mut self, id: Id) {
+        if !self.line.contains(&id) {
+            self.line.push_back(id);
+            // Peers with less urgent requests wait for it.
+            self.share_due = true;
+            self.shared_at = Instant::default();
+        }
+    }
+
+    /// Decides whether a long prompt waits in line: while it can be on time, for targets that make it so
+    /// and for more urgent prompts; afterwards, for targets that no other needs.
+    fn waits(&mut self, now: Instant, id: Id, choice: &Choice, slack: Duration) -> bool {
+        let Some(pending) = self.pending.get_mut(&id) else {
+            return false;
+        };
+        if slack.is_zero() {
+            pending.urgent_until = None;
+            let waited = now.since(pending.arrived);
+            let end = caller_limit(&pending.route) / LATE_WAIT_PART;
+            let wanted = self.tally.peer_waits(now)
+                || self
+                    .pending
+                    .values()
+                    .any(|other| other.urgent_until.is_some());
+            return waited < end && (wanted || !choice.idle);
+        }
+        let until = now + slack;
+        pending.urgent_until = Some(until);
+        if choice.cost > WAIT_COST || !choice.idle {
+            pending.chance_at = None;
+            return true;
+        }
+        let own = self.pending.values().filter_map(|other| other.urgent_until);
+        let deferred =
+            own.min().is_some_and(|first| first < until) || self.tally.peer_before(until, now);
+        let pending = self.pending.get_mut(&id);
+        let chance_at = pending.map_or(now, |pending| *pending.chance_at.get_or_insert(now));
+        deferred && now.since(chance_at) < DEFER
+    }
+
     /// Returns whether a request may wait for a target in cold start.
     fn in_line(&self, now: Instant, pending: &Pending) -> bool {
         let total = pending.deadline.since(pending.arrived);
@@ -470,6 +544,10 @@
     }
 
     fn serve_line(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        if now.since(self.line_at) < LINE_INTERVAL {
+            return;
+        }
+        self.line_at = now;
         for _ in 0..self.line.len() {
             let Some(id) = self.line.pop_front() else {
                 return;
@@ -506,8 +584,13 @@
         let load = Load {
             running: 1,
             exclusive: u16::from(choice.exclusive),
+            reading: u16::from(choice.exclusive),
             read_ms: choice.read_ms as u32,
             kv_tokens: engine.map_or(0, |_| (tokens.prompt + tokens.answer) as u32),
+            gap_ms: match (choice.exclusive, pending.route.gap) {
+                (true, Some(gap)) => gap.as_millis() as u16,
+                _ => 0,
+            },
         };
         let piece = |load, helps| Piece {
             load,
@@ -523,8 +606,12 @@
         for helper in &choice.helpers {
             if let Some(record) = self.directory.record(helper.target) {
                 let load = Load {
+                    running: 0,
+                    exclusive: 0,
+                    reading: 1,
+                    read_ms: load.read_ms,
                     kv_tokens: helper.held_tokens as u32,
-                    ..load
+                    gap_ms: 0,
                 };
                 self.tally
                     .add(record.order, id, piece(load, helper.held_tokens == 0));
@@ -536,6 +623,7 @@
             budget.add(now);
         }
         pending.exclusive = choice.exclusive;
+        pending.urgent_until = None;
         pending.attempts += 1;
         pending.tried.push(choice.target);
         pending.running = Some(Running {
@@ -729,15 +817,28 @@
         self.share_due = false;
         self.shared_at = now;
         self.share_sequence += 1;
+        let urgent = self
+            .pending
+            .values()
+            .filter_map(|pending| pending.urgent_until)
+            .min();
         effects.push(Effect::Share(Share {
             sequence: self.share_sequence,
             loads: self.tally.own_loads(now),
+            urgent_ms: urgent.map(|until| until.since(now).as_millis() as u32),
         }));
     }
 }
 
-/// Returns how long a target may be silent. Callers leave after a gap of two seconds, four times the
-/// objective or eight times the longest pause, whichever is longest; another target needs the rest.
+/// Returns the gap after which callers leave a stream: two seconds, four times the objective or eight times
+/// the longest pause, whichever is longest.
+fn caller_limit(route: &Route) -> Duration {
+    const SHORTEST: Duration = Duration::from_secs(2);
+    let gap = route.gap.unwrap_or_default();
+    SHORTEST.max(route.objective * 4).max(gap * 8)
+}
+
+/// Returns how long a target may be silent. Another target needs the rest before the caller leaves.
 fn silence(route: &Route) -> Duration {
     const SHORTEST: Duration = Duration::from_secs(2);
     const PART: f64 = 0.6;
--- a/core/src/fleet/tally.rs
+++ b/core/src/fleet/tally.rs
@@ -13,7 +13,10 @@
 use crate::time::Instant;
 
 /// Age after which a peer's work counts no more; its own requests have been cut by then.
-const PEER_LEASE: Duration = Duration::from_secs(10);
+const PEER_LEASE: Duration = Duration::from_secs(5);
+
+/// Age after which a peer's line counts no more.
+const URGENT_LEASE: Duration = Duration::from_millis(700);
 
 /// Work at one target.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
@@ -22,10 +25,14 @@
     pub running: u16,
     /// Of these, prompts that read on targets of their own.
     pub exclusive: u16,
+    /// Long prompts of which it reads a part, its own included.
+    pub reading: u16,
     /// Time until all prompts are read, ms.
     pub read_ms: u32,
     /// Memory of prompts and answers, tokens.
     pub kv_tokens: u32,
+    /// Shortest pause that is on time for the exclusive requests that write there, ms; zero without any.
+    pub gap_ms: u16,
 }
 
 impl Load {
@@ -33,8 +40,13 @@
     pub fn add(&mut self, other: Self) {
         self.running += other.running;
         self.exclusive += other.exclusive;
+        self.reading += other.reading;
         self.read_ms += other.read_ms;
         self.kv_tokens += other.kv_tokens;
+        self.gap_ms = match (self.gap_ms, other.gap_ms) {
+            (0, gap) | (gap, 0) => gap,
+            (first, second) => first.min(second),
+        };
     }
 
     /// Returns the load after `passed`, during which prompts were read.
@@ -49,6 +61,8 @@
     heard: Instant,
     sequence: u64,
     loads: HashMap<u64, Load>,
+    /// Until when its most urgent long prompt can wait.
+    urgent_until: Option<Instant>,
 }
 
 /// One piece of this VM's work at a target.
@@ -80,6 +94,7 @@
             pieces.retain(|(id, piece)| *id != request || !piece.helps);
             for (_, piece) in pieces.iter_mut().filter(|(id, _)| *id == request) {
                 piece.read_at = piece.read_at.min(now);
+                piece.load.reading = 0;
             }
             !pieces.is_empty()
         });
@@ -117,6 +132,9 @@
             heard: now,
             sequence: share.sequence,
             loads: share.loads.into_iter().collect(),
+            urgent_until: share
+                .urgent_ms
+                .map(|ms| now + Duration::from_millis(u64::from(ms))),
         };
         self.peers.insert(peer, state);
     }
@@ -142,6 +160,27 @@
         load
     }
 
+    /// Returns whether a peer has a long prompt in line that can wait less long than until `until`.
+    pub(super) fn peer_before(&self, until: Instant, now: Instant) -> bool {
+        let urgent = self
+            .peers
+            .values()
+            .filter(|peer| now.since(peer.heard) < URGENT_LEASE);
+        let mut urgent = urgent.filter_map(|peer| peer.urgent_until);
+        urgent.any(|other| now < other && other < until)
+    }
+
+    /// Returns whether a peer has a long prompt in line that can still be on time.
+    pub(super) fn peer_waits(&self, now: Instant) -> bool {
+        let urgent = self
+            .peers
+            .values()
+            .filter(|peer| now.since(peer.heard) < URGENT_LEASE);
+        urgent
+            .filter_map(|peer| peer.urgent_until)
+            .any(|other| now < other)
+    }
+
     /// Returns this VM's work for its peers.
     pub(super) fn own_loads(&self, now: Instant) -> Vec<(u64, Load)> {
         let mut loads: Vec<_> = self
--- a/gateway/src/front/caller.rs
+++ b/gateway/src/front/caller.rs
@@ -147,7 +147,7 @@
             request = &*name, target = &*dispatch.name, route = &*dispatch.route,
             attempt = dispatch.attempt, helpers = dispatch.helpers.len(),
             prompt_tokens = prompt_tokens, at_target = dispatch.load.running,
-            exclusive = dispatch.load.exclusive, read_ms = dispatch.load.read_ms,
+            exclusive = dispatch.load.exclusive, reading = dispatch.load.reading, read_ms = dispatch.load.read_ms,
             predicted_ms = dispatch.predicted.as_millis() as u64,
             left_ms = dispatch.time_left.as_millis() as u64,
             revision = node.revision(), config_age_ms = node.config_age_ms();
--- a/gateway/src/front/server.rs
+++ b/gateway/src/front/server.rs
@@ -19,7 +19,7 @@
 use crate::{metrics, net};
 
 /// Interval of the reducer's ticks.
-const TICK: Duration = Duration::from_millis(100);
+const TICK: Duration = Duration::from_millis(30);
 
 /// Time after the request to stop for which new connections are taken: the platform asks once a second and
 /// sends callers elsewhere after two misses.
