Hold short prompts in line for a slot, refuse what cannot end before a stop

Change: entry VMs tell each other how many short prompts wait and take their part of the free slots; from 3 s after SIGTERM requests are refused as not run unless they can end in time; a target that takes no connection is avoided until its next announcement; silence before a resume is at least 1.7 s.

--- a/core/src/fleet/config.rs
+++ b/core/src/fleet/config.rs
@@ -64,6 +64,13 @@
     pub gap: Option<Duration>,
 }
 
+impl Service {
+    /// Returns whether the targets are model engines.
+    pub fn is_engine(&self) -> bool {
+        self.engine.is_some()
+    }
+}
+
 /// An organisation with its keys.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Organisation {
--- a/core/src/fleet/effect.rs
+++ b/core/src/fleet/effect.rs
@@ -22,6 +22,8 @@
     NoTarget,
     /// No target can serve the request in time.
     Busy,
+    /// This VM stops before the request could end.
+    Leaving,
     /// The attempts or the budget for repeats are used up; the request did not run.
     NotRun,
     /// A target failed; the request may have run.
@@ -87,6 +89,8 @@
     pub loads: Vec<(u64, Load)>,
     /// How long the most urgent long prompt in line can wait and be on time, ms; none without any.
     pub urgent_ms: Option<u32>,
+    /// Short prompts in line for a slot.
+    pub waiting: u16,
 }
 
 /// An effect.
--- a/core/src/fleet/event.rs
+++ b/core/src/fleet/event.rs
@@ -54,6 +54,11 @@
     },
     /// A target announced itself.
     Announced(Entry),
+    /// This VM stops at a time; what cannot end before is refused.
+    Leaving {
+        /// The time.
+        until: crate::time::Instant,
+    },
     /// Number of entry VMs that are known to run, this one included.
     Peers(usize),
     /// A peer tells of its work at targets.
--- a/core/src/fleet/health.rs
+++ b/core/src/fleet/health.rs
@@ -28,6 +28,8 @@
 pub struct Health {
     /// Failures to connect or to answer in a row.
     failures: u32,
+    /// When it was last found unreachable.
+    unreachable_at: Option<Instant>,
     /// Time before which it gets no work if another target can take it.
     paused_until: Instant,
     /// Moving rate of failed requests.
@@ -40,6 +42,7 @@
     fn default() -> Self {
         Self {
             failures: 0,
+            unreachable_at: None,
             paused_until: Instant::default(),
             rate: 0.0,
             pace: 1.0,
@@ -51,6 +54,7 @@
     /// Records a request that the target served.
     pub fn succeed(&mut self) {
         self.failures = 0;
+        self.unreachable_at = None;
         self.rate *= 1.0 - FAILURE_WEIGHT;
     }
 
@@ -75,6 +79,16 @@
         self.paused_until = now + pause.min(MAX_PAUSE);
     }
 
+    /// Records a target that takes no connection.
+    pub fn unreachable(&mut self, now: Instant) {
+        self.unreachable_at = Some(now);
+    }
+
+    /// Returns whether the target was found unreachable after it was last heard.
+    pub fn unreachable_since(&self, heard: Instant) -> bool {
+        self.unreachable_at.is_some_and(|at| at > heard)
+    }
+
     /// Records a target that has no room until about `until`.
     pub fn pause(&mut self, until: Instant) {
         self.paused_until = self.paused_until.max(until);
--- a/core/src/fleet/placement.rs
+++ b/core/src/fleet/placement.rs
@@ -135,7 +135,8 @@
     pub exclusive: bool,
     /// Worth that the placement is expected to make late, in relation to that of the request.
     pub cost: f64,
-    /// Whether none of the targets reads another long prompt.
+    /// Whether no target has to end other work first: it reads no other long prompt, or has a free slot
+    /// for a short one.
     pub idle: bool,
 }
 
@@ -249,6 +250,10 @@
             .min_by_key(rank);
         let chosen = chosen.or_else(|| fitting[..local].iter().find(open));
         let chosen = chosen.or_else(|| fitting[local..].iter().filter(open).min_by_key(rank));
+        // Next best are targets where the writers' pauses grow, and then those without a free slot.
+        let room = |c: &&&Candidate| !c.avoided && u32::from(c.load.running) < c.slots;
+        let chosen = chosen.or_else(|| fitting.iter().filter(room).min_by_key(rank));
+        let idle = chosen.is_some();
         let chosen =
             chosen.or_else(|| fitting.iter().min_by_key(|c| (c.avoided, c.cold, rank(c))))?;
         Some(Choice {
@@ -258,7 +263,7 @@
             read_ms,
             exclusive: false,
             cost: 0.0,
-            idle: true,
+            idle,
         })
     }
 }
--- a/core/src/fleet/reducer.rs
+++ b/core/src/fleet/reducer.rs
@@ -27,7 +27,7 @@
 const SHARE_REPEAT: Duration = Duration::from_millis(500);
 
 /// Connections that may fail before any byte is sent, for one request.
-const MAX_UNREACHABLE: u32 = 3;
+const MAX_UNREACHABLE: u32 = 5;
 
 /// Share of a limit on the whole fleet that the VMs use together; the rest covers VMs that are not
 /// known to each other yet.
@@ -61,6 +61,10 @@
 /// for better targets while it can.
 const WAIT_COST: f64 = 0.3;
 
+/// Expected cost of a placement above which it makes more of other requests late than it is worth. A late
+/// request alone costs one.
+const HARM: f64 = 1.5;
+
 /// Retry hint while the fleet is busy with other long prompts. A burst of them takes seconds to be read.
 const BUSY_RETRY: Duration = Duration::from_millis(2_500);
 
@@ -71,6 +75,18 @@
 /// caller leaves.
 const LATE_WAIT_PART: u32 = 2;
 
+/// Retry hint of a VM that stops: another one takes the request at once.
+const LEAVING_RETRY: Duration = Duration::from_millis(50);
+
+/// Part of the time after which its caller leaves for which a short prompt waits for a free slot.
+const SHORT_WAIT_PART: f64 = 0.5;
+
+/// Retry hint for short prompts while no slot is free. An answer takes about two seconds.
+const FULL_RETRY: Duration = Duration::from_millis(1_000);
+
+/// Time in which all VMs hear what one of them has sent.
+const NEWS: Duration = Duration::from_millis(100);
+
 /// Interval at which requests in line are looked at again.
 const LINE_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -137,6 +153,8 @@
     running: Option<Running>,
     /// Whether it was placed on targets without short prompts.
     exclusive: bool,
+    /// Whether it waits for a slot beside other short prompts.
+    short: bool,
     /// Until when it can wait in line and be on time.
     urgent_until: Option<Instant>,
     /// Since when it could be placed but leaves the targets to a more urgent one.
@@ -167,11 +185,16 @@
     /// Requests in line for a target in cold start.
     line: VecDeque<Id>,
     line_at: Instant,
+    /// This VM's part of the free slots that it has not taken yet.
+    slots: f64,
+    slots_at: Instant,
     shared_at: Instant,
     share_sequence: u64,
     share_due: bool,
     faded_at: Instant,
     counters: Counters,
+    /// When this VM stops.
+    leaving: Option<Instant>,
     /// Differs from VM to VM.
     spread: u64,
 }
@@ -195,11 +218,14 @@
             pending: BTreeMap::new(),
             line: VecDeque::new(),
             line_at: Instant::default(),
+            slots: 0.0,
+            slots_at: Instant::default(),
             shared_at: Instant::default(),
             share_sequence: 0,
             share_due: false,
             faded_at: Instant::default(),
             counters: Counters::default(),
+            leaving: None,
         }
     }
 
@@ -272,6 +298,7 @@
                 announcement,
                 age_ms,
             }) => self.announced(now, announcement, age_ms),
+            Event::Leaving { until } => self.leaving = Some(until),
             Event::Peers(peers) => self.peers = peers.max(1),
             Event::Shared { peer, share } => self.tally.share(now, peer, share),
             Event::Arrived(id, request) => self.arrived(now, id, request, effects),
@@ -389,6 +416,7 @@
             may_have_run: false,
             running: None,
             exclusive: false,
+            short: false,
             urgent_until: None,
             chance_at: None,
             request,
@@ -427,7 +455,7 @@
                 local: announcement.zone == self.settings.zone,
                 load: self.tally.load(record.order, now),
                 slots: announcement.slots,
-                avoided: health.avoided(now),
+                avoided: health.avoided(now) || health.unreachable_since(record.heard),
                 cold,
                 pace: health.pace(),
                 spread: record.order ^ self.spread,
@@ -459,6 +487,12 @@
             Some(engine) => placement.generation(engine, tokens, &candidates),
             None => Placement::plain(&candidates),
         };
+        if let (Some(until), Some(choice)) = (self.leaving, &choice)
+            && now + duration(&pending.service, tokens, choice) > until
+        {
+            self.refuse(id, Reason::Leaving, Some(LEAVING_RETRY), effects);
+            return;
+        }
         if let (Some(engine), Some(choice)) = (&pending.service.engine, &choice)
             && choice.exclusive
         {
@@ -467,11 +501,38 @@
                 self.queue(id);
                 return;
             }
-            if slack.is_zero() && !Placement::pays(engine, tokens, choice, &candidates) {
+            let harms = choice.cost > HARM;
+            if slack.is_zero() && (harms || !Placement::pays(engine, tokens, choice, &candidates)) {
                 self.refuse(id, Reason::Busy, Some(BUSY_RETRY), effects);
                 return;
             }
         }
+        if let Some(choice) = &choice
+            && !choice.exclusive
+            && !choice.idle
+        {
+            let limit = caller_limit(&pending.route).mul_f64(SHORT_WAIT_PART);
+            if now.since(pending.arrived) < limit {
+                if let Some(pending) = self.pending.get_mut(&id) {
+                    pending.short = true;
+                }
+                self.queue(id);
+            } else {
+                self.refuse(id, Reason::Busy, Some(FULL_RETRY), effects);
+            }
+            return;
+        }
+        if let Some(choice) = &choice
+            && !choice.exclusive
+            && pending.service.is_engine()
+            && !self.take_slot(now, id, &candidates)
+        {
+            if let Some(pending) = self.pending.get_mut(&id) {
+                pending.short = true;
+            }
+            self.queue(id);
+            return;
+        }
         match choice {
             Some(choice) if choice.predicted.as_secs_f64() <= left.as_secs_f64() * IN_TIME => {
                 self.dispatch(now, id, &choice, tokens, effects);
@@ -489,6 +550,33 @@
         }
     }
 
+    fn own_waiting(&self) -> usize {
+        let line = self.line.iter().filter_map(|id| self.pending.get(id));
+        line.filter(|pending| pending.short).count()
+    }
+
+    /// Takes one of the free slots. While more short prompts wait at all VMs than slots are free, each VM
+    /// takes its part of the slots in the time that news of it needs.
+    fn take_slot(&mut self, now: Instant, id: Id, candidates: &[Candidate]) -> bool {
+        let others = self.own_waiting() - usize::from(self.line.contains(&id));
+        let own = others as f64 + 1.0;
+        let total = own + f64::from(self.tally.peers_waiting(now));
+        let free = |c: &Candidate| c.slots.saturating_sub(u32::from(c.load.running));
+        let free: u32 = candidates.iter().filter(|c| !c.avoided).map(free).sum();
+        if total <= 1.0 || f64::from(free) >= total {
+            return true;
+        }
+        let passed = now.since(self.slots_at).as_secs_f64() / NEWS.as_secs_f64();
+        self.slots_at = now;
+        let part = f64::from(free) * own / total;
+        self.slots = (self.slots + part * passed).min(part.max(1.0));
+        let taken = self.slots >= 1.0;
+        if taken {
+            self.slots -= 1.0;
+        }
+        taken
+    }
+
     fn queue(&mut self, id: Id) {
         if !self.line.contains(&id) {
             self.line.push_back(id);
@@ -513,7 +601,7 @@
                     .pending
                     .values()
                     .any(|other| other.urgent_until.is_some());
-            return waited < end && (wanted || !choice.idle);
+            return waited < end && (wanted || !choice.idle || choice.cost > HARM);
         }
         let until = now + slack;
         pending.urgent_until = Some(until);
@@ -548,16 +636,30 @@
             return;
         }
         self.line_at = now;
-        for _ in 0..self.line.len() {
-            let Some(id) = self.line.pop_front() else {
-                return;
+        // Requests that can still be on time come first. If one short prompt finds no slot, no other does.
+        let mut line: Vec<(bool, Instant, Id)> = Vec::with_capacity(self.line.len());
+        for id in std::mem::take(&mut self.line) {
+            if let Some(pending) = self.pending.get(&id).filter(|p| p.running.is_none()) {
+                let due = pending.arrived + pending.route.objective;
+                line.push((due < now, due, id));
+            }
+        }
+        line.sort_unstable();
+        let mut full: SmallVec<[Arc<str>; 2]> = SmallVec::new();
+        for (_, _, id) in line {
+            let Some(pending) = self.pending.get(&id) else {
+                continue;
             };
-            if self
-                .pending
-                .get(&id)
-                .is_some_and(|pending| pending.running.is_none())
-            {
-                self.place(now, id, effects);
+            let service = Arc::clone(&pending.service.name);
+            let limit = caller_limit(&pending.route).mul_f64(SHORT_WAIT_PART);
+            let expired = now.since(pending.arrived) >= limit;
+            if full.contains(&service) && pending.short && !expired {
+                self.line.push_back(id);
+                continue;
+            }
+            self.place(now, id, effects);
+            if self.line.contains(&id) && self.pending.get(&id).is_some_and(|p| p.short) {
+                full.push(service);
             }
         }
     }
@@ -715,6 +817,7 @@
             Outcome::Abandoned | Outcome::TimedOut => None,
             Outcome::Unreachable => {
                 health.lose(now);
+                health.unreachable(now);
                 pending.attempts -= 1;
                 pending.unreachable += 1;
                 Some(pending.unreachable < MAX_UNREACHABLE)
@@ -825,11 +928,23 @@
         effects.push(Effect::Share(Share {
             sequence: self.share_sequence,
             loads: self.tally.own_loads(now),
+            waiting: self.own_waiting() as u16,
             urgent_ms: urgent.map(|until| until.since(now).as_millis() as u32),
         }));
     }
 }
 
+/// Returns the longest time that a request usually takes: that of an answer with all its tokens.
+fn duration(service: &Service, tokens: Tokens, choice: &Choice) -> Duration {
+    const SLOWER: f64 = 1.4;
+    const PLAIN: Duration = Duration::from_millis(400);
+    let Some(engine) = &service.engine else {
+        return PLAIN;
+    };
+    let write_ms = engine.write_ms(tokens.answer, engine.slots, tokens.prompt) * SLOWER;
+    choice.predicted + Duration::from_secs_f64(write_ms / 1e3)
+}
+
 /// Returns the gap after which callers leave a stream: two seconds, four times the objective or eight times
 /// the longest pause, whichever is longest.
 fn caller_limit(route: &Route) -> Duration {
@@ -840,10 +955,10 @@
 
 /// Returns how long a target may be silent. Another target needs the rest before the caller leaves.
 fn silence(route: &Route) -> Duration {
-    const SHORTEST: Duration = Duration::from_secs(2);
+    // Most of the shortest limit is needed to tell a silent target from one that reads a long prompt.
+    const SHORTEST: Duration = Duration::from_millis(1_700);
     const PART: f64 = 0.6;
-    let gap = route.gap.unwrap_or_default();
-    SHORTEST.max(route.objective * 4).max(gap * 8).mul_f64(PART)
+    caller_limit(route).mul_f64(PART).max(SHORTEST)
 }
 
 /// Chooses a service by the weights of a route; one request always gets the same.
--- a/core/src/fleet/tally.rs
+++ b/core/src/fleet/tally.rs
@@ -63,6 +63,8 @@
     loads: HashMap<u64, Load>,
     /// Until when its most urgent long prompt can wait.
     urgent_until: Option<Instant>,
+    /// Its short prompts in line for a slot.
+    waiting: u32,
 }
 
 /// One piece of this VM's work at a target.
@@ -132,6 +134,7 @@
             heard: now,
             sequence: share.sequence,
             loads: share.loads.into_iter().collect(),
+            waiting: u32::from(share.waiting),
             urgent_until: share
                 .urgent_ms
                 .map(|ms| now + Duration::from_millis(u64::from(ms))),
@@ -170,6 +173,15 @@
         urgent.any(|other| now < other && other < until)
     }
 
+    /// Returns the short prompts that wait at peers for a slot.
+    pub(super) fn peers_waiting(&self, now: Instant) -> u32 {
+        let fresh = self
+            .peers
+            .values()
+            .filter(|peer| now.since(peer.heard) < URGENT_LEASE);
+        fresh.map(|peer| peer.waiting).sum()
+    }
+
     /// Returns whether a peer has a long prompt in line that can still be on time.
     pub(super) fn peer_waits(&self, now: Instant) -> bool {
         let urgent = self
--- a/gateway/src/front/attempt.rs
+++ b/gateway/src/front/attempt.rs
@@ -124,7 +124,7 @@
             stream = net::connect(self.dispatch.address, CONNECT_TIMEOUT) => match stream {
                 Ok(stream) => Ok(Connection::new(stream)),
                 Err(error) => {
-                    log::info!(request = self.name, target = &*self.dispatch.name; "no connection: {error}");
+                    log::info!(request = self.name, target_name = &*self.dispatch.name; "no connection: {error}");
                     Err(Outcome::Unreachable)
                 }
             },
@@ -182,7 +182,7 @@
 
     fn log_broken(&self, cause: &str) {
         log::info!(
-            request = self.name, target = &*self.dispatch.name, attempt = self.dispatch.attempt;
+            request = self.name, target_name = &*self.dispatch.name, attempt = self.dispatch.attempt;
             "answer broken off: {cause}"
         );
     }
--- a/gateway/src/front/caller.rs
+++ b/gateway/src/front/caller.rs
@@ -41,6 +41,7 @@
             Ok(None) => return,
             Err(error) => return reject(&node, &mut caller, None, &error).await,
         };
+        let arriving = node.arriving();
         if head.headers.has_word("expect", "100-continue")
             && caller
                 .write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -57,7 +58,9 @@
             Err(error) => return reject(&node, &mut caller, Some(&head), &error).await,
         };
         let close = head.closes || *node.phase.borrow() != Phase::Serving;
-        if !serve_request(&node, &mut caller, &head, &body, close).await {
+        let kept = serve_request(&node, &mut caller, &head, &body, close).await;
+        drop(arriving);
+        if !kept {
             return;
         }
         if close {
@@ -144,7 +147,7 @@
             organisation = Some(node.metrics.organisation(name));
         }
         log::info!(
-            request = &*name, target = &*dispatch.name, route = &*dispatch.route,
+            request = &*name, target_name = &*dispatch.name, route = &*dispatch.route,
             attempt = dispatch.attempt, helpers = dispatch.helpers.len(),
             prompt_tokens = prompt_tokens, at_target = dispatch.load.running,
             exclusive = dispatch.load.exclusive, reading = dispatch.load.reading, read_ms = dispatch.load.read_ms,
@@ -165,7 +168,7 @@
         let ended = ended_name(outcome);
         node.meters.attempts.add(1, &[label("outcome", ended)]);
         log::info!(
-            request = &*name, target = &*dispatch.name, attempt = dispatch.attempt,
+            request = &*name, target_name = &*dispatch.name, attempt = dispatch.attempt,
             took_ms = arrived.elapsed().as_millis() as u64, begun = delivery.begun;
             "attempt ended: {ended}"
         );
@@ -247,7 +250,9 @@
     let status = match refusal.reason {
         Reason::NoRoute => 404,
         Reason::BadKey => 401,
-        Reason::Uncertain | Reason::NoTarget | Reason::Busy | Reason::NotRun => 503,
+        Reason::Uncertain | Reason::NoTarget | Reason::Busy | Reason::Leaving | Reason::NotRun => {
+            503
+        }
         Reason::Late if refusal.not_run => 503,
         Reason::Late => 504,
         Reason::Failed => 502,
@@ -294,6 +299,7 @@
         Reason::Uncertain => "uncertain",
         Reason::NoTarget => "no_target",
         Reason::Busy => "busy",
+        Reason::Leaving => "leaving",
         Reason::NotRun => "not_run",
         Reason::Failed => "failed",
         Reason::Late => "late",
--- a/gateway/src/front/node.rs
+++ b/gateway/src/front/node.rs
@@ -59,6 +59,7 @@
     reducer: RefCell<Reducer>,
     requests: RefCell<HashMap<Id, mpsc::UnboundedSender<Order>>>,
     next: Cell<u64>,
+    arriving: Cell<usize>,
     peers: RefCell<BTreeSet<Front>>,
     datagrams: UdpSocket,
 }
@@ -87,6 +88,15 @@
     }
 }
 
+/// Counts a request whose body arrives.
+pub(super) struct Arriving(Rc<Node>);
+
+impl Drop for Arriving {
+    fn drop(&mut self) {
+        self.0.arriving.set(self.0.arriving.get() - 1);
+    }
+}
+
 impl Node {
     pub(super) fn new(
         settings: settings::Front,
@@ -106,6 +116,7 @@
             links: RefCell::default(),
             requests: RefCell::default(),
             next: Cell::new(0),
+            arriving: Cell::new(0),
             peers: RefCell::default(),
             datagrams,
         }
@@ -224,9 +235,15 @@
         *self.phase.borrow() == Phase::Serving && self.reducer.borrow().ready(now)
     }
 
-    /// Returns the number of requests without a final outcome.
+    /// Returns the number of requests that arrive or have no final outcome yet.
     pub(super) fn pending(&self) -> usize {
-        self.requests.borrow().len()
+        self.requests.borrow().len() + self.arriving.get()
+    }
+
+    /// Counts a request whose body arrives, until the guard is dropped.
+    pub(super) fn arriving(self: &Rc<Self>) -> Arriving {
+        self.arriving.set(self.arriving.get() + 1);
+        Arriving(Rc::clone(self))
     }
 
     /// Sets the gauges.
--- a/gateway/src/front/server.rs
+++ b/gateway/src/front/server.rs
@@ -9,7 +9,7 @@
 use primrosepin_process::{Hangup, Shutdown};
 use primrosepin_telemetry::metrics::Metrics;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::time::{Instant, interval, sleep, timeout};
+use tokio::time::{interval, sleep, timeout};
 
 use super::node::{Node, Phase};
 use super::{caller, uplink};
@@ -23,7 +23,7 @@
 
 /// Time after the request to stop for which new connections are taken: the platform asks once a second and
 /// sends callers elsewhere after two misses.
-const LEAVE: Duration = Duration::from_millis(2_600);
+const LEAVE: Duration = Duration::from_millis(2_950);
 
 /// Time before the end of the grace period at which the process ends by itself.
 const MARGIN: Duration = Duration::from_millis(300);
@@ -142,16 +142,19 @@
 /// Stops without cutting a request: new callers go elsewhere first, then open connections close once they
 /// have no request, and the process ends when all have been answered.
 async fn leave(node: &Node, grace: Duration) {
-    let end = Instant::now() + grace.saturating_sub(MARGIN);
+    let grace_left = grace.saturating_sub(MARGIN);
+    let end = primrosepin_process::now() + grace_left;
     log::info!(pending = node.pending(), grace_ms = grace.as_millis() as u64; "entry leaves");
     node.phase.send_replace(Phase::Leaving);
     sleep(LEAVE.min(grace / 2)).await;
+    // Callers that still come get an answer only if it can end in time.
+    node.apply(Event::Leaving { until: end });
     node.phase.send_replace(Phase::Closing);
     /// Interval at which running requests are looked at.
     const CHECK: Duration = Duration::from_millis(50);
     // Connections that closed together with the phase get their last answers out.
     sleep(CHECK).await;
-    while node.pending() > 0 && Instant::now() < end {
+    while node.pending() > 0 && primrosepin_process::now() < end {
         sleep(CHECK).await;
     }
 }
