Compress configurations, lengthen the hint while uncertain, weigh long stalls

Change: documents are compressed once, in the log as on the way; fetches are at least 200 ms apart; the hint is 3 s; a stall over 1 s counts three times.

--- a/core/src/fleet/placement.rs
+++ b/core/src/fleet/placement.rs
@@ -53,6 +53,12 @@
 /// Prompt of a usual request of medium length, tokens.
 const MEDIUM_TOKENS: u64 = 45_000;
 
+/// Pause after which the callers of short prompts leave soon, ms.
+const LEAVE_MS: f64 = 1_000.0;
+
+/// Worth of an answer that is lost and asked for again, in relation to one that is late.
+const LOST_WORTH: f64 = 3.0;
+
 /// Reading on one engine above which a prompt leaves some targets to shorter ones, ms.
 const LONG_MS: f64 = 1_000.0;
 
@@ -452,7 +458,9 @@
     let pause = pass + f64::from(load.read_ms) + part_ms;
     let mut stalled = 0.0;
     if pause > gap_ms {
-        stalled += f64::from(candidate.shared()) * worth(SHORT_TOKENS);
+        // After a long stall callers leave, or their streams are resumed elsewhere and read again.
+        let lost = if pause > LEAVE_MS { LOST_WORTH } else { 1.0 };
+        stalled += f64::from(candidate.shared()) * worth(SHORT_TOKENS) * lost;
     }
     if load.gap_ms > 0 && pause > f64::from(load.gap_ms) {
         stalled += f64::from(load.exclusive) * worth(MEDIUM_TOKENS);
--- a/core/src/fleet/reducer.rs
+++ b/core/src/fleet/reducer.rs
@@ -48,8 +48,9 @@
 /// Pause between events that is on time where the route does not say.
 const DEFAULT_GAP: Duration = Duration::from_millis(500);
 
-/// Retry hint while no configuration is known or fresh.
-const UNCERTAIN_RETRY: Duration = Duration::from_millis(500);
+/// Retry hint while no configuration is known or fresh. Control needs about three seconds to serve again
+/// after all its processes have ended; a caller that comes back sooner is refused again.
+const UNCERTAIN_RETRY: Duration = Duration::from_secs(3);
 
 /// Retry hint while a service has no target.
 const NO_TARGET_RETRY: Duration = Duration::from_millis(300);
@@ -458,7 +459,10 @@
                 avoided: health.avoided(now) || health.unreachable_since(record.heard),
                 cold,
                 pace: health.pace(),
-                spread: record.order ^ self.spread,
+                spread: xxhash_rust::xxh3::xxh3_64_with_seed(
+                    &record.order.to_le_bytes(),
+                    self.spread,
+                ),
             });
         }
         candidates
--- a/core/src/registry/mod.rs
+++ b/core/src/registry/mod.rs
@@ -95,7 +95,7 @@
     Publish {
         /// Version that the operators gave.
         version: u64,
-        /// The document as the operators sent it.
+        /// The document, as it is to be read back.
         document: Arc<[u8]>,
     },
     /// Takes a zone of the published configuration out, or brings it back.
--- a/core/src/registry/published.rs
+++ b/core/src/registry/published.rs
@@ -11,7 +11,7 @@
     pub revision: u64,
     /// Version that the operators gave.
     pub version: u64,
-    /// The document as the operators sent it; empty before the first one.
+    /// The document, as it is to be read back; empty before the first one.
     pub document: Arc<[u8]>,
     /// Zones whose targets get no new work, sorted.
     pub zones_out: Vec<Arc<str>>,
--- a/core/tests/fleet/load.rs
+++ b/core/tests/fleet/load.rs
@@ -131,13 +131,8 @@
         .iter()
         .find(|helper| helper.held_tokens > 0)
         .unwrap();
-    let name = fleet.vms[0]
-        .directory()
-        .get(holder.target)
-        .unwrap()
-        .name
-        .to_string();
-    name
+    let directory = fleet.vms[0].directory();
+    directory.get(holder.target).unwrap().name.to_string()
 }
 
 /// Pattern: long prompts at several VMs at the same time. Guards against parts that read on the same
--- a/gateway/src/core/calls.rs
+++ b/gateway/src/core/calls.rs
@@ -12,6 +12,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::hub::Hub;
+use crate::document;
 use crate::http::{self, Connection, Error};
 use crate::metrics::label;
 use crate::protocol::{Call, Protocol};
@@ -95,17 +96,7 @@
         let answer = match call {
             Call::Announce(announcement) => announce(&context, announcement).await,
             Call::Withdraw { name } => withdraw(&context, &name).await,
-            Call::Publish { version } => {
-                let document: Arc<[u8]> = body.as_ref().into();
-                let command = Command::Publish { version, document };
-                change(
-                    &context,
-                    command,
-                    &head.path,
-                    &format!("publish version {version}"),
-                )
-                .await
-            }
+            Call::Publish { version } => publish(&context, version, &body, &head.path).await,
             Call::Evacuate { zone, out } => {
                 let what = format!("zone {zone} out: {out}");
                 change(&context, Command::Evacuate { zone, out }, &head.path, &what).await
@@ -259,6 +250,24 @@
     }
 }
 
+async fn publish(context: &Context, version: u64, body: &[u8], path: &str) -> Answer {
+    let document = match document::compress(body) {
+        Ok(document) => document,
+        Err(error) => {
+            log::error!("the configuration cannot be compressed: {error:#}");
+            return Answer::new(503).with_text("the configuration cannot be compressed");
+        }
+    };
+    let command = Command::Publish { version, document };
+    change(
+        context,
+        command,
+        path,
+        &format!("publish version {version}"),
+    )
+    .await
+}
+
 async fn read(context: &Context, path: &str) -> Answer {
     if let Some(answer) = redirect(context, path).await {
         return answer;
@@ -270,9 +279,15 @@
     if age.is_none_or(|age| age > READ_AGE) {
         return Answer::new(503).with_text("no recent contact with a quorum");
     }
-    let document = replica.published().document;
-    if document.is_empty() {
+    let compressed = replica.published().document;
+    if compressed.is_empty() {
         return Answer::new(503).with_text("no configuration is published yet");
     }
-    Answer::new(200).with_json(document)
+    match document::decompress(&compressed) {
+        Ok(document) => Answer::new(200).with_json(document.into()),
+        Err(error) => {
+            log::error!("the configuration cannot be read: {error:#}");
+            Answer::new(503).with_text("the configuration cannot be read")
+        }
+    }
 }
--- a/gateway/src/front/node.rs
+++ b/gateway/src/front/node.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use primrosepin_core::fleet::{Dispatch, Effect, Event, Id, Limits, Reducer, Refusal, Share};
+use primrosepin_core::time::Instant;
 use primrosepin_telemetry::metrics::Metrics;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
@@ -59,6 +60,8 @@
     reducer: RefCell<Reducer>,
     requests: RefCell<HashMap<Id, mpsc::UnboundedSender<Order>>>,
     next: Cell<u64>,
+    /// When the configuration was last fetched.
+    pub(super) pulled_at: Cell<Instant>,
     arriving: Cell<usize>,
     peers: RefCell<BTreeSet<Front>>,
     datagrams: UdpSocket,
@@ -116,6 +119,7 @@
             links: RefCell::default(),
             requests: RefCell::default(),
             next: Cell::new(0),
+            pulled_at: Cell::default(),
             arriving: Cell::new(0),
             peers: RefCell::default(),
             datagrams,
--- a/gateway/src/front/uplink.rs
+++ b/gateway/src/front/uplink.rs
@@ -13,11 +13,15 @@
 
 use super::node::{Link, Node};
 use crate::message::{Front, Message};
-use crate::{link, net};
+use crate::{document, link, net};
 
 /// Interval at which the revision is asked for, which renews the freshness of the configuration.
 const ASK: Duration = Duration::from_millis(500);
 
+/// Shortest interval between two fetches of the configuration. The next answer of a control VM repeats a
+/// revision that was passed over.
+const PULL_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Interval at which missing links are looked for.
 const CHECK: Duration = Duration::from_millis(250);
 
@@ -109,7 +113,13 @@
             revision,
         } => {
             if revision > node.revision() {
-                if let Some(link) = node.links.borrow().get(&ip) {
+                // Changes that come in quick succession are fetched together.
+                let pulled = node.pulled_at.get();
+                let now = primrosepin_process::now();
+                if now.since(pulled) >= PULL_INTERVAL
+                    && let Some(link) = node.links.borrow().get(&ip)
+                {
+                    node.pulled_at.set(now);
                     // The next answer repeats the revision if the queue is full.
                     drop(link.outgoing.try_send(Message::Pull));
                 }
@@ -129,7 +139,10 @@
             if revision <= node.revision() || document.is_empty() {
                 return;
             }
-            match node.protocol.config(&document) {
+            let config = document::decompress(&document)
+                .map_err(|error| format!("{error:#}"))
+                .and_then(|document| node.protocol.config(&document));
+            match config {
                 Ok(config) => {
                     log::info!(
                         revision = revision, version = config.version,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 //! - No call blocks: logs, links and datagrams drop what does not fit, and count it.
 
 pub mod core;
+pub mod document;
 pub mod front;
 pub mod http;
 pub mod link;
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -50,7 +50,7 @@
     Config {
         /// Revision.
         revision: u64,
-        /// Document as the operators sent it; empty before the first one.
+        /// Compressed document; empty before the first one.
         document: Arc<[u8]>,
         /// Zones whose targets get no new work.
         zones_out: Vec<Arc<str>>,
