Share work at each change

Cause: with 80 entry VMs news of a request reached the others after up to 450 ms; slots were filled twice. Change: a share leaves at each change, at most every 10 ms and 1 ms more for each peer; a started short prompt is no news.

--- a/core/src/fleet/reducer.rs
+++ b/core/src/fleet/reducer.rs
@@ -17,11 +17,11 @@
 use crate::time::Instant;
 
 /// Shortest interval between messages to peers about short requests.
-const SHARE_INTERVAL: Duration = Duration::from_millis(50);
+const SHARE_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Added to the interval for each peer, so that the messages of all VMs grow less than their number
 /// squared.
-const SHARE_PER_PEER: Duration = Duration::from_millis(5);
+const SHARE_PER_PEER: Duration = Duration::from_millis(1);
 
 /// Longest time without a message to peers while there is work: a lost datagram is made up for.
 const SHARE_REPEAT: Duration = Duration::from_millis(500);
@@ -796,8 +796,8 @@
             let health = self.health.entry(running.target).or_default();
             health.first_event(taken, running.predicted);
             self.tally.read(id, now);
-            self.share_due = true;
             if pending.exclusive {
+                self.share_due = true;
                 // Peers must see at once that the targets that helped are free.
                 self.shared_at = Instant::default();
             }
