Doubt announcements that were queued during a pause

Ruled out: ending the leases at the pause, since running attempts would be cut. Change: after a pause a target gets no new work until an announcement arrives after the settling time.

--- a/core/src/serving/reducer.rs
+++ b/core/src/serving/reducer.rs
@@ -180,6 +180,7 @@
         if now.since(self.now) >= PAUSE_MIN {
             // Messages that queued up during the pause may be outdated; newer ones are behind them.
             self.settled_at = now + PAUSE_SETTLE;
+            self.table.doubt(self.settled_at);
             self.reschedule = true;
         }
         self.now = now;
--- a/core/src/serving/target.rs
+++ b/core/src/serving/target.rs
@@ -62,6 +62,9 @@
     pub generation: u64,
     pub groups: Vec<u32>,
     pub lease_until: Instant,
+    /// Whether its announcements may have been queued during a pause of the process, so that their age is
+    /// not known. It gets no new work until the next one.
+    pub unconfirmed: bool,
     pub out: bool,
     pub conflict: Option<(SocketAddr, Instant)>,
     /// Whether the target gets only its cold budget.
@@ -334,6 +337,8 @@
     names: BTreeMap<Arc<str>, Id>,
     groups: Vec<Group>,
     generation: u64,
+    /// Time before which announcements may have been queued during a pause.
+    doubt_until: Instant,
     /// By slot, as of the last [`Table::refresh`].
     hot: Vec<Hot>,
     dirty: Vec<Id>,
@@ -352,6 +357,7 @@
             return Change::Joined(self.insert(now, announcement, lease_until));
         };
         let generation = self.next_generation();
+        let confirms = now >= self.doubt_until;
         let Some(target) = self.get_mut(id) else {
             return Change::Stale;
         };
@@ -376,6 +382,7 @@
         let before = known.state;
         target.announcement = announcement;
         target.lease_until = target.lease_until.max(lease_until);
+        target.unconfirmed &= !confirms;
         if restarted {
             target.reset(generation);
             target.cold = Cold {
@@ -406,6 +413,7 @@
             generation: self.next_generation(),
             groups: Vec::new(),
             lease_until,
+            unconfirmed: now < self.doubt_until,
             out: false,
             conflict: None,
             cold: Cold {
@@ -619,6 +627,16 @@
         self.iter().map(|(id, _)| id).collect()
     }
 
+    /// Doubts all announcements that arrive before `until`: the process was paused, and they may be old.
+    pub fn doubt(&mut self, until: Instant) {
+        self.doubt_until = until;
+        for id in self.ids() {
+            if let Some(target) = self.get_mut(id) {
+                target.unconfirmed = true;
+            }
+        }
+    }
+
     /// Returns the targets whose lease ended.
     pub fn expired(&self, now: Instant) -> Vec<Id> {
         self.iter()
@@ -823,7 +841,7 @@
     /// Returns what placement reads of the target.
     pub fn hot(&self) -> Hot {
         let announcement = &self.announcement;
-        let closed = self.out || announcement.state == State::Draining;
+        let closed = self.out || self.unconfirmed || announcement.state == State::Draining;
         let mut ahead = [0.0; 4];
         let mut sum = 0;
         for (index, ahead) in ahead.iter_mut().enumerate() {
