--- /dev/null
+++ b/gateway/tests/message.rs
@@ -0,0 +1,99 @@
+//! Messages between the processes, and documents.
+
+use std::sync::Arc;
+
+use primrosepin_core::fleet::{Announcement, Entry, Load, Share, State};
+use primrosepin_gateway::document;
+use primrosepin_gateway::message::{Front, Message};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+fn messages() -> Vec<Message> {
+    let entry = Entry {
+        announcement: Announcement {
+            name: "engine-1".into(),
+            service: "engine".into(),
+            address: "10.0.0.1:80".parse().unwrap(),
+            zone: "zone-1".into(),
+            slots: 16,
+            state: State::Draining,
+            cold_ms: 30,
+            born_ms: 1_700_000_000_000,
+            sequence: 9,
+        },
+        age_ms: 12,
+    };
+    vec![
+        Message::Pulse,
+        Message::Hello(Front {
+            vm: "entry-1".into(),
+            address: "10.0.0.2:7340".parse().unwrap(),
+        }),
+        Message::Revision {
+            asked_us: Some(1),
+            quorum_age_us: None,
+            revision: 7,
+        },
+        Message::Config {
+            revision: 7,
+            document: Arc::new([1, 2, 3]),
+            zones_out: vec!["zone-1".into()],
+        },
+        Message::Targets(vec![entry.clone()]),
+        Message::Relay { number: 3, entry },
+        Message::Share {
+            vm: "entry-1".into(),
+            share: Share {
+                sequence: 5,
+                loads: vec![(77, Load::default())],
+                urgent_ms: Some(10),
+                waiting: 3,
+            },
+        },
+    ]
+}
+
+/// Guards against messages that change on their way, and against a version that is taken for another.
+#[test]
+fn messages_are_decoded_as_they_were_encoded() {
+    for message in messages() {
+        let mut bytes = message.encode().unwrap();
+        assert_eq!(Message::decode(&bytes).unwrap(), message);
+        bytes.push(0);
+        assert!(Message::decode(&bytes).is_err(), "bytes after the message");
+        bytes.pop();
+        bytes[0] += 1;
+        assert!(Message::decode(&bytes).is_err(), "another version");
+    }
+    assert!(Message::decode(&[]).is_err());
+}
+
+/// Guards against bytes from the network that stop a process.
+#[test]
+fn mutated_messages_never_panic() {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let encoded: Vec<Vec<u8>> = messages().iter().map(|m| m.encode().unwrap()).collect();
+    for _ in 0..20_000 {
+        let mut bytes = encoded[rng.random_range(0..encoded.len())].clone();
+        for _ in 0..rng.random_range(1..4) {
+            let at = rng.random_range(0..bytes.len());
+            bytes[at] = rng.random();
+        }
+        bytes.truncate(rng.random_range(0..=bytes.len()));
+        // An error is fine.
+        drop(Message::decode(&bytes));
+    }
+}
+
+/// Guards against a document that is read back with other bytes, and against one that fills the memory.
+#[test]
+fn documents_are_read_back_as_they_were_sent() {
+    let text = "{\"routes\":[{\"name\":\"r\"}]} ".repeat(2_000);
+    let compressed = document::compress(text.as_bytes()).unwrap();
+    assert!(compressed.len() * 15 < text.len());
+    assert_eq!(document::decompress(&compressed).unwrap(), text.as_bytes());
+    assert!(document::decompress(&compressed[..compressed.len() / 2]).is_err());
+    let large = vec![b'x'; document::MAX_BYTES as usize + 1];
+    let bomb = document::compress(&large).unwrap();
+    assert!(document::decompress(&bomb).is_err());
+}
