--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod config;
 pub mod difference;
 pub mod document;
+pub mod explain;
 pub mod in_force;
 pub mod inventory;
 pub mod keys;
@@ -54,6 +55,7 @@
             let pace = top::Pace { interval_s, count };
             top::top(&server, &entries, pace, options.json).await
         }
+        Command::Explain { request, files } => explain::run(&request, &files),
         Command::Keys(command) => keys::run(command),
         Command::Inventory(InventoryCommand::New) => Ok(inventory::new()),
     };
--- a/cli/src/options.rs
+++ b/cli/src/options.rs
@@ -53,6 +53,16 @@
         #[bpaf(argument("NUMBER"))]
         count: Option<u64>,
     },
+    /// Finds in log files what became of a request, and why
+    #[bpaf(command)]
+    Explain {
+        /// Id of the request
+        #[bpaf(positional("REQUEST"))]
+        request: String,
+        /// Log files of entry VMs
+        #[bpaf(positional("FILE"), some("name at least one log file"))]
+        files: Vec<PathBuf>,
+    },
     /// Creates and shows certificates of processes and API keys
     #[bpaf(command)]
     Keys(#[bpaf(external(keys_command))] KeysCommand),
--- a/cli/src/status.rs
+++ b/cli/src/status.rs
@@ -162,7 +162,7 @@
                 "control replica {} is not reached; the quorum can lose {spare} more",
                 names.join(", ")
             ),
-            "restart it, or replace it (docs/operators.md, \"Replace a lost control VM\")".into(),
+            "restart it, or replace it (docs/OPERATIONS.md, \"Replace a lost control VM\")".into(),
         ));
     }
     for replica in status.replicas.iter().filter(|replica| !replica.voter) {
@@ -212,7 +212,7 @@
                      ignores changes",
                     vm.version, status.version
                 ),
-                "control has lost its data (docs/operators.md, \"Replace a lost control VM\")"
+                "control has lost its data (docs/OPERATIONS.md, \"Replace a lost control VM\")"
                     .into(),
             )),
         }
@@ -261,7 +261,7 @@
                             status.vm
                         ),
                         "free space on its disk or replace the disk; the replica tries again each \
-                         second (docs/operators.md, \"Alarms\")"
+                         second (docs/OPERATIONS.md, \"Alarms\")"
                             .into(),
                     ));
                 }
--- a/cli/tests/cli/docs.rs
+++ b/cli/tests/cli/docs.rs
@@ -5,7 +5,7 @@
 /// Guards against a page with commands that the client does not have.
 #[test]
 fn commands_of_the_operators_page_parse() {
-    let page = include_str!("../../../docs/operators.md");
+    let page = include_str!("../../../docs/OPERATIONS.md");
     let mut checked = 0;
     for line in page.lines().map(str::trim) {
         let Some(rest) = line.strip_prefix("primrosepin ") else {
--- a/cli/tests/cli/main.rs
+++ b/cli/tests/cli/main.rs
@@ -2,6 +2,7 @@
 
 mod change;
 mod docs;
+mod explain;
 mod inventory;
 mod keys;
 mod status;
--- a/control/src/admin.rs
+++ b/control/src/admin.rs
@@ -222,7 +222,7 @@
             _ => Answer::error(
                 StatusCode::NOT_FOUND,
                 "not_found",
-                "no such call; see docs/operators.md",
+                "no such call; see docs/OPERATIONS.md",
             ),
         }
     }
--- a/core/src/fleet/effect.rs
+++ b/core/src/fleet/effect.rs
@@ -98,6 +98,8 @@
 pub enum Effect {
     /// Sends a request to a target.
     Dispatch(Id, Box<Dispatch>),
+    /// A request waits in line for the first time, with the length of the line.
+    Queue(Id, usize),
     /// Ends a request with a refusal.
     Refuse(Id, Refusal),
     /// Tells peers of the work at targets.
--- a/core/src/fleet/reducer.rs
+++ b/core/src/fleet/reducer.rs
@@ -154,6 +154,8 @@
     running: Option<Running>,
     /// Whether it was placed on targets without short prompts.
     exclusive: bool,
+    /// Whether it has waited in line.
+    queued: bool,
     /// Whether it waits for a slot beside other short prompts.
     short: bool,
     /// Until when it can wait in line and be on time.
@@ -417,6 +419,7 @@
             may_have_run: false,
             running: None,
             exclusive: false,
+            queued: false,
             short: false,
             urgent_until: None,
             chance_at: None,
@@ -507,7 +510,7 @@
                 return;
             }
             if self.waits(now, id, choice, slack) {
-                self.queue(id);
+                self.queue(id, effects);
                 return;
             }
             if late && choice.cost > HARM {
@@ -524,7 +527,7 @@
                 if let Some(pending) = self.pending.get_mut(&id) {
                     pending.short = true;
                 }
-                self.queue(id);
+                self.queue(id, effects);
             } else {
                 self.refuse(id, Reason::Busy, Some(FULL_RETRY), effects);
             }
@@ -538,7 +541,7 @@
             if let Some(pending) = self.pending.get_mut(&id) {
                 pending.short = true;
             }
-            self.queue(id);
+            self.queue(id, effects);
             return;
         }
         match choice {
@@ -553,7 +556,7 @@
             None if !candidates.is_empty() => {
                 self.refuse(id, Reason::Busy, Some(NO_TARGET_RETRY), effects);
             }
-            None if self.in_line(now, &pending) => self.queue(id),
+            None if self.in_line(now, &pending) => self.queue(id, effects),
             None => self.refuse(id, Reason::NoTarget, Some(NO_TARGET_RETRY), effects),
         }
     }
@@ -585,9 +588,13 @@
         taken
     }
 
-    fn queue(&mut self, id: Id) {
+    fn queue(&mut self, id: Id, effects: &mut Vec<Effect>) {
         if !self.line.contains(&id) {
             self.line.push_back(id);
+            let pending = self.pending.get_mut(&id);
+            if pending.is_some_and(|pending| !std::mem::replace(&mut pending.queued, true)) {
+                effects.push(Effect::Queue(id, self.line.len()));
+            }
             // Peers with less urgent requests wait for it.
             self.share_due = true;
             self.shared_at = Instant::default();
--- a/core/tests/fleet/support.rs
+++ b/core/tests/fleet/support.rs
@@ -220,6 +220,7 @@
                 Effect::Refuse(id, refusal) => {
                     self.decisions.push((vm, id, Decision::Refused(refusal)));
                 }
+                Effect::Queue(..) => {}
                 Effect::Share(share) => {
                     for peer in 0..self.vms.len() {
                         if peer == vm || self.cut.contains(&peer) || self.cut.contains(&vm) {
--- a/entry/src/callers.rs
+++ b/entry/src/callers.rs
@@ -129,6 +129,16 @@
                 .with_retry_after_ms(UNCONFIGURED_RETRY_MS),
         );
     };
+    let mut keys = request.headers().get_all(AUTHORIZATION);
+    if let Some(first) = keys.next()
+        && keys.any(|other| other != first)
+    {
+        return Err(Rejection::new(
+            400,
+            "ambiguous_key",
+            "the request has two different Authorization headers",
+        ));
+    }
     let organisation = bearer(request.headers())
         .and_then(|key| in_force.organisation(key))
         .ok_or_else(|| Rejection::new(401, "unknown_key", "the API key is missing or unknown"))?;
--- a/entry/tests/limits.rs
+++ b/entry/tests/limits.rs
@@ -56,6 +56,28 @@
     server.stop().await.unwrap();
 }
 
+/// Guards against a request that is answered under one of two keys: a proxy in between may have checked the
+/// other one.
+#[actix_rt::test]
+async fn two_different_keys_are_refused() {
+    let server = entry(settings()).await;
+    let text = |second: &str| {
+        format!(
+            "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {CALLER_KEY}\r\n\
+             authorization: Bearer {second}\r\nconnection: close\r\ncontent-length: 2\r\n\r\n{{}}"
+        )
+    };
+    let answer = raw(&server, &text("other")).await;
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    assert!(
+        answer.contains("ambiguous_key") && answer.contains("not_run"),
+        "{answer}"
+    );
+    let answer = raw(&server, &text(CALLER_KEY)).await;
+    assert!(!answer.contains("ambiguous_key"), "{answer}");
+    server.stop().await.unwrap();
+}
+
 /// Guards against requests without a known key, path, model or form that reach a target.
 #[actix_rt::test]
 async fn wrong_requests_are_refused_with_their_reason() {
--- a/gateway/src/front/caller.rs
+++ b/gateway/src/front/caller.rs
@@ -138,6 +138,14 @@
         };
         let dispatch = match order {
             Some(Order::Dispatch(dispatch)) => dispatch,
+            Some(Order::Queue(length)) => {
+                log::info!(
+                    request = &*name, class = class.name(), prompt_tokens = prompt_tokens,
+                    line = length, revision = node.revision();
+                    "waits in line"
+                );
+                continue;
+            }
             Some(Order::Refuse(refusal)) => {
                 break refuse(node, caller, &mut delivery, &name, refusal).await;
             }
--- a/gateway/src/front/node.rs
+++ b/gateway/src/front/node.rs
@@ -36,6 +36,8 @@
     Dispatch(Box<Dispatch>),
     /// End it.
     Refuse(Refusal),
+    /// It waits in a line of this length.
+    Queue(usize),
 }
 
 /// A link to a control VM.
@@ -148,6 +150,7 @@
             match effect {
                 Effect::Dispatch(id, dispatch) => self.order(id, Order::Dispatch(dispatch)),
                 Effect::Refuse(id, refusal) => self.order(id, Order::Refuse(refusal)),
+                Effect::Queue(id, length) => self.order(id, Order::Queue(length)),
                 Effect::Share(share) => self.share(share),
             }
         }
@@ -226,11 +229,11 @@
             .map_or_else(Limits::default, |config| config.limits)
     }
 
-    /// Returns the age of the last confirmation of the configuration, ms.
-    pub(super) fn config_age_ms(&self) -> u64 {
+    /// Returns the age of the last confirmation of the configuration, ms; -1 before the first one.
+    pub(super) fn config_age_ms(&self) -> i64 {
         let now = primrosepin_process::now();
         let age = self.reducer.borrow().config_age(now);
-        age.map_or(u64::MAX, |age| age.as_millis() as u64)
+        age.map_or(-1, |age| age.as_millis() as i64)
     }
 
     /// Returns whether the process takes new callers.
