--- a/core/src/fleet/freshness.rs
+++ b/core/src/fleet/freshness.rs
@@ -1,24 +1,51 @@
 //! Until when a VM knows that its configuration holds every committed change.
 
-use crate::time::Instant;
+use std::collections::VecDeque;
 use std::time::Duration;
 
+use crate::time::Instant;
+
 /// The newest confirmation that the applied configuration was the committed one.
 ///
 /// The leader of control answers a question only with the age of its last contact with a quorum. At
 /// that moment no later configuration was committed. The VM counts from the time at which it asked, so
 /// delays and pauses on the way only shorten the lease.
-#[derive(Debug, Clone, Copy, Default)]
+///
+/// An answer may name a revision that is still on its way here. It counts once that revision is applied, so
+/// that changes in quick succession do not keep a VM from ever being sure.
+#[derive(Debug, Clone, Default)]
 pub struct Freshness {
     confirmed: Option<Instant>,
+    /// Times as of which a revision that is not applied yet was the committed one, oldest first.
+    ahead: VecDeque<(u64, Instant)>,
 }
 
+/// Answers that wait for their revision. The VM asks each control VM twice a second.
+const MAX_AHEAD: usize = 32;
+
 impl Freshness {
-    /// Takes an answer to a question asked at `asked`, from a leader that had contact with a quorum
-    /// `age` before it answered.
-    pub fn confirm(&mut self, asked: Instant, age: Duration) {
+    /// Takes an answer to a question asked at `asked`, from a leader that had contact with a quorum `age`
+    /// before it answered and knew `revision`; `applied` is the one in force here.
+    pub fn confirm(&mut self, asked: Instant, age: Duration, revision: u64, applied: u64) {
         let as_of = asked - age;
-        self.confirmed = Some(self.confirmed.map_or(as_of, |known| known.max(as_of)));
+        if revision <= applied {
+            self.confirmed = Some(self.confirmed.map_or(as_of, |known| known.max(as_of)));
+            return;
+        }
+        if self.ahead.len() == MAX_AHEAD {
+            self.ahead.pop_front();
+        }
+        self.ahead.push_back((revision, as_of));
+    }
+
+    /// Counts the answers whose revision is now in force.
+    pub fn applied(&mut self, applied: u64) {
+        let met = self
+            .ahead
+            .iter()
+            .filter(|(revision, _)| *revision <= applied);
+        self.confirmed = self.confirmed.max(met.map(|(_, as_of)| *as_of).max());
+        self.ahead.retain(|(revision, _)| *revision > applied);
     }
 
     /// Returns the time since which a committed change may be missing; none before the first answer.
--- a/core/src/fleet/reducer.rs
+++ b/core/src/fleet/reducer.rs
@@ -286,6 +286,7 @@
                     self.revision = revision;
                     self.config = Some(config);
                     self.zones_out = zones_out;
+                    self.freshness.applied(revision);
                 }
             }
             Event::Confirmed {
@@ -293,9 +294,8 @@
                 age,
                 revision,
             } => {
-                if revision <= self.revision && self.config.is_some() {
-                    self.freshness.confirm(asked, age);
-                }
+                let applied = self.config.as_ref().map_or(0, |_| self.revision);
+                self.freshness.confirm(asked, age, revision, applied);
             }
             Event::Announced(Entry {
                 announcement,
--- a/core/tests/fleet/rules.rs
+++ b/core/tests/fleet/rules.rs
@@ -111,6 +111,51 @@
     assert!(fleet.dispatch(again).is_some());
 }
 
+/// Guards against a VM that is never sure of its configuration while changes come in quick succession: an
+/// answer that names a later revision counts once that revision is applied.
+#[test]
+fn quick_changes_do_not_end_the_freshness() {
+    let mut fleet = Fleet::new(1, 2);
+    for revision in 2..40 {
+        fleet.now = fleet.now + ms(200);
+        let asked = fleet.now;
+        let age = ms(100);
+        fleet.apply(
+            0,
+            Event::Confirmed {
+                asked,
+                age,
+                revision,
+            },
+        );
+        fleet.now = fleet.now + ms(50);
+        let before = fleet.vms[0].config_age(fleet.now).unwrap();
+        fleet.apply(
+            0,
+            Event::Configured {
+                revision,
+                config: Arc::new(config(revision)),
+                zones_out: Vec::new(),
+            },
+        );
+        let after = fleet.vms[0].config_age(fleet.now).unwrap();
+        assert_eq!(after, ms(150));
+        assert!(before > after);
+    }
+    // A revision beyond the one that was named proves nothing about later ones.
+    fleet.now = fleet.now + ms(4_000);
+    fleet.apply(
+        0,
+        Event::Configured {
+            revision: 100,
+            config: Arc::new(config(100)),
+            zones_out: Vec::new(),
+        },
+    );
+    let id = fleet.arrive(0, request("order", 0));
+    assert!(fleet.dispatch(id).is_none());
+}
+
 /// Guards against a 404 or 401 from a VM that may just not have heard of the route or key.
 #[test]
 fn unknown_routes_and_keys_are_denied_only_while_the_configuration_is_fresh() {
--- a/gateway/src/front/uplink.rs
+++ b/gateway/src/front/uplink.rs
@@ -123,7 +123,8 @@
                     // The next answer repeats the revision if the queue is full.
                     drop(link.outgoing.try_send(Message::Pull));
                 }
-            } else if let (Some(asked_us), Some(age_us)) = (asked_us, quorum_age_us) {
+            }
+            if let (Some(asked_us), Some(age_us)) = (asked_us, quorum_age_us) {
                 node.apply(Event::Confirmed {
                     asked: Instant::from_micros(asked_us),
                     age: Duration::from_micros(age_us),
