--- a/gateway/src/front/attempt.rs
+++ b/gateway/src/front/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt of a request at a target.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use primrosepin_core::fleet::{Dispatch, Event, Id, Outcome, Repeat};
@@ -35,6 +35,8 @@
     pub(super) head: &'a Request,
     pub(super) body: &'a Bytes,
     pub(super) dispatch: &'a Dispatch,
+    /// When the dispatch was decided.
+    pub(super) decided: Instant,
 }
 
 /// How reading from the target ended without an answer.
@@ -135,9 +137,17 @@
     fn request(&self, delivery: &Delivery) -> Vec<u8> {
         let mut out = format!("{} {} HTTP/1.1\r\n", self.head.method, self.head.path).into_bytes();
         let resumed_after = delivery.last_event.as_deref();
+        // Holding memory and connecting took some of the time.
+        let dispatch = Dispatch {
+            time_left: self
+                .dispatch
+                .time_left
+                .saturating_sub(self.decided.elapsed()),
+            ..self.dispatch.clone()
+        };
         self.node
             .protocol
-            .forward(self.head, self.dispatch, resumed_after, &mut out);
+            .forward(self.head, &dispatch, resumed_after, &mut out);
         if !self.body.is_empty() || self.head.body != Body::Done {
             out.extend_from_slice(format!("Content-Length: {}\r\n", self.body.len()).as_bytes());
         }
--- a/gateway/src/front/caller.rs
+++ b/gateway/src/front/caller.rs
@@ -171,6 +171,7 @@
             head,
             body,
             dispatch: &dispatch,
+            decided: Instant::now(),
         };
         let outcome = attempt.run(caller, &mut delivery).await;
         let ended = ended_name(outcome);
