Refuse sizes and figures without a bound

Cause: a caller's token count or a figure of the configuration of any size became a duration and ended the process; sums of tokens could wrap.

--- a/core/src/fleet/attempts.rs
+++ b/core/src/fleet/attempts.rs
@@ -208,9 +208,9 @@
             exclusive: u16::from(choice.exclusive),
             reading: u16::from(choice.exclusive),
             read_ms: choice.read_ms as u32,
-            kv_tokens: engine.map_or(0, |_| (tokens.prompt + tokens.answer) as u32),
+            kv_tokens: engine.map_or(0, |_| tokens.total() as u32),
             gap_ms: match (choice.exclusive, pending.route.gap) {
-                (true, Some(gap)) => gap.as_millis() as u16,
+                (true, Some(gap)) => gap.as_millis().min(u128::from(u16::MAX)) as u16,
                 _ => 0,
             },
         };
--- a/core/src/fleet/engine.rs
+++ b/core/src/fleet/engine.rs
@@ -11,6 +11,19 @@
 /// Part of a pause that one prompt's reading may take up together with the pass.
 const PART_OF_GAP: f64 = 0.9;
 
+/// Longest time that a prediction gives; figures and prompts from outside may have any size.
+const MAX_MS: f64 = 1e9;
+
+/// Returns a predicted time as a duration.
+pub(super) fn predicted(ms: f64) -> Duration {
+    let ms = if ms.is_finite() {
+        ms.clamp(0.0, MAX_MS)
+    } else {
+        MAX_MS
+    };
+    Duration::from_secs_f64(ms / 1e3)
+}
+
 /// Figures of an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Engine {
--- a/core/src/fleet/pending.rs
+++ b/core/src/fleet/pending.rs
@@ -5,6 +5,7 @@
 
 use smallvec::SmallVec;
 
+use super::engine::predicted;
 use super::{Choice, Organisation, Request, Route, Service, Target, Tokens};
 use crate::time::Instant;
 
@@ -50,7 +51,7 @@
         return PLAIN;
     };
     let write_ms = engine.write_ms(tokens.answer, engine.slots, tokens.prompt) * SLOWER;
-    choice.predicted + Duration::from_secs_f64(write_ms / 1e3)
+    choice.predicted + predicted(write_ms)
 }
 
 /// Returns the gap after which callers leave a stream: two seconds, four times the objective or eight times
--- a/core/src/fleet/placement.rs
+++ b/core/src/fleet/placement.rs
@@ -10,6 +10,7 @@
 
 use smallvec::SmallVec;
 
+use super::engine::predicted;
 use super::{Engine, Load, Target, Tokens};
 
 /// Part of the slots that short prompts fill before the next target in the order is used. The rest
@@ -163,8 +164,7 @@
         tokens: Tokens,
         candidates: &[Candidate],
     ) -> Option<Choice> {
-        let fits_one =
-            (tokens.prompt + tokens.answer) as f64 <= engine.kv_tokens as f64 * (1.0 - KV_RESERVE);
+        let fits_one = tokens.total() as f64 <= engine.kv_tokens as f64 * (1.0 - KV_RESERVE);
         if fits_one && engine.shares_passes(tokens.prompt, self.gap) {
             self.shared(engine, tokens, candidates)
         } else {
@@ -179,7 +179,7 @@
         let least_ms = engine.read_ms(tokens.prompt) / readers;
         self.objective
             .mul_f64(ON_TIME)
-            .saturating_sub(Duration::from_secs_f64(least_ms / 1e3))
+            .saturating_sub(predicted(least_ms))
     }
 
     /// Returns whether a prompt is worth its reading. While targets have work that waits, one that takes
@@ -267,7 +267,7 @@
         Some(Choice {
             target: chosen.target,
             helpers: SmallVec::new(),
-            predicted: Duration::from_secs_f64(first_event_ms(engine, chosen, read_ms) / 1e3),
+            predicted: predicted(first_event_ms(engine, chosen, read_ms)),
             read_ms,
             exclusive: false,
             cost: 0.0,
@@ -375,7 +375,7 @@
         Some(Choice {
             target: free[memory.head].target,
             helpers: helpers.map(helper).collect(),
-            predicted: Duration::from_secs_f64(ms / 1e3),
+            predicted: predicted(ms),
             read_ms: read_ms / readers as f64,
             exclusive: true,
             cost: cost / worth(tokens.prompt),
@@ -404,7 +404,7 @@
             let limit = (engine.kv_tokens as f64 * (1.0 - KV_RESERVE)) as u64;
             limit.saturating_sub(u64::from(c.load.kv_tokens))
         };
-        let needed = tokens.prompt + tokens.answer;
+        let needed = tokens.total();
         let fitting = chosen.iter().enumerate().filter(|(_, c)| room(c) >= needed);
         if let Some((head, _)) = fitting.min_by_key(|(_, c)| rank(c)) {
             let held = SmallVec::new();
@@ -479,7 +479,7 @@
 /// Returns whether the memory of a target takes a prompt and its answer.
 fn fits(engine: &Engine, candidate: &Candidate, tokens: Tokens) -> bool {
     let limit = engine.kv_tokens as f64 * (1.0 - KV_RESERVE);
-    let needed = u64::from(candidate.load.kv_tokens) + tokens.prompt + tokens.answer;
+    let needed = u64::from(candidate.load.kv_tokens).saturating_add(tokens.total());
     needed as f64 <= limit
 }
 
--- a/core/src/fleet/request.rs
+++ b/core/src/fleet/request.rs
@@ -16,6 +16,13 @@
     pub answer: u64,
 }
 
+impl Tokens {
+    /// Returns the tokens of prompt and answer.
+    pub fn total(self) -> u64 {
+        self.prompt.saturating_add(self.answer)
+    }
+}
+
 /// A request that arrived.
 #[derive(Debug, Clone)]
 pub struct Request {
--- a/core/tests/fleet/rules.rs
+++ b/core/tests/fleet/rules.rs
@@ -329,6 +329,20 @@
     assert_eq!(fleet.dispatch(id).unwrap().time_left, ms(1_000));
 }
 
+/// Guards against a request that ends the process by a size that no engine has.
+#[test]
+fn absurd_sizes_are_refused() {
+    for prompt in [2_000_000, 1 << 40, u64::MAX / 2, u64::MAX] {
+        let mut fleet = Fleet::new(1, 4);
+        let id = fleet.arrive(0, request("long", prompt));
+        fleet.run(ms(8_000));
+        assert!(
+            fleet.refusal(id).is_some_and(|refusal| refusal.not_run),
+            "{prompt}"
+        );
+    }
+}
+
 /// Guards against a route type that is not what the adapter's callers rely on.
 #[test]
 fn only_once_routes_have_a_single_attempt() {
