--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,7 +7,7 @@
 use eyre::WrapErr;
 use primrosepin_bench::report::{Report, compare};
 use primrosepin_bench::scenario::{self, Scenario};
-use primrosepin_bench::{capacity, changes, plot, quickstart, relay};
+use primrosepin_bench::{capacity, changes, plot, quickstart, region, relay};
 use primrosepin_core::serving::Policy;
 use primrosepin_process::Shutdown;
 
@@ -63,6 +63,30 @@
         #[bpaf(argument("FILE"))]
         json: Option<PathBuf>,
     },
+    /// Plays days of a region in virtual time: decisions over a model of the engines, without sockets
+    #[bpaf(command)]
+    Region {
+        /// Placement: product, round-robin, least-load
+        #[bpaf(argument("NAME"), fallback(region::Policy::Product))]
+        policy: region::Policy,
+        /// First seed
+        #[bpaf(argument("N"), fallback(1))]
+        seed: u64,
+        /// Number of seeds
+        #[bpaf(argument("N"), fallback(20))]
+        seeds: u64,
+        /// Computes the bound that no placement exceeds
+        bound: bool,
+        /// Writes the figures of each seed as JSON
+        #[bpaf(argument("FILE"))]
+        json: Option<PathBuf>,
+        /// Writes plots into a folder
+        #[bpaf(argument("FOLDER"))]
+        plots: Option<PathBuf>,
+        /// Days, JSON with comments
+        #[bpaf(positional("DAY.jsonc"), some("expected the file of a day"))]
+        days: Vec<PathBuf>,
+    },
     /// Prints the ratios of two reports, the second relative to the first
     #[bpaf(command)]
     Compare {
@@ -196,6 +220,40 @@
             }
             write(json.as_deref(), &(costs, transports))?;
         }
+        Command::Region {
+            policy,
+            seed,
+            seeds,
+            bound,
+            json,
+            plots,
+            days,
+        } => {
+            let mut all = Vec::new();
+            let mut broken = 0;
+            for file in days {
+                let day = region::Day::read(&file)?;
+                let reports = region::run(&day, policy, seed..seed + seeds);
+                let bounds: Vec<f64> = if bound {
+                    let arrivals = (seed..seed + seeds).map(|seed| day.arrivals(seed));
+                    arrivals.map(|calls| region::bound(&day, &calls)).collect()
+                } else {
+                    Vec::new()
+                };
+                print!("{}", region::Report::table(&day, &reports, &bounds));
+                broken += reports.iter().map(|r| r.audit.broken()).sum::<u64>();
+                all.extend(reports);
+            }
+            write(json.as_deref(), &all)?;
+            if let Some(folder) = plots {
+                for file in region::plot(&all, &folder)? {
+                    println!("{}", file.display());
+                }
+            }
+            if broken > 0 {
+                return Ok(ExitCode::FAILURE);
+            }
+        }
         Command::Compare { first, second } => {
             print!("{}", compare(&read(&first)?, &read(&second)?));
         }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -6,13 +6,17 @@
 //! each call. Both keep [`record::Record`]s that do not depend on what the caller believes, so
 //! that tests can compare the two.
 //!
-//! Both run on the actix runtime from which they are started; the handles can be sent to other
+//! [`passes::Engine`] is a model of an engine that works in passes, in virtual time: experiments that need
+//! no network and stand-ins of other protocols share it.
+//!
+//! Both servers run on the actix runtime from which they are started; the handles can be sent to other
 //! threads.
 
 mod announcer;
 pub mod answer;
 pub mod engine;
 pub mod fault;
+pub mod passes;
 pub mod plain;
 pub mod record;
 mod respond;
