One VM places the long prompts of the region

Cause: each entry VM placed long prompts by itself. VMs chose the same targets in the same instant, or left targets idle until news of their end had come around.

Ruled out: other constants.

Change: fleet::planner. A VM asks the planner for the targets of a long prompt; the planner has one line for the region, counts what it hands out until the asking VM's own news has come, and is the first of five VMs, in an order that all agree on, that is heard. It is not elected: with two planners, or none, prompts are placed as before. Questions are repeated each 100 ms; without an answer for 250 ms the VM decides by itself. Grants are checked against the VM's own view. Messages are of version 2.

--- a/bench/src/region/world/mod.rs
+++ b/bench/src/region/world/mod.rs
@@ -214,6 +214,7 @@
     arrivals: Vec<Arrival>,
     callers: Vec<Option<Caller>>,
     vms: Vec<Vm>,
+    names: Vec<Arc<str>>,
     workers: Vec<Worker>,
     by_address: BTreeMap<SocketAddr, usize>,
     attempts: BTreeMap<AttemptId, Attempt>,
@@ -273,6 +274,9 @@
             arrivals: day.arrivals(seed),
             callers: Vec::new(),
             vms: Vec::new(),
+            names: (0..vms.clone().count())
+                .map(|number| format!("{seed}-vm-{number}").into())
+                .collect(),
             workers: workers.iter().enumerate().map(worker).collect(),
             by_address: (0..workers.len()).map(|n| (address(n, 1), n)).collect(),
             attempts: BTreeMap::new(),
@@ -344,7 +348,7 @@
 
     fn reducer(&self, number: usize, zone: usize) -> Reducer {
         Reducer::new(Settings {
-            vm: format!("{}-vm-{number}", self.seed).into(),
+            vm: Arc::clone(&self.names[number]),
             zone: format!("zone-{zone}").into(),
             retry_ratio: 0.2,
             retry_slack: 100.0,
@@ -398,7 +402,10 @@
     fn introduce(&mut self, vm: usize) {
         let config = self.config();
         self.apply(vm, config);
-        self.apply(vm, Event::Peers(self.vms.len()));
+        let peers = self.names.iter().enumerate();
+        let peers = peers.filter(|(peer, _)| *peer != vm);
+        let peers = peers.map(|(_, name)| Arc::clone(name)).collect();
+        self.apply(vm, Event::Peers(peers));
         for worker in 0..self.workers.len() {
             if self.workers[worker].up {
                 let event = self.announcement(worker);
--- a/bench/src/region/world/vm.rs
+++ b/bench/src/region/world/vm.rs
@@ -1,5 +1,6 @@
 //! Entry VMs: what their reducers decide is carried out.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use primrosepin_core::fleet::{Dispatch, Effect, Event, Id, Outcome as End};
@@ -38,12 +39,23 @@
                     }
                 }
                 Effect::Queue(..) => {}
+                Effect::Tell(peer, note) => {
+                    let names = self.names.iter();
+                    let Some(peer) = names.clone().position(|name| *name == peer) else {
+                        continue;
+                    };
+                    if self.vms[peer].up {
+                        let after = self.between(self.vms[vm].zone, self.vms[peer].zone);
+                        let vm = Arc::clone(&self.names[vm]);
+                        self.send_vm(after, peer, Event::Told { peer: vm, note });
+                    }
+                }
                 Effect::Share(share) => {
                     for peer in 0..self.vms.len() {
                         if peer != vm && self.vms[peer].up {
                             let after = self.between(self.vms[vm].zone, self.vms[peer].zone);
                             let event = Event::Shared {
-                                peer: format!("{}-vm-{vm}", self.seed).into(),
+                                peer: Arc::clone(&self.names[vm]),
                                 share: share.clone(),
                             };
                             self.send_vm(after, peer, event);
--- a/core/src/fleet/attempts.rs
+++ b/core/src/fleet/attempts.rs
@@ -28,19 +28,19 @@
 const IN_TIME: f64 = 0.9;
 
 /// Assumed size of a generation that does not tell it.
-const DEFAULT_TOKENS: Tokens = Tokens {
+pub(super) const DEFAULT_TOKENS: Tokens = Tokens {
     prompt: 4_000,
     answer: 500,
 };
 
 /// Pause between events that is on time where the route does not say.
-const DEFAULT_GAP: Duration = Duration::from_millis(500);
+pub(super) const DEFAULT_GAP: Duration = Duration::from_millis(500);
 
 /// Retry hint while a service has no target.
 pub(super) const NO_TARGET_RETRY: Duration = Duration::from_millis(300);
 
 /// Retry hint while the fleet is busy with other long prompts. A burst of them takes seconds to be read.
-const BUSY_RETRY: Duration = Duration::from_millis(2_500);
+pub(super) const BUSY_RETRY: Duration = Duration::from_millis(2_500);
 
 /// Retry hint for short prompts while no slot is free. An answer takes about two seconds.
 const FULL_RETRY: Duration = Duration::from_secs(1);
@@ -104,6 +104,9 @@
             self.refuse(id, Reason::Late, None, effects);
             return;
         }
+        if self.ask(now, id, &pending, effects) {
+            return;
+        }
         let candidates = self.candidates(now, &pending);
         let placement = Placement {
             objective: pending
@@ -117,10 +120,9 @@
             Some(engine) => placement.generation(engine, tokens, &candidates),
             None => Placement::plain(&candidates),
         };
-        if let (Some(until), Some(choice)) = (self.leaving, &choice)
-            && now + duration(&pending.service, tokens, choice) > until
+        if let Some(choice) = &choice
+            && self.leaves_before(now, id, choice, effects)
         {
-            self.refuse(id, Reason::Leaving, Some(LEAVING_RETRY), effects);
             return;
         }
         if let (Some(engine), Some(choice)) = (&pending.service.engine, &choice)
@@ -184,23 +186,38 @@
         }
     }
 
-    pub(super) fn dispatch(
+    /// Refuses a request that would not end before this VM stops; returns whether it did.
+    pub(super) fn leaves_before(
         &mut self,
         now: Instant,
         id: Id,
         choice: &Choice,
-        tokens: Tokens,
         effects: &mut Vec<Effect>,
+    ) -> bool {
+        let (Some(until), Some(pending)) = (self.leaving, self.pending.get(&id)) else {
+            return false;
+        };
+        let tokens = pending.request.tokens.unwrap_or(DEFAULT_TOKENS);
+        let late = now + duration(&pending.service, tokens, choice) > until;
+        if late {
+            self.refuse(id, Reason::Leaving, Some(LEAVING_RETRY), effects);
+        }
+        late
+    }
+
+    /// Counts the work of a request at its targets.
+    pub(super) fn count_work(
+        &mut self,
+        now: Instant,
+        id: Id,
+        pending: &Pending,
+        choice: &Choice,
+        tokens: Tokens,
     ) {
         let Some(record) = self.directory.record(choice.target) else {
             return;
         };
-        let (order, name) = (record.order, Arc::clone(&record.announcement.name));
-        let before = self.tally.load(order, now);
-        let (address, cold) = (record.announcement.address, now < record.cold_until);
-        let Some(pending) = self.pending.get_mut(&id) else {
-            return;
-        };
+        let order = record.order;
         let engine = pending.service.engine.as_ref();
         let read_at = now + choice.predicted;
         let load = Load {
@@ -239,11 +256,37 @@
                     .add(record.order, id, piece(load, helper.held_tokens == 0));
             }
         }
+    }
+
+    pub(super) fn dispatch(
+        &mut self,
+        now: Instant,
+        id: Id,
+        choice: &Choice,
+        tokens: Tokens,
+        effects: &mut Vec<Effect>,
+    ) {
+        if self.grant(now, id, choice, tokens, effects) {
+            return;
+        }
+        let Some(record) = self.directory.record(choice.target) else {
+            return;
+        };
+        let (order, name) = (record.order, Arc::clone(&record.announcement.name));
+        let before = self.tally.load(order, now);
+        let (address, cold) = (record.announcement.address, now < record.cold_until);
+        let Some(pending) = self.pending.get(&id).cloned() else {
+            return;
+        };
+        self.count_work(now, id, &pending, choice, tokens);
         if cold {
             let budget = self.cold.entry(choice.target);
             let budget = budget.or_insert_with(|| Budget::new(Duration::from_secs(1)));
             budget.add(now);
         }
+        let Some(pending) = self.pending.get_mut(&id) else {
+            return;
+        };
         pending.exclusive = choice.exclusive;
         pending.urgent_until = None;
         pending.attempts += 1;
@@ -323,9 +366,11 @@
         outcome: Outcome,
         effects: &mut Vec<Effect>,
     ) {
+        self.withdraw(id, effects);
         let Some(pending) = self.pending.get_mut(&id) else {
             return;
         };
+        (pending.local, pending.granted) = (false, false);
         let running = pending.running.take();
         self.tally.remove(id);
         self.share_due = true;
@@ -418,6 +463,9 @@
         retry_after: Option<Duration>,
         effects: &mut Vec<Effect>,
     ) {
+        if self.deny(id, reason, effects) {
+            return;
+        }
         let Some(pending) = self.pending.remove(&id) else {
             return;
         };
--- a/core/src/fleet/config.rs
+++ b/core/src/fleet/config.rs
@@ -262,6 +262,11 @@
         routes.find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// Returns a route by its name.
+    pub fn route_named(&self, name: &str) -> Option<&Arc<Route>> {
+        self.routes.iter().find(|route| &*route.name == name)
+    }
+
     /// Returns a service.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
--- a/core/src/fleet/directory.rs
+++ b/core/src/fleet/directory.rs
@@ -180,6 +180,13 @@
         self.records.get(target.0 as usize)?.as_ref()
     }
 
+    /// Returns a target by the hash of its name.
+    pub(super) fn by_order(&self, order: u64) -> Option<Target> {
+        let mut records = self.records();
+        let found = records.find(|(_, record)| record.order == order);
+        found.map(|(target, _)| target)
+    }
+
     pub(super) fn records(&self) -> impl Iterator<Item = (Target, &Record)> {
         let numbered = self.records.iter().enumerate();
         numbered.filter_map(|(index, record)| Some((Target(index as u32), record.as_ref()?)))
--- a/core/src/fleet/effect.rs
+++ b/core/src/fleet/effect.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use super::{Helper, Id, Load, Repeat, Target};
+use super::{Helper, Id, Load, Note, Repeat, Target};
 
 /// Why a request is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -91,6 +91,10 @@
     pub urgent_ms: Option<u32>,
     /// Short prompts in line for a slot.
     pub waiting: u16,
+    /// Whether the VM may place long prompts of others.
+    pub plans: bool,
+    /// Requests that run at targets which the planner gave, by their numbers at the VM.
+    pub taken: Vec<u64>,
 }
 
 /// An effect.
@@ -104,4 +108,6 @@
     Refuse(Id, Refusal),
     /// Tells peers of the work at targets.
     Share(Share),
+    /// Tells one peer of a long prompt.
+    Tell(Arc<str>, Note),
 }
--- a/core/src/fleet/event.rs
+++ b/core/src/fleet/event.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Config, Entry, Id, Request, Share};
+use super::{Config, Entry, Id, Note, Request, Share};
 
 /// What became of a dispatched request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -59,8 +59,8 @@
         /// The time.
         until: crate::time::Instant,
     },
-    /// Number of entry VMs that are known to run, this one included.
-    Peers(usize),
+    /// Names of the other entry VMs that are known to run.
+    Peers(Vec<Arc<str>>),
     /// A peer tells of its work at targets.
     Shared {
         /// Name of the VM.
@@ -68,6 +68,13 @@
         /// Its work.
         share: Share,
     },
+    /// A peer tells of a long prompt.
+    Told {
+        /// Name of the VM.
+        peer: Arc<str>,
+        /// What it tells.
+        note: Note,
+    },
     /// A request arrived.
     Arrived(Id, Request),
     /// The first byte of a target's answer arrived.
--- a/core/src/fleet/line.rs
+++ b/core/src/fleet/line.rs
@@ -10,6 +10,7 @@
 
 use super::pending::{Pending, caller_limit};
 use super::placement::Candidate;
+use super::planner::is_foreign;
 use super::{Choice, Effect, Id, Reducer};
 use crate::time::Instant;
 
@@ -71,10 +72,11 @@
     pub(super) fn queue(&mut self, id: Id, effects: &mut Vec<Effect>) {
         if !self.line.contains(&id) {
             self.line.push_back(id);
-            let pending = self.pending.get_mut(&id);
+            let pending = self.pending.get_mut(&id).filter(|_| !is_foreign(id));
             if pending.is_some_and(|pending| !std::mem::replace(&mut pending.queued, true)) {
                 effects.push(Effect::Queue(id, self.line.len()));
             }
+            self.hold_foreign(id, effects);
             // Peers with less urgent requests wait for it.
             self.share_due = true;
             self.shared_at = Instant::default();
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 //! - [`Directory`]: targets by their own announcements, ordered by start time and sequence number.
 //! - [`Tally`]: work that this VM and its peers have at each target.
 //! - [`Budget`]: requests in sliding windows, for repeats and for targets in cold start.
+//! - [`Note`]: long prompts are placed by one VM, with one line for the region.
 //! - [`Freshness`]: until when the configuration is known to hold every committed revocation.
 //!
 //! # Invariants
@@ -27,8 +28,10 @@
 mod freshness;
 mod health;
 mod line;
+mod note;
 mod pending;
 mod placement;
+mod planner;
 mod reducer;
 mod request;
 mod tally;
@@ -41,6 +44,7 @@
 pub use event::{Event, Outcome};
 pub use freshness::Freshness;
 pub use health::Health;
+pub use note::{Ask, Denial, Grant, Note};
 pub use placement::{Candidate, Choice, Helper, Placement};
 pub use reducer::{Counters, Reducer, Settings};
 pub use request::{Id, Request, Tokens};
--- a/core/src/fleet/pending.rs
+++ b/core/src/fleet/pending.rs
@@ -6,6 +6,7 @@
 use smallvec::SmallVec;
 
 use super::engine::predicted;
+use super::planner::{Asked, Foreign};
 use super::{Choice, Organisation, Request, Route, Service, Target, Tokens};
 use crate::time::Instant;
 
@@ -41,6 +42,48 @@
     pub(super) urgent_until: Option<Instant>,
     /// Since when it could be placed but leaves the targets to a more urgent one.
     pub(super) chance_at: Option<Instant>,
+    /// Since when the planner is asked for targets.
+    pub(super) asked: Option<Asked>,
+    /// Whether this VM decides without the planner.
+    pub(super) local: bool,
+    /// Whether it runs at targets that the planner gave.
+    pub(super) granted: bool,
+    /// The VM that asked, if the request is not one of this VM.
+    pub(super) foreign: Option<Foreign>,
+}
+
+impl Pending {
+    /// Creates a request that has not been placed.
+    pub(super) fn new(
+        request: Request,
+        route: Arc<Route>,
+        service: Arc<Service>,
+        arrived: Instant,
+        deadline: Instant,
+    ) -> Self {
+        Self {
+            request,
+            route,
+            service,
+            organisation: None,
+            arrived,
+            deadline,
+            attempts: 0,
+            unreachable: 0,
+            tried: SmallVec::new(),
+            may_have_run: false,
+            running: None,
+            exclusive: false,
+            queued: false,
+            short: false,
+            urgent_until: None,
+            chance_at: None,
+            asked: None,
+            local: false,
+            granted: false,
+            foreign: None,
+        }
+    }
 }
 
 /// Returns the longest time that a request usually takes: that of an answer with all its tokens.
--- a/core/src/fleet/placement.rs
+++ b/core/src/fleet/placement.rs
@@ -164,14 +164,20 @@
         tokens: Tokens,
         candidates: &[Candidate],
     ) -> Option<Choice> {
-        let fits_one = tokens.total() as f64 <= engine.kv_tokens as f64 * (1.0 - KV_RESERVE);
-        if fits_one && engine.shares_passes(tokens.prompt, self.gap) {
-            self.shared(engine, tokens, candidates)
-        } else {
+        if Self::apart(engine, tokens, self.gap) {
             self.exclusive(engine, tokens, candidates)
+        } else {
+            self.shared(engine, tokens, candidates)
         }
     }
 
+    /// Returns whether a prompt reads apart from short ones: it would stretch the pauses beside it beyond
+    /// `gap`, or does not fit into one engine's memory.
+    pub fn apart(engine: &Engine, tokens: Tokens, gap: Duration) -> bool {
+        let fits_one = tokens.total() as f64 <= engine.kv_tokens as f64 * (1.0 - KV_RESERVE);
+        !fits_one || !engine.shares_passes(tokens.prompt, gap)
+    }
+
     /// Returns how long a long prompt may still wait for better targets and be on time.
     pub fn slack(&self, engine: &Engine, tokens: Tokens, candidates: &[Candidate]) -> Duration {
         let sound = candidates.iter().filter(|c| !c.avoided && !c.cold).count();
--- a/core/src/fleet/reducer.rs
+++ b/core/src/fleet/reducer.rs
@@ -4,10 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use smallvec::SmallVec;
-
 use super::attempts::NO_TARGET_RETRY;
 use super::pending::{Pending, choose_service};
+use super::planner::{BEACON, Granted};
 use super::{
     Announcement, Budget, Config, Directory, Effect, Entry, Event, Freshness, Health, Id, Load,
     Reason, Refusal, Request, Share, State, Tally, Target,
@@ -87,6 +86,15 @@
     pub(super) windows: HashMap<Arc<str>, Windows>,
     pub(super) tally: Tally,
     pub(super) peers: usize,
+    /// VMs that may place long prompts of others, in the order in which they do.
+    pub(super) standing: Vec<Arc<str>>,
+    /// Until when VMs that did not answer are not asked.
+    pub(super) silent: HashMap<Arc<str>, Instant>,
+    /// Largest number of own requests that the planner is asked for.
+    pub(super) asked: usize,
+    /// Requests of other VMs so far.
+    pub(super) next_foreign: u64,
+    pub(super) granted: BTreeMap<Id, Granted>,
     pub(super) pending: BTreeMap<Id, Pending>,
     /// Requests in line for a target in cold start.
     pub(super) line: VecDeque<Id>,
@@ -121,6 +129,11 @@
             windows: HashMap::new(),
             tally: Tally::default(),
             peers: 1,
+            standing: Vec::new(),
+            silent: HashMap::new(),
+            asked: 0,
+            next_foreign: 0,
+            granted: BTreeMap::new(),
             pending: BTreeMap::new(),
             line: VecDeque::new(),
             line_at: Instant::default(),
@@ -179,7 +192,10 @@
     /// Processes an event and appends its effects.
     pub fn apply(&mut self, now: Instant, event: Event, effects: &mut Vec<Effect>) {
         match event {
-            Event::Tick => self.tick(now),
+            Event::Tick => {
+                self.tick(now);
+                self.repeat_asks(now, effects);
+            }
             Event::Configured {
                 revision,
                 config,
@@ -205,8 +221,12 @@
                 age_ms,
             }) => self.announced(now, announcement, age_ms),
             Event::Leaving { until } => self.leaving = Some(until),
-            Event::Peers(peers) => self.peers = peers.max(1),
-            Event::Shared { peer, share } => self.tally.share(now, peer, share),
+            Event::Peers(peers) => self.set_peers(peers),
+            Event::Shared { peer, share } => {
+                self.confirm(&peer, &share.taken);
+                self.tally.share(now, peer, share);
+            }
+            Event::Told { peer, note } => self.told(now, &peer, note, effects),
             Event::Arrived(id, request) => self.arrived(now, id, request, effects),
             Event::Started(id) => self.started(now, id),
             Event::Ended(id, outcome) => self.ended(now, id, outcome, effects),
@@ -216,6 +236,7 @@
     }
 
     fn tick(&mut self, now: Instant) {
+        self.expire_foreign(now);
         /// Interval and factor with which old marks of targets fade.
         const FADE: Duration = Duration::from_secs(1);
         const FADE_FACTOR: f64 = 0.8;
@@ -225,6 +246,7 @@
                 health.fade(FADE_FACTOR);
             }
             self.tally.expire(now);
+            self.silent.retain(|_, until| now < *until);
             self.directory.expire(now);
         }
     }
@@ -311,29 +333,22 @@
             .ok_or(no_target)?;
         let patience = request.patience.unwrap_or(route.timeout).min(route.timeout);
         Ok(Pending {
-            service: Arc::clone(service),
-            route: Arc::clone(route),
             organisation,
-            arrived: now,
-            deadline: now + patience,
-            attempts: 0,
-            unreachable: 0,
-            tried: SmallVec::new(),
-            may_have_run: false,
-            running: None,
-            exclusive: false,
-            queued: false,
-            short: false,
-            urgent_until: None,
-            chance_at: None,
-            request,
+            ..Pending::new(
+                request,
+                Arc::clone(route),
+                Arc::clone(service),
+                now,
+                now + patience,
+            )
         })
     }
 
     fn share(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         let interval = SHARE_INTERVAL + SHARE_PER_PEER * self.peers as u32;
         let since = now.since(self.shared_at);
-        let repeat = !self.pending.is_empty() && since >= SHARE_REPEAT;
+        let repeat =
+            !self.pending.is_empty() && since >= SHARE_REPEAT || self.plans() && since >= BEACON;
         if self.peers <= 1 || !(repeat || self.share_due && since >= interval) {
             return;
         }
@@ -349,6 +364,8 @@
             sequence: self.share_sequence,
             loads: self.tally.own_loads(now),
             waiting: self.own_waiting() as u16,
+            plans: self.plans(),
+            taken: self.taken(),
             urgent_ms: urgent.map(|until| until.since(now).as_millis() as u32),
         }));
     }
--- a/core/src/fleet/request.rs
+++ b/core/src/fleet/request.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// Number of a request in one process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Id(pub u64);
 
 /// Size of a generation, tokens.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Tokens {
     /// Prompt.
     pub prompt: u64,
--- a/core/src/fleet/tally.rs
+++ b/core/src/fleet/tally.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Share;
+use super::planner::is_foreign;
 use crate::time::Instant;
 
 /// Age after which a peer's work counts no more; its own requests have been cut by then.
@@ -65,6 +66,8 @@
     urgent_until: Option<Instant>,
     /// Its short prompts in line for a slot.
     waiting: u32,
+    /// Whether it may place long prompts of others.
+    plans: bool,
 }
 
 /// One piece of this VM's work at a target.
@@ -110,9 +113,11 @@
         });
     }
 
-    fn own(&self, target: u64, now: Instant) -> Load {
+    /// Returns this VM's work at a target, with or without what it handed out to other VMs.
+    fn own(&self, target: u64, now: Instant, handed_out: bool) -> Load {
         let mut load = Load::default();
-        for (_, piece) in self.own.get(&target).into_iter().flatten() {
+        let pieces = self.own.get(&target).into_iter().flatten();
+        for (_, piece) in pieces.filter(|(id, _)| handed_out || !is_foreign(*id)) {
             load.add(Load {
                 read_ms: 0,
                 ..piece.load
@@ -135,6 +140,7 @@
             sequence: share.sequence,
             loads: share.loads.into_iter().collect(),
             waiting: u32::from(share.waiting),
+            plans: share.plans,
             urgent_until: share
                 .urgent_ms
                 .map(|ms| now + Duration::from_millis(u64::from(ms))),
@@ -150,7 +156,7 @@
 
     /// Returns the work at a target.
     pub fn load(&self, target: u64, now: Instant) -> Load {
-        let mut load = self.own(target, now);
+        let mut load = self.own(target, now, true);
         for peer in self.peers.values() {
             if let Some(other) = peer.loads.get(&target) {
                 let other = other.after(now.since(peer.heard));
@@ -173,6 +179,12 @@
         urgent.any(|other| now < other && other < until)
     }
 
+    /// Returns the time since a peer said that it may place long prompts of others.
+    pub(super) fn plans_since(&self, peer: &str, now: Instant) -> Duration {
+        let peer = self.peers.get(peer).filter(|peer| peer.plans);
+        peer.map_or(Duration::MAX, |peer| now.since(peer.heard))
+    }
+
     /// Returns the short prompts that wait at peers for a slot.
     pub(super) fn peers_waiting(&self, now: Instant) -> u32 {
         let fresh = self
@@ -198,7 +210,8 @@
         let mut loads: Vec<_> = self
             .own
             .keys()
-            .map(|target| (*target, self.own(*target, now)))
+            .map(|target| (*target, self.own(*target, now, false)))
+            .filter(|(_, load)| *load != Load::default())
             .collect();
         loads.sort_unstable_by_key(|(target, _)| *target);
         loads
--- a/core/tests/fleet/load.rs
+++ b/core/tests/fleet/load.rs
@@ -70,6 +70,8 @@
         .collect();
     fleet.run(ms(200));
     let medium = fleet.arrive(0, request("medium", 45_000));
+    // A question to the planner and its answer.
+    fleet.run(ms(10));
     let dispatch = fleet.dispatch(medium).expect("placed at once");
     let short = targets(&fleet, &short);
     assert!(!short.contains_key(&*dispatch.name));
--- a/core/tests/fleet/main.rs
+++ b/core/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Decisions of entry VMs whose targets serve the whole region.
 
 mod load;
+mod planner;
 mod rules;
 mod support;
 mod targets;
--- a/core/tests/fleet/support.rs
+++ b/core/tests/fleet/support.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use primrosepin_core::fleet::{
-    Announcement, Config, Dispatch, Effect, Engine, Entry, Event, Id, Limits, Organisation,
+    Announcement, Config, Dispatch, Effect, Engine, Entry, Event, Id, Limits, Note, Organisation,
     Outcome, Reducer, Refusal, Repeat, Request, Route, Service, Settings, State, Tokens,
 };
 use primrosepin_core::time::Instant;
@@ -140,8 +140,10 @@
     pub decisions: Vec<(usize, Id, Decision)>,
     /// Time until a peer hears a message.
     pub delay: Duration,
-    /// Peers that hear nothing.
+    /// Peers that hear nothing, and that nobody hears.
     pub cut: Vec<usize>,
+    /// Messages about long prompts that were sent, with sender and receiver.
+    pub notes: Vec<(usize, usize, Note)>,
     messages: BTreeMap<(Instant, u64), (usize, Event)>,
     next: u64,
 }
@@ -165,6 +167,7 @@
             decisions: Vec::new(),
             delay: ms(2),
             cut: Vec::new(),
+            notes: Vec::new(),
             messages: BTreeMap::new(),
             next: 0,
         };
@@ -173,7 +176,9 @@
             config: Arc::new(config(1)),
             zones_out: Vec::new(),
         });
-        fleet.all(&Event::Peers(vms));
+        for vm in 0..vms {
+            fleet.apply(vm, Event::Peers(fleet.names(vm)));
+        }
         for number in 0..engines {
             fleet.announce(announcement("engine", number, number % 3));
         }
@@ -184,6 +189,12 @@
         fleet
     }
 
+    /// Returns the names of the peers of a VM.
+    pub fn names(&self, vm: usize) -> Vec<Arc<str>> {
+        let peers = (0..self.vms.len()).filter(|peer| *peer != vm);
+        peers.map(|peer| format!("entry-{peer}").into()).collect()
+    }
+
     /// Hands an event to all VMs.
     pub fn all(&mut self, event: &Event) {
         for vm in 0..self.vms.len() {
@@ -221,6 +232,21 @@
                     self.decisions.push((vm, id, Decision::Refused(refusal)));
                 }
                 Effect::Queue(..) => {}
+                Effect::Tell(peer, note) => {
+                    let number = |name: &str| name.strip_prefix("entry-")?.parse::<usize>().ok();
+                    let peer = number(&peer).expect("a peer");
+                    self.notes.push((vm, peer, note.clone()));
+                    if self.cut.contains(&peer) || self.cut.contains(&vm) {
+                        continue;
+                    }
+                    self.next += 1;
+                    let event = Event::Told {
+                        peer: format!("entry-{vm}").into(),
+                        note,
+                    };
+                    let at = self.now + self.delay;
+                    self.messages.insert((at, self.next), (peer, event));
+                }
                 Effect::Share(share) => {
                     for peer in 0..self.vms.len() {
                         if peer == vm || self.cut.contains(&peer) || self.cut.contains(&vm) {
@@ -239,6 +265,11 @@
         }
     }
 
+    /// Loses what is on its way to a VM.
+    pub fn drop_messages(&mut self, vm: usize) {
+        self.messages.retain(|_, (peer, _)| *peer != vm);
+    }
+
     /// Lets time pass in small steps; messages arrive and the VMs' clocks tick.
     pub fn run(&mut self, time: Duration) {
         const STEP: Duration = Duration::from_millis(1);
--- a/gateway/src/core/hub.rs
+++ b/gateway/src/core/hub.rs
@@ -232,7 +232,8 @@
             | Message::Targets(_)
             | Message::Roster { .. }
             | Message::Relayed { .. }
-            | Message::Share { .. } => {}
+            | Message::Share { .. }
+            | Message::Note { .. } => {}
         }
     }
 }
--- a/gateway/src/front/node.rs
+++ b/gateway/src/front/node.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use primrosepin_core::fleet::{Dispatch, Effect, Event, Id, Limits, Reducer, Refusal, Share};
+use primrosepin_core::fleet::{Dispatch, Effect, Event, Id, Limits, Note, Reducer, Refusal, Share};
 use primrosepin_core::time::Instant;
 use primrosepin_telemetry::metrics::Metrics;
 use tokio::net::UdpSocket;
@@ -152,6 +152,7 @@
                 Effect::Refuse(id, refusal) => self.order(id, Order::Refuse(refusal)),
                 Effect::Queue(id, length) => self.order(id, Order::Queue(length)),
                 Effect::Share(share) => self.share(share),
+                Effect::Tell(peer, note) => self.tell(&peer, note),
             }
         }
     }
@@ -179,6 +180,24 @@
         }
     }
 
+    fn tell(&self, peer: &str, note: Note) {
+        let peers = self.peers.borrow();
+        let Some(peer) = peers.iter().find(|front| *front.vm == *peer) else {
+            // It has left; the reducer decides without it when no answer comes.
+            self.meters.lost_shares.add(1, &[]);
+            return;
+        };
+        let vm = Arc::clone(&self.settings.common.vm);
+        match (Message::Note { vm, note }).encode() {
+            Ok(bytes) => {
+                if self.datagrams.try_send_to(&bytes, peer.address).is_err() {
+                    self.meters.lost_shares.add(1, &[]);
+                }
+            }
+            Err(error) => log::error!("cannot encode a datagram: {error:#}"),
+        }
+    }
+
     /// Takes datagrams of peers until the socket fails.
     pub(super) async fn receive_shares(&self) {
         let mut bytes = vec![0; 64 * 1024];
@@ -191,6 +210,9 @@
                 Ok(Message::Share { vm, share }) if vm != self.settings.common.vm => {
                     self.apply(Event::Shared { peer: vm, share });
                 }
+                Ok(Message::Note { vm, note }) if vm != self.settings.common.vm => {
+                    self.apply(Event::Told { peer: vm, note });
+                }
                 Ok(_) => {}
                 Err(error) => log::debug!("datagram refused: {error:#}"),
             }
@@ -211,9 +233,9 @@
         if peers.is_empty() || *self.peers.borrow() == peers {
             return;
         }
-        let count = peers.len() + 1;
+        let names = peers.iter().map(|peer| Arc::clone(&peer.vm)).collect();
         self.peers.replace(peers);
-        self.apply(Event::Peers(count));
+        self.apply(Event::Peers(names));
     }
 
     /// Returns the revision in force.
--- a/gateway/src/front/uplink.rs
+++ b/gateway/src/front/uplink.rs
@@ -178,6 +178,7 @@
         | Message::Consensus(_)
         | Message::Relay { .. }
         | Message::Relayed { .. }
-        | Message::Share { .. } => {}
+        | Message::Share { .. }
+        | Message::Note { .. } => {}
     }
 }
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -5,11 +5,11 @@
 
 use eyre::{bail, ensure};
 use primrosepin_core::consensus;
-use primrosepin_core::fleet::{Entry, Share};
+use primrosepin_core::fleet::{Entry, Note, Share};
 use serde::{Deserialize, Serialize};
 
 /// Version of the message format. A process refuses messages of other versions.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 
 /// Largest message, bytes. Configurations and snapshots are the largest ones.
 pub const MAX_BYTES: usize = 16 * 1024 * 1024;
@@ -85,6 +85,13 @@
         /// The work.
         share: Share,
     },
+    /// A message about a long prompt; sent as a datagram.
+    Note {
+        /// Name of the sending VM.
+        vm: Arc<str>,
+        /// What it tells.
+        note: Note,
+    },
 }
 
 impl Message {
--- a/gateway/tests/message.rs
+++ b/gateway/tests/message.rs
@@ -2,11 +2,12 @@
 
 use std::sync::Arc;
 
-use primrosepin_core::fleet::{Announcement, Entry, Load, Share, State};
+use primrosepin_core::fleet::{Announcement, Ask, Entry, Grant, Load, Note, Share, State, Tokens};
 use primrosepin_gateway::document;
 use primrosepin_gateway::message::{Front, Message};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
+use smallvec::smallvec;
 
 fn messages() -> Vec<Message> {
     let entry = Entry {
@@ -48,8 +49,35 @@
                 loads: vec![(77, Load::default())],
                 urgent_ms: Some(10),
                 waiting: 3,
+                plans: true,
+                taken: vec![4],
             },
         },
+        Message::Note {
+            vm: "entry-1".into(),
+            note: Note::Ask(Ask {
+                id: 9,
+                route: "long".into(),
+                service: "engine".into(),
+                tokens: Tokens {
+                    prompt: 180_000,
+                    answer: 700,
+                },
+                waited_ms: 20,
+                left_ms: 9_000,
+                excluded: smallvec![77],
+            }),
+        },
+        Message::Note {
+            vm: "entry-2".into(),
+            note: Note::Granted(Grant {
+                id: 9,
+                target: 77,
+                helpers: smallvec![(78, 0), (79, 120_000)],
+                predicted_ms: 300.5,
+                read_ms: 280.25,
+            }),
+        },
     ]
 }
 
