--- a/bench/src/region/day.rs
+++ b/bench/src/region/day.rs
@@ -149,6 +149,15 @@
         /// Share of all engines.
         share: f64,
     },
+    /// Messages between entry VMs are lost.
+    Lossy {
+        /// Begin, s.
+        at_s: f64,
+        /// Length, s.
+        for_s: f64,
+        /// Share of the messages.
+        share: f64,
+    },
     /// Entry VMs are killed and start again.
     VmsLost {
         /// Begin, s.
--- a/bench/src/region/world/mod.rs
+++ b/bench/src/region/world/mod.rs
@@ -226,6 +226,8 @@
     next: u64,
     revision: u64,
     zones_out: Vec<usize>,
+    /// Share of the messages between entry VMs that are lost.
+    loss: f64,
     /// Engines or VMs that a trouble has chosen.
     chosen: Vec<Vec<usize>>,
     audit: Audit,
@@ -290,6 +292,7 @@
             next: 0,
             revision: 1,
             zones_out: Vec::new(),
+            loss: 0.0,
             chosen: vec![Vec::new(); day.troubles.len()],
             audit: Audit::default(),
         };
@@ -328,6 +331,7 @@
                 | Trouble::ZoneCold { at_s, for_s, .. }
                 | Trouble::Crash { at_s, for_s, .. }
                 | Trouble::Slow { at_s, for_s, .. }
+                | Trouble::Lossy { at_s, for_s, .. }
                 | Trouble::VmsLost { at_s, for_s, .. } => (*at_s, Duration::from_secs_f64(*for_s)),
                 Trouble::Leave { at_s, .. } => (*at_s, LEAVE),
             };
--- a/bench/src/region/world/trouble.rs
+++ b/bench/src/region/world/trouble.rs
@@ -51,6 +51,7 @@
                     self.send_all(ANNOUNCED, &event);
                 }
             }
+            Trouble::Lossy { share, .. } => self.loss = share,
             Trouble::VmsLost { share, .. } => {
                 self.chosen[index] = self.draw(self.vms.len(), share);
                 for vm in self.chosen[index].clone() {
@@ -77,6 +78,7 @@
                 }
             }
             Trouble::Leave { .. } => self.stop(index),
+            Trouble::Lossy { .. } => self.loss = 0.0,
             Trouble::VmsLost { .. } => {
                 for vm in self.chosen[index].clone() {
                     let reducer = self.reducer(vm, self.vms[vm].zone);
--- a/bench/src/region/world/vm.rs
+++ b/bench/src/region/world/vm.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use primrosepin_core::fleet::{Dispatch, Effect, Event, Id, Outcome as End};
+use rand::RngExt;
 use smallvec::SmallVec;
 
 use super::super::Policy;
@@ -44,7 +45,7 @@
                     let Some(peer) = names.clone().position(|name| *name == peer) else {
                         continue;
                     };
-                    if self.vms[peer].up {
+                    if self.vms[peer].up && !self.loses() {
                         let after = self.between(self.vms[vm].zone, self.vms[peer].zone);
                         let vm = Arc::clone(&self.names[vm]);
                         self.send_vm(after, peer, Event::Told { peer: vm, note });
@@ -52,7 +53,7 @@
                 }
                 Effect::Share(share) => {
                     for peer in 0..self.vms.len() {
-                        if peer != vm && self.vms[peer].up {
+                        if peer != vm && self.vms[peer].up && !self.loses() {
                             let after = self.between(self.vms[vm].zone, self.vms[peer].zone);
                             let event = Event::Shared {
                                 peer: Arc::clone(&self.names[vm]),
@@ -66,6 +67,11 @@
         }
     }
 
+    /// Returns whether the next message between entry VMs is lost.
+    fn loses(&mut self) -> bool {
+        self.loss > 0.0 && self.random.random::<f64>() < self.loss
+    }
+
     pub(super) fn dispatch(&mut self, vm: usize, id: Id, dispatch: &Dispatch) {
         let find = |address| self.by_address.get(address).copied();
         let Some(head) = find(&dispatch.address) else {
--- a/core/src/fleet/attempts.rs
+++ b/core/src/fleet/attempts.rs
@@ -5,7 +5,7 @@
 
 use super::directory::LEASE;
 use super::line::HARM;
-use super::pending::{Pending, Running, duration, silence};
+use super::pending::{Pending, Running, duration, least_duration, silence};
 use super::placement::Candidate;
 use super::tally::Piece;
 use super::{
@@ -194,6 +194,20 @@
         late
     }
 
+    /// Refuses a request that waits and cannot end before this VM stops; returns whether it did.
+    pub(super) fn cannot_end(&mut self, now: Instant, id: Id, effects: &mut Vec<Effect>) -> bool {
+        let (Some(until), Some(pending)) = (self.leaving, self.pending.get(&id)) else {
+            return false;
+        };
+        let tokens = pending.request.tokens.unwrap_or(DEFAULT_TOKENS);
+        let late = now + least_duration(&pending.service, tokens) > until;
+        if late {
+            self.withdraw(id, effects);
+            self.refuse(id, Reason::Leaving, Some(LEAVING_RETRY), effects);
+        }
+        late
+    }
+
     /// Counts the work of a request at its targets.
     pub(super) fn count_work(
         &mut self,
--- a/core/src/fleet/pending.rs
+++ b/core/src/fleet/pending.rs
@@ -97,6 +97,17 @@
     choice.predicted + predicted(write_ms)
 }
 
+/// Returns the time that a request takes at the least, when it has many targets to read its prompt.
+pub(super) fn least_duration(service: &Service, tokens: Tokens) -> Duration {
+    /// Targets that usually read a long prompt.
+    const READERS: f64 = 8.0;
+    let Some(engine) = &service.engine else {
+        return Duration::ZERO;
+    };
+    let write_ms = engine.write_ms(tokens.answer, engine.slots, tokens.prompt);
+    predicted(engine.read_ms(tokens.prompt) / READERS + write_ms)
+}
+
 /// Returns the gap after which callers leave a stream: two seconds, four times the objective or eight times
 /// the longest pause, whichever is longest.
 pub(super) fn caller_limit(route: &Route) -> Duration {
--- a/core/src/fleet/planner.rs
+++ b/core/src/fleet/planner.rs
@@ -129,6 +129,9 @@
         let Some(planner) = self.planner(now).cloned() else {
             return false;
         };
+        if self.cannot_end(now, id, effects) {
+            return true;
+        }
         if let Some(pending) = self.pending.get_mut(&id) {
             pending.asked = Some(Asked {
                 planner: Arc::clone(&planner),
@@ -181,22 +184,31 @@
         }
         self.asked = waiting.len();
         for (id, asked) in waiting {
-            let Some(pending) = self.pending.get_mut(&id) else {
+            let Some(pending) = self.pending.get(&id) else {
                 continue;
             };
             if pending.deadline <= now {
                 self.withdraw(id, effects);
                 self.refuse(id, Reason::Late, None, effects);
-            } else if now.since(asked.heard) >= ANSWER_TIMEOUT {
-                pending.asked = None;
-                pending.local = true;
-                let until = now + SILENT_PAUSE;
-                self.silent.insert(asked.planner, until);
-                self.place(now, id, effects);
-            } else if now.since(asked.sent) >= ASK_INTERVAL {
-                if let Some(asked) = &mut pending.asked {
+                continue;
+            }
+            if self.cannot_end(now, id, effects) {
+                continue;
+            }
+            let silent = now.since(asked.heard) >= ANSWER_TIMEOUT;
+            let repeats = now.since(asked.sent) >= ASK_INTERVAL;
+            if let Some(pending) = self.pending.get_mut(&id) {
+                if silent {
+                    pending.asked = None;
+                    pending.local = true;
+                } else if let Some(asked) = pending.asked.as_mut().filter(|_| repeats) {
                     asked.sent = now;
                 }
+            }
+            if silent {
+                self.silent.insert(asked.planner, now + SILENT_PAUSE);
+                self.place(now, id, effects);
+            } else if repeats {
                 self.send_ask(now, id, asked.planner, effects);
             }
         }
--- a/core/tests/fleet/planner.rs
+++ b/core/tests/fleet/planner.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use primrosepin_core::fleet::{Denial, Event, Grant, Id, Note, Outcome, State};
+use primrosepin_core::fleet::{Denial, Event, Grant, Id, Note, Outcome, Reason, State};
 use smallvec::smallvec;
 
 use super::support::{Fleet, announcement, ms, request};
@@ -235,6 +235,32 @@
     assert_ne!(first, second);
 }
 
+/// Guards against requests that wait in line at a VM that stops, and are refused when their targets are
+/// free at last: another VM takes them at once.
+#[test]
+fn a_vm_that_stops_sends_waiting_prompts_elsewhere_at_once() {
+    let mut fleet = Fleet::new(9, 16);
+    let planner = planner(&mut fleet);
+    let vm = other(planner);
+    let ids: Vec<Id> = (0..4)
+        .map(|_| fleet.arrive(vm, request("long", 400_000)))
+        .collect();
+    fleet.run(ms(20));
+    let until = fleet.now + ms(1_500);
+    fleet.apply(vm, Event::Leaving { until });
+    fleet.run(ms(30));
+    for id in ids {
+        let Some(refusal) = fleet.refusal(id) else {
+            assert!(fleet.dispatch(id).is_some(), "{id:?} still waits");
+            continue;
+        };
+        assert!(refusal.not_run);
+        assert_eq!(refusal.reason, Reason::Leaving);
+    }
+    let id = fleet.arrive(vm, request("long", 400_000));
+    assert_eq!(fleet.refusal(id).map(|r| r.reason), Some(Reason::Leaving));
+}
+
 /// Guards against messages that come twice, late, or from VMs that were not asked.
 #[test]
 fn answers_to_no_question_change_nothing() {
--- a/gateway/src/core/server.rs
+++ b/gateway/src/core/server.rs
@@ -108,17 +108,15 @@
 
 async fn accept_links(hub: Rc<Hub>, listener: TcpListener) {
     loop {
-        if let Ok((stream, peer)) = listener.accept().await {
-            actix_rt::spawn(Rc::clone(&hub).serve(stream, peer));
-        }
+        let (stream, peer) = net::accept(&listener).await;
+        actix_rt::spawn(Rc::clone(&hub).serve(stream, peer));
     }
 }
 
 async fn accept_calls(context: Rc<Context>, listener: TcpListener) {
     loop {
-        if let Ok((stream, _)) = listener.accept().await {
-            actix_rt::spawn(calls::serve(Rc::clone(&context), stream));
-        }
+        let (stream, _) = net::accept(&listener).await;
+        actix_rt::spawn(calls::serve(Rc::clone(&context), stream));
     }
 }
 
--- a/gateway/src/front/server.rs
+++ b/gateway/src/front/server.rs
@@ -104,24 +104,15 @@
 
 async fn accept(node: Rc<Node>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => drop(actix_rt::spawn(caller::serve(Rc::clone(&node), stream))),
-            Err(error) => {
-                /// Pause after an error, such as a lack of descriptors.
-                const PAUSE: Duration = Duration::from_millis(50);
-                log::warn!("cannot accept a caller: {error}");
-                sleep(PAUSE).await;
-            }
-        }
+        let (stream, _) = net::accept(&listener).await;
+        drop(actix_rt::spawn(caller::serve(Rc::clone(&node), stream)));
     }
 }
 
 /// Tells the platform whether this VM takes new callers.
 async fn answer_ready(node: Rc<Node>, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
+        let (stream, _) = net::accept(&listener).await;
         let node = Rc::clone(&node);
         actix_rt::spawn(async move {
             let mut connection = Connection::new(stream);
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -130,9 +130,7 @@
     let listener: TcpListener = net::listen(address)?;
     let refresh = Rc::new(refresh);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
+        let (stream, _) = net::accept(&listener).await;
         let (metrics, refresh) = (metrics.clone(), Rc::clone(&refresh));
         actix_rt::spawn(async move {
             let mut connection = Connection::new(stream);
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -6,7 +6,7 @@
 
 use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1_024;
@@ -18,6 +18,10 @@
 /// Pause after which the peer is probed, and between probes; a peer that answers none is gone.
 const KEEPALIVE: Duration = Duration::from_secs(1);
 
+/// Pause after a connection could not be accepted: descriptors are free again when others end, and the log
+/// stays bounded.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Listens on an address.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(
@@ -32,6 +36,20 @@
     TcpListener::from_std(socket.into())
 }
 
+/// Accepts the next connection. After an error, such as a lack of descriptors, it pauses and tries again.
+pub async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
+    loop {
+        match listener.accept().await {
+            Ok(accepted) => return accepted,
+            Err(error) => {
+                let port = listener.local_addr().map_or(0, |address| address.port());
+                log::warn!(port = port; "cannot accept a connection: {error}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Connects within a time.
 pub async fn connect(to: SocketAddr, within: Duration) -> io::Result<TcpStream> {
     let socket = if to.is_ipv4() {
