Weigh lost answers and harm to others less

Cause: with one line for the region long prompts waited or were refused where their parts would have made a few short answers late. The weights came from placement without a planner.

Change: an answer that is lost weighs 1.5 times a late one (3 before), and a late placement is refused above a harm of 1.0 (1.5).

--- a/core/src/fleet/line.rs
+++ b/core/src/fleet/line.rs
@@ -21,7 +21,7 @@
 
 /// Expected cost of a placement above which it makes more of other requests late than it is worth. A late
 /// request alone costs one.
-pub(super) const HARM: f64 = 1.5;
+pub(super) const HARM: f64 = 1.0;
 
 /// Time for which a prompt that could be placed leaves the targets to a more urgent one of a peer.
 const DEFER: Duration = Duration::from_millis(80);
--- a/core/src/fleet/placement.rs
+++ b/core/src/fleet/placement.rs
@@ -58,7 +58,7 @@
 const LEAVE_MS: f64 = 1_000.0;
 
 /// Worth of an answer that is lost and asked for again, in relation to one that is late.
-const LOST_WORTH: f64 = 3.0;
+const LOST_WORTH: f64 = 1.5;
 
 /// Reading on one engine above which a prompt leaves some targets to shorter ones, ms.
 const LONG_MS: f64 = 1_000.0;
