Log what the planner decides and who placed a request

Cause: a request that another VM had placed could not be traced from its id: the asking VM's line did not say who chose the targets, the planner wrote nothing, and falling back to a decision of its own was silent.

Change: questions carry the caller's id.

--- a/bench/src/region/world/vm.rs
+++ b/bench/src/region/world/vm.rs
@@ -39,7 +39,8 @@
                         self.push(self.now + CALLER, What::ToCaller(held.call, number, what));
                     }
                 }
-                Effect::Queue(..) => {}
+                Effect::Queue(..) | Effect::Alone(..) | Effect::Planned(_) | Effect::Planner(_) => {
+                }
                 Effect::Tell(peer, note) => {
                     let names = self.names.iter();
                     let Some(peer) = names.clone().position(|name| *name == peer) else {
--- a/core/src/fleet/attempts.rs
+++ b/core/src/fleet/attempts.rs
@@ -101,7 +101,7 @@
         };
         let left = pending.deadline.since(now);
         if left.is_zero() {
-            self.refuse(id, Reason::Late, None, effects);
+            self.refuse(now, id, Reason::Late, None, effects);
             return;
         }
         if self.ask(now, id, &pending, effects) {
@@ -131,7 +131,7 @@
             let slack = placement.slack(engine, tokens, &candidates);
             let late = slack.is_zero();
             if late && !Placement::pays(engine, tokens, choice, &candidates) {
-                self.refuse(id, Reason::Busy, Some(BUSY_RETRY), effects);
+                self.refuse(now, id, Reason::Busy, Some(BUSY_RETRY), effects);
                 return;
             }
             if self.waits(now, id, choice, slack) {
@@ -139,7 +139,7 @@
                 return;
             }
             if late && choice.cost > HARM {
-                self.refuse(id, Reason::Busy, Some(BUSY_RETRY), effects);
+                self.refuse(now, id, Reason::Busy, Some(BUSY_RETRY), effects);
                 return;
             }
         }
@@ -164,14 +164,14 @@
             }
             Some(choice) => {
                 let excess = choice.predicted.saturating_sub(left.mul_f64(IN_TIME));
-                self.refuse(id, Reason::Busy, Some(excess), effects);
+                self.refuse(now, id, Reason::Busy, Some(excess), effects);
             }
             // Targets are there, but their memory does not take the prompt.
             None if !candidates.is_empty() => {
-                self.refuse(id, Reason::Busy, Some(NO_TARGET_RETRY), effects);
+                self.refuse(now, id, Reason::Busy, Some(NO_TARGET_RETRY), effects);
             }
             None if self.in_line(now, &pending) => self.queue(id, effects),
-            None => self.refuse(id, Reason::NoTarget, Some(NO_TARGET_RETRY), effects),
+            None => self.refuse(now, id, Reason::NoTarget, Some(NO_TARGET_RETRY), effects),
         }
     }
 
@@ -189,7 +189,7 @@
         let tokens = pending.request.tokens.unwrap_or(DEFAULT_TOKENS);
         let late = now + duration(&pending.service, tokens, choice) > until;
         if late {
-            self.refuse(id, Reason::Leaving, Some(LEAVING_RETRY), effects);
+            self.refuse(now, id, Reason::Leaving, Some(LEAVING_RETRY), effects);
         }
         late
     }
@@ -203,7 +203,7 @@
         let late = now + least_duration(&pending.service, tokens) > until;
         if late {
             self.withdraw(id, effects);
-            self.refuse(id, Reason::Leaving, Some(LEAVING_RETRY), effects);
+            self.refuse(now, id, Reason::Leaving, Some(LEAVING_RETRY), effects);
         }
         late
     }
@@ -334,6 +334,7 @@
                     && pending.attempts < pending.route.max_attempts,
                 stream: pending.route.stream,
                 route: Arc::clone(&pending.route.name),
+                planner: pending.planner.clone(),
             }),
         ));
     }
@@ -373,7 +374,8 @@
         let Some(pending) = self.pending.get_mut(&id) else {
             return;
         };
-        (pending.local, pending.granted) = (false, false);
+        pending.local = false;
+        pending.planner = None;
         let running = pending.running.take();
         self.tally.remove(id);
         self.share_due = true;
@@ -439,7 +441,7 @@
             }
             self.place(now, id, effects);
         } else {
-            self.refuse(id, reason, Some(NO_TARGET_RETRY), effects);
+            self.refuse(now, id, reason, Some(NO_TARGET_RETRY), effects);
         }
     }
 
@@ -461,12 +463,13 @@
 
     pub(super) fn refuse(
         &mut self,
+        now: Instant,
         id: Id,
         reason: Reason,
         retry_after: Option<Duration>,
         effects: &mut Vec<Effect>,
     ) {
-        if self.deny(id, reason, effects) {
+        if self.deny(now, id, reason, effects) {
             return;
         }
         let Some(pending) = self.pending.remove(&id) else {
--- a/core/src/fleet/effect.rs
+++ b/core/src/fleet/effect.rs
@@ -78,6 +78,8 @@
     pub stream: bool,
     /// Name of the route, for logs and metrics.
     pub route: Arc<str>,
+    /// VM that chose the targets, if it is not this one.
+    pub planner: Option<Arc<str>>,
 }
 
 /// Work of a VM at the targets, for its peers.
@@ -97,6 +99,27 @@
     pub taken: Vec<u64>,
 }
 
+/// A decision on a request of a peer, for logs.
+#[derive(Debug, Clone)]
+pub struct Planned {
+    /// Id that the caller gave.
+    pub request: Arc<str>,
+    /// VM that asked.
+    pub peer: Arc<str>,
+    /// Name of the target that answers; none if the request gets no targets.
+    pub target: Option<Arc<str>>,
+    /// Targets that read parts of the prompt.
+    pub helpers: usize,
+    /// Prompt, tokens.
+    pub prompt: u64,
+    /// Time since the request arrived.
+    pub waited: Duration,
+    /// Predicted time to the first event.
+    pub predicted: Duration,
+    /// Requests in line.
+    pub line: usize,
+}
+
 /// An effect.
 #[derive(Debug, Clone)]
 pub enum Effect {
@@ -110,4 +133,10 @@
     Share(Share),
     /// Tells one peer of a long prompt.
     Tell(Arc<str>, Note),
+    /// The planner gives no answer to a request's question; this VM places the request.
+    Alone(Id, Arc<str>),
+    /// This VM decided on a request of a peer.
+    Planned(Box<Planned>),
+    /// Another VM places long prompts from now on; none if this VM places its own.
+    Planner(Option<Arc<str>>),
 }
--- a/core/src/fleet/line.rs
+++ b/core/src/fleet/line.rs
@@ -184,7 +184,7 @@
             pending.short = true;
             self.queue(id, effects);
         } else {
-            self.refuse(id, Reason::Busy, Some(FULL_RETRY), effects);
+            self.refuse(now, id, Reason::Busy, Some(FULL_RETRY), effects);
         }
     }
 }
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -39,7 +39,7 @@
 pub use budget::Budget;
 pub use config::{Config, Invalid, Limits, Organisation, Repeat, Route, Service};
 pub use directory::{Announcement, Directory, Entry, State, Target};
-pub use effect::{Dispatch, Effect, Reason, Refusal, Share};
+pub use effect::{Dispatch, Effect, Planned, Reason, Refusal, Share};
 pub use engine::Engine;
 pub use event::{Event, Outcome};
 pub use freshness::Freshness;
--- a/core/src/fleet/note.rs
+++ b/core/src/fleet/note.rs
@@ -28,6 +28,8 @@
 pub struct Ask {
     /// Number of the request at the asking VM.
     pub id: u64,
+    /// Id that the caller gave, for logs.
+    pub request: Arc<str>,
     /// Route.
     pub route: Arc<str>,
     /// Service.
--- a/core/src/fleet/pending.rs
+++ b/core/src/fleet/pending.rs
@@ -46,8 +46,8 @@
     pub(super) asked: Option<Asked>,
     /// Whether this VM decides without the planner.
     pub(super) local: bool,
-    /// Whether it runs at targets that the planner gave.
-    pub(super) granted: bool,
+    /// The VM that gave the targets at which it runs.
+    pub(super) planner: Option<Arc<str>>,
     /// The VM that asked, if the request is not one of this VM.
     pub(super) foreign: Option<Foreign>,
 }
@@ -80,7 +80,7 @@
             chance_at: None,
             asked: None,
             local: false,
-            granted: false,
+            planner: None,
             foreign: None,
         }
     }
--- a/core/src/fleet/planner.rs
+++ b/core/src/fleet/planner.rs
@@ -22,7 +22,9 @@
 use super::attempts::{BUSY_RETRY, DEFAULT_GAP, DEFAULT_TOKENS};
 use super::note::{Ask, Denial, Grant, Note};
 use super::pending::Pending;
-use super::{Choice, Effect, Helper, Id, Placement, Reason, Reducer, Request, Target, Tokens};
+use super::{
+    Choice, Effect, Helper, Id, Placement, Planned, Reason, Reducer, Request, Target, Tokens,
+};
 use crate::time::Instant;
 
 /// VMs that may be the planner: enough that some are left when a zone and single VMs are lost.
@@ -110,6 +112,15 @@
         first.filter(|name| **name != self.settings.vm)
     }
 
+    /// Tells when another VM becomes the planner.
+    pub(super) fn follow_planner(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        let planner = self.planner(now).cloned();
+        if planner != self.followed {
+            self.followed.clone_from(&planner);
+            effects.push(Effect::Planner(planner));
+        }
+    }
+
     /// Asks the planner for targets; returns false if this VM has to decide by itself.
     pub(super) fn ask(
         &mut self,
@@ -161,6 +172,7 @@
             .map(|(target, _)| target);
         let ask = Ask {
             id: id.0,
+            request: Arc::clone(&pending.request.name),
             route: Arc::clone(&pending.route.name),
             service: Arc::clone(&pending.service.name),
             tokens: pending.request.tokens.unwrap_or(DEFAULT_TOKENS),
@@ -189,7 +201,7 @@
             };
             if pending.deadline <= now {
                 self.withdraw(id, effects);
-                self.refuse(id, Reason::Late, None, effects);
+                self.refuse(now, id, Reason::Late, None, effects);
                 continue;
             }
             if self.cannot_end(now, id, effects) {
@@ -206,6 +218,7 @@
                 }
             }
             if silent {
+                effects.push(Effect::Alone(id, Arc::clone(&asked.planner)));
                 self.silent.insert(asked.planner, now + SILENT_PAUSE);
                 self.place(now, id, effects);
             } else if repeats {
@@ -250,7 +263,7 @@
                 let id = Id(grant.id);
                 if let Some(pending) = self.answered(now, peer, id) {
                     pending.asked = None;
-                    self.use_grant(now, id, &grant, effects);
+                    self.use_grant(now, id, peer, &grant, effects);
                 } else if !self.granted_runs(id) {
                     effects.push(Effect::Tell(Arc::clone(peer), Note::Withdraw(id.0)));
                 }
@@ -262,7 +275,7 @@
                 };
                 pending.asked = None;
                 match denial {
-                    Denial::Busy => self.refuse(id, Reason::Busy, Some(BUSY_RETRY), effects),
+                    Denial::Busy => self.refuse(now, id, Reason::Busy, Some(BUSY_RETRY), effects),
                     Denial::Unknown => {
                         pending.local = true;
                         self.place(now, id, effects);
@@ -285,11 +298,18 @@
 
     fn granted_runs(&self, id: Id) -> bool {
         let pending = self.pending.get(&id);
-        pending.is_some_and(|pending| pending.granted && pending.running.is_some())
+        pending.is_some_and(|pending| pending.planner.is_some() && pending.running.is_some())
     }
 
     /// Sends a request where the planner says, if this VM knows nothing that speaks against it.
-    fn use_grant(&mut self, now: Instant, id: Id, grant: &Grant, effects: &mut Vec<Effect>) {
+    fn use_grant(
+        &mut self,
+        now: Instant,
+        id: Id,
+        planner: &Arc<str>,
+        grant: &Grant,
+        effects: &mut Vec<Effect>,
+    ) {
         let Some(pending) = self.pending.get(&id).cloned() else {
             return;
         };
@@ -302,14 +322,14 @@
             return;
         };
         if left.is_zero() {
-            self.refuse(id, Reason::Late, None, effects);
+            self.refuse(now, id, Reason::Late, None, effects);
             return;
         }
         if self.leaves_before(now, id, &choice, effects) {
             return;
         }
         if let Some(pending) = self.pending.get_mut(&id) {
-            pending.granted = true;
+            pending.planner = Some(Arc::clone(planner));
         }
         let tokens = pending.request.tokens.unwrap_or(DEFAULT_TOKENS);
         self.dispatch(now, id, &choice, tokens, effects);
@@ -344,7 +364,7 @@
 
     /// Returns the numbers of requests that run at granted targets, for the planner.
     pub(super) fn taken(&self) -> Vec<u64> {
-        let running = |pending: &&Pending| pending.granted && pending.running.is_some();
+        let running = |pending: &&Pending| pending.planner.is_some() && pending.running.is_some();
         let own = self.pending.iter().filter(|(_, pending)| running(pending));
         own.map(|(id, _)| id.0).collect()
     }
@@ -401,7 +421,7 @@
         let tried = excluded.filter_map(|order| self.directory.by_order(*order));
         let left = Duration::from_millis(u64::from(ask.left_ms));
         let request = Request {
-            name: format!("{peer}/{}", ask.id).into(),
+            name: Arc::clone(&ask.request),
             host: Arc::clone(&route.host),
             path: Arc::clone(&route.prefix),
             key: None,
@@ -433,17 +453,35 @@
     }
 
     /// Refuses a request of another VM; returns false if it is one of this VM.
-    pub(super) fn deny(&mut self, id: Id, reason: Reason, effects: &mut Vec<Effect>) -> bool {
+    pub(super) fn deny(
+        &mut self,
+        now: Instant,
+        id: Id,
+        reason: Reason,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
         if !is_foreign(id) {
             return false;
         }
         let pending = self.pending.remove(&id);
-        if let Some(foreign) = pending.and_then(|pending| pending.foreign) {
+        if let Some(pending) = pending
+            && let Some(foreign) = pending.foreign
+        {
             let denial = match reason {
                 Reason::Busy => Denial::Busy,
                 _ => Denial::Unknown,
             };
             let denied = Note::Denied(foreign.id, denial);
+            effects.push(Effect::Planned(Box::new(Planned {
+                request: pending.request.name,
+                peer: Arc::clone(&foreign.peer),
+                target: None,
+                helpers: 0,
+                prompt: pending.request.tokens.map_or(0, |tokens| tokens.prompt),
+                waited: now.since(pending.arrived),
+                predicted: Duration::ZERO,
+                line: self.line.len(),
+            })));
             effects.push(Effect::Tell(foreign.peer, denied));
         }
         true
@@ -481,6 +519,17 @@
             read_ms: choice.read_ms,
         };
         self.count_work(now, id, &pending, choice, tokens);
+        let name = self.directory.get(choice.target);
+        effects.push(Effect::Planned(Box::new(Planned {
+            request: Arc::clone(&pending.request.name),
+            peer: Arc::clone(&foreign.peer),
+            target: name.map(|announcement| Arc::clone(&announcement.name)),
+            helpers: choice.helpers.len(),
+            prompt: tokens.prompt,
+            waited: now.since(pending.arrived),
+            predicted: choice.predicted,
+            line: self.line.len(),
+        })));
         let granted = Note::Granted(grant.clone());
         effects.push(Effect::Tell(Arc::clone(&foreign.peer), granted));
         let granted = Granted {
--- a/core/src/fleet/reducer.rs
+++ b/core/src/fleet/reducer.rs
@@ -90,6 +90,8 @@
     pub(super) standing: Vec<Arc<str>>,
     /// Until when VMs that did not answer are not asked.
     pub(super) silent: HashMap<Arc<str>, Instant>,
+    /// Planner that was told last.
+    pub(super) followed: Option<Arc<str>>,
     /// Largest number of own requests that the planner is asked for.
     pub(super) asked: usize,
     /// Requests of other VMs so far.
@@ -131,6 +133,7 @@
             peers: 1,
             standing: Vec::new(),
             silent: HashMap::new(),
+            followed: None,
             asked: 0,
             next_foreign: 0,
             granted: BTreeMap::new(),
@@ -194,6 +197,7 @@
         match event {
             Event::Tick => {
                 self.tick(now);
+                self.follow_planner(now, effects);
                 self.repeat_asks(now, effects);
             }
             Event::Configured {
--- a/core/tests/fleet/planner.rs
+++ b/core/tests/fleet/planner.rs
@@ -36,13 +36,19 @@
 #[test]
 fn prompts_of_one_instant_get_targets_of_their_own() {
     let mut fleet = Fleet::new(9, 32);
-    planner(&mut fleet);
+    let planner = planner(&mut fleet);
     let ids: Vec<Id> = (0..9)
         .map(|vm| fleet.arrive(vm, request("long", 130_000)))
         .collect();
     fleet.run(ms(15));
     let mut readers: BTreeMap<u32, usize> = BTreeMap::new();
-    for dispatch in ids.iter().filter_map(|id| fleet.dispatch(*id)) {
+    for (vm, id) in ids.iter().enumerate() {
+        let Some(dispatch) = fleet.dispatch(*id) else {
+            continue;
+        };
+        let placed_by = dispatch.planner.as_deref();
+        let expected = (vm != planner).then(|| format!("entry-{planner}"));
+        assert_eq!(placed_by, expected.as_deref());
         *readers.entry(dispatch.target.0).or_default() += 1;
         for helper in &dispatch.helpers {
             *readers.entry(helper.target.0).or_default() += 1;
--- a/core/tests/fleet/support.rs
+++ b/core/tests/fleet/support.rs
@@ -231,7 +231,8 @@
                 Effect::Refuse(id, refusal) => {
                     self.decisions.push((vm, id, Decision::Refused(refusal)));
                 }
-                Effect::Queue(..) => {}
+                Effect::Queue(..) | Effect::Alone(..) | Effect::Planned(_) | Effect::Planner(_) => {
+                }
                 Effect::Tell(peer, note) => {
                     let number = |name: &str| name.strip_prefix("entry-")?.parse::<usize>().ok();
                     let peer = number(&peer).expect("a peer");
--- a/gateway/src/front/caller.rs
+++ b/gateway/src/front/caller.rs
@@ -146,6 +146,13 @@
                 );
                 continue;
             }
+            Some(Order::Alone(planner)) => {
+                log::info!(
+                    request = &*name, planner = &*planner, revision = node.revision();
+                    "planner gives no answer, targets are chosen here"
+                );
+                continue;
+            }
             Some(Order::Refuse(refusal)) => {
                 break refuse(node, caller, &mut delivery, &name, refusal).await;
             }
@@ -160,6 +167,7 @@
             prompt_tokens = prompt_tokens, at_target = dispatch.load.running,
             exclusive = dispatch.load.exclusive, reading = dispatch.load.reading, read_ms = dispatch.load.read_ms,
             predicted_ms = dispatch.predicted.as_millis() as u64,
+            placed_by = dispatch.planner.as_deref().unwrap_or(&node.settings.common.vm),
             left_ms = dispatch.time_left.as_millis() as u64,
             revision = node.revision(), config_age_ms = node.config_age_ms();
             "dispatched"
--- a/gateway/src/front/node.rs
+++ b/gateway/src/front/node.rs
@@ -6,7 +6,9 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use primrosepin_core::fleet::{Dispatch, Effect, Event, Id, Limits, Note, Reducer, Refusal, Share};
+use primrosepin_core::fleet::{
+    Dispatch, Effect, Event, Id, Limits, Note, Planned, Reducer, Refusal, Share,
+};
 use primrosepin_core::time::Instant;
 use primrosepin_telemetry::metrics::Metrics;
 use tokio::net::UdpSocket;
@@ -38,6 +40,8 @@
     Refuse(Refusal),
     /// It waits in a line of this length.
     Queue(usize),
+    /// This VM places it, since the planner gives no answer.
+    Alone(Arc<str>),
 }
 
 /// A link to a control VM.
@@ -69,6 +73,22 @@
     datagrams: UdpSocket,
 }
 
+/// Logs a decision on a request of a peer.
+fn log_planned(planned: &Planned) {
+    let outcome = if planned.target.is_some() {
+        "placed"
+    } else {
+        "refused"
+    };
+    log::info!(
+        request = &*planned.request, asked_by = &*planned.peer,
+        target_name = planned.target.as_deref().unwrap_or_default(), helpers = planned.helpers,
+        prompt_tokens = planned.prompt, waited_ms = planned.waited.as_millis() as u64,
+        predicted_ms = planned.predicted.as_millis() as u64, line = planned.line;
+        "{outcome} for a peer"
+    );
+}
+
 /// A registered request. Dropping it ends the request for the reducer, if it has not ended.
 pub(super) struct Registration {
     pub(super) id: Id,
@@ -153,6 +173,12 @@
                 Effect::Queue(id, length) => self.order(id, Order::Queue(length)),
                 Effect::Share(share) => self.share(share),
                 Effect::Tell(peer, note) => self.tell(&peer, note),
+                Effect::Alone(id, planner) => self.order(id, Order::Alone(planner)),
+                Effect::Planned(planned) => log_planned(&planned),
+                Effect::Planner(planner) => log::info!(
+                    planner = planner.as_deref().unwrap_or(&self.settings.common.vm);
+                    "planner of long prompts changed"
+                ),
             }
         }
     }
--- a/gateway/tests/message.rs
+++ b/gateway/tests/message.rs
@@ -57,6 +57,7 @@
             vm: "entry-1".into(),
             note: Note::Ask(Ask {
                 id: 9,
+                request: "c-1".into(),
                 route: "long".into(),
                 service: "engine".into(),
                 tokens: Tokens {
