Take SIGHUP over before the settings are read

A process took the signal over only after it had read its settings and set up its log; a SIGHUP before that ended it.

Change: the runtime starts and the signal is taken over before anything is read. Left is the time from the start of the program to the runtime, which no program can close by itself.

--- a/gateway/src/core/server.rs
+++ b/gateway/src/core/server.rs
@@ -30,9 +30,12 @@
 const STOP_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Runs a control process until it is told to stop.
-pub async fn run(settings: Core, protocol: Arc<dyn Protocol>) -> eyre::Result<()> {
+pub async fn run(
+    settings: Core,
+    protocol: Arc<dyn Protocol>,
+    mut hangup: Hangup,
+) -> eyre::Result<()> {
     let shutdown = Shutdown::new()?;
-    let mut hangup = Hangup::new()?;
     let common = settings.common.clone();
     let own = common.address();
     let links = net::listen(own).wrap_err_with(|| format!("cannot listen on {own}"))?;
--- a/gateway/src/front/server.rs
+++ b/gateway/src/front/server.rs
@@ -31,13 +31,18 @@
 /// Longest head of a question for readiness, bytes, and the time for it.
 const READY_HEAD: (usize, Duration) = (8 * 1024, Duration::from_secs(3));
 
-/// Runs an entry process until it is told to stop and its requests have ended.
-pub async fn run<S>(settings: Front, source: S, protocol: Arc<dyn Protocol>) -> eyre::Result<()>
+/// Runs an entry process until it is told to stop and its requests have ended. `hangup` tells that the source
+/// of the settings has changed.
+pub async fn run<S>(
+    settings: Front,
+    source: S,
+    protocol: Arc<dyn Protocol>,
+    hangup: Hangup,
+) -> eyre::Result<()>
 where
     S: Source,
 {
     let shutdown = Shutdown::new()?;
-    let hangup = Hangup::new()?;
     let common = settings.common.clone();
     let callers = net::listen(settings.callers)
         .wrap_err_with(|| format!("cannot listen on {}", settings.callers))?;
