Count the other short prompts in line without subtracting

Cause: found in the read-through. A prompt that waits in line for a target in cold start is not among the short prompts that wait for slots, yet one was subtracted for it: the count could go below zero and wrap, and the VM then took all free slots as its part.

Change: the prompt itself is left out of the count instead. No test shows the fault: builds here do not check overflow, and the wrong part lasts for one decision.

--- a/core/src/fleet/line.rs
+++ b/core/src/fleet/line.rs
@@ -47,8 +47,10 @@
 const FIRST_EVENT_PART: f64 = 0.45;
 
 impl Reducer {
-    pub(super) fn own_waiting(&self) -> usize {
-        let line = self.line.iter().filter_map(|id| self.pending.get(id));
+    /// Returns the number of own short prompts in line for a slot, without one of them.
+    pub(super) fn own_waiting(&self, without: Option<Id>) -> usize {
+        let others = self.line.iter().filter(|id| Some(**id) != without);
+        let line = others.filter_map(|id| self.pending.get(id));
         line.filter(|pending| pending.short && pending.running.is_none())
             .count()
     }
@@ -56,8 +58,7 @@
     /// Takes one of the free slots. While more short prompts wait at all VMs than slots are free, each VM
     /// takes its part of the slots in the time that news of it needs.
     pub(super) fn take_slot(&mut self, now: Instant, id: Id, candidates: &[Candidate]) -> bool {
-        let others = self.own_waiting() - usize::from(self.line.contains(&id));
-        let own = others as f64 + 1.0;
+        let own = self.own_waiting(Some(id)) as f64 + 1.0;
         let total = own + f64::from(self.tally.peers_waiting(now));
         let free = |c: &Candidate| c.slots.saturating_sub(u32::from(c.load.running));
         let free: u32 = candidates.iter().filter(|c| !c.avoided).map(free).sum();
--- a/core/src/fleet/reducer.rs
+++ b/core/src/fleet/reducer.rs
@@ -367,7 +367,7 @@
         effects.push(Effect::Share(Share {
             sequence: self.share_sequence,
             loads: self.tally.own_loads(now),
-            waiting: self.own_waiting() as u16,
+            waiting: self.own_waiting(None) as u16,
             plans: self.plans(),
             taken: self.taken(),
             urgent_ms: urgent.map(|until| until.since(now).as_millis() as u32),
