Use one copy of what the planner, the line and the offline tool repeated

Read-through of the whole change; behaviour stays as it is.

- Pending::tokens, gap and reads_apart replace eight copies of the same defaults and of the test for prompts that read apart.
- may_run is the one test of which targets take a request, for candidates and for waiting in line; Health::avoided includes unreachable targets, which both its callers asked for beside it.
- leaves_before and cannot_end were one refusal with two times; the time is an argument now.
- count_work takes the request's number, so a dispatch does not copy the request once more.
- planned, hold_foreign and Tally::lines replace repeated bodies.
The number of open questions was state that could be derived; Counters of fleet::Reducer was written and read by nothing.
- World::tell_caller and tell_node replace repeated pushes; plots share size and result type; planner tests share their set-up.

--- a/bench/src/plot.rs
+++ b/bench/src/plot.rs
@@ -7,7 +7,7 @@
 
 use crate::report::Report;
 
-const SIZE: (u32, u32) = (900, 500);
+pub(crate) const SIZE: (u32, u32) = (900, 500);
 
 /// Writes the plots of reports into a folder and returns their names.
 pub fn write(reports: &[Report], folder: &Path) -> eyre::Result<Vec<String>> {
@@ -23,7 +23,7 @@
     Ok(names.to_vec())
 }
 
-type Plotted = Result<(), Box<dyn std::error::Error>>;
+pub(crate) type Plotted = Result<(), Box<dyn std::error::Error>>;
 
 /// Time to first token by prompt length.
 fn by_length(reports: &[Report], file: &Path) -> Plotted {
--- a/bench/src/region/plot.rs
+++ b/bench/src/region/plot.rs
@@ -6,14 +6,11 @@
 use plotters::prelude::*;
 
 use super::Report;
-
-const SIZE: (u32, u32) = (900, 500);
+use crate::plot::{Plotted, SIZE};
 
 /// Shortest and longest time on the axes, ms.
 const AXIS_MS: std::ops::Range<f64> = 1.0..20_000.0;
 
-type Plotted = Result<(), Box<dyn std::error::Error>>;
-
 /// Writes a plot of predicted and seen times to the first event, and one of the worth by day and policy.
 /// Returns the files.
 ///
--- a/bench/src/region/world/caller.rs
+++ b/bench/src/region/world/caller.rs
@@ -121,22 +121,16 @@
                 if refusal.not_run && caller.tries <= class.retries && !left.is_zero() {
                     let wait = refusal.retry_after.unwrap_or(RECONNECT).min(left / 3);
                     caller.again = true;
-                    caller.tries += 1;
-                    self.callers_again(call, wait);
+                    self.push(now + wait, What::Arrive(call));
+                } else if refusal.not_run {
+                    caller.end = Some((Outcome::Refused, now));
                 } else {
-                    let refused = refusal.not_run;
-                    let outcome = if refused {
-                        Outcome::Refused
-                    } else {
-                        Outcome::Failed
-                    };
-                    caller.end = Some((outcome, now));
+                    caller.end = Some((Outcome::Failed, now));
                 }
             }
             ToCaller::Closed => {
                 if caller.tries <= class.retries {
-                    caller.tries += 1;
-                    self.callers_again(call, RECONNECT);
+                    self.push(now + RECONNECT, What::Arrive(call));
                 } else {
                     caller.end = Some((Outcome::Failed, now));
                 }
@@ -144,12 +138,11 @@
         }
     }
 
-    fn callers_again(&mut self, call: usize, wait: Duration) {
-        // The arrival counts the try.
-        if let Some(caller) = &mut self.callers[call] {
-            caller.tries -= 1;
-        }
-        self.push(self.now + wait, What::Arrive(call));
+    /// Tells the caller of a request, who hears of it if the try is still the last one.
+    pub(super) fn tell_caller(&mut self, after: Duration, call: usize, what: ToCaller) {
+        let tries = self.callers[call].as_ref().map_or(0, |c| c.tries);
+        let heard = self.now + after + CALLER;
+        self.push(heard, What::ToCaller(call, tries, what));
     }
 
     pub(super) fn patience(&mut self, call: usize, number: u32) {
--- a/bench/src/region/world/engine.rs
+++ b/bench/src/region/world/engine.rs
@@ -6,7 +6,7 @@
 use primrosepin_standin::passes;
 
 use super::super::{Policy, Trouble};
-use super::{AttemptId, CALLER, COLD_FACTOR, COLD_SLACK, Input, START, ToCaller, What, World};
+use super::{AttemptId, COLD_FACTOR, COLD_SLACK, Input, START, ToCaller, What, World};
 
 impl World<'_> {
     pub(super) fn input(&mut self, number: usize, input: Input) {
@@ -63,8 +63,7 @@
                     retry_after: None,
                 });
                 self.held.remove(&(vm, id));
-                let tries = self.callers[call].as_ref().map_or(0, |c| c.tries);
-                self.push(self.now + CALLER, What::ToCaller(call, tries, refused));
+                self.tell_caller(Duration::ZERO, call, refused);
             }
             return;
         }
@@ -177,8 +176,7 @@
             return;
         };
         caller.engine_first.get_or_insert(self.now + delay);
-        let wrote = What::ToCaller(call, caller.tries, ToCaller::Wrote);
-        self.push(self.now + delay + CALLER, wrote);
+        self.tell_caller(delay, call, ToCaller::Wrote);
     }
 
     fn whole(&mut self, number: usize, attempt: AttemptId) {
@@ -194,8 +192,6 @@
         }
         let delay = self.between(self.vms[running.vm].zone, self.workers[number].zone);
         self.send_vm(delay, running.vm, Event::Ended(running.id, End::Served));
-        let tries = self.callers[running.call].as_ref().map_or(0, |c| c.tries);
-        let done = What::ToCaller(running.call, tries, ToCaller::Done);
-        self.push(self.now + delay + CALLER, done);
+        self.tell_caller(delay, running.call, ToCaller::Done);
     }
 }
--- a/bench/src/region/world/trouble.rs
+++ b/bench/src/region/world/trouble.rs
@@ -6,7 +6,7 @@
 use rand::RngExt;
 
 use super::super::Trouble;
-use super::{ANNOUNCED, CALLER, COLD, CONFIGURED, Held, ToCaller, What, World, address};
+use super::{ANNOUNCED, COLD, CONFIGURED, Held, ToCaller, What, World, address};
 
 impl World<'_> {
     /// Draws a share of numbers.
@@ -137,9 +137,7 @@
             if let Some(attempt) = held.attempt {
                 self.cancel(attempt, Duration::ZERO);
             }
-            let tries = self.callers[held.call].as_ref().map_or(0, |c| c.tries);
-            let closed = What::ToCaller(held.call, tries, ToCaller::Closed);
-            self.push(self.now + CALLER, closed);
+            self.tell_caller(Duration::ZERO, held.call, ToCaller::Closed);
         }
     }
 }
--- a/bench/src/region/world/vm.rs
+++ b/bench/src/region/world/vm.rs
@@ -8,7 +8,7 @@
 use smallvec::SmallVec;
 
 use super::super::Policy;
-use super::{Attempt, AttemptId, CALLER, CONNECT, Input, ToCaller, What, World};
+use super::{Attempt, AttemptId, CONNECT, Input, ToCaller, What, World};
 
 /// Failed connections that a VM may add to the attempts of a request.
 const UNREACHABLE: u32 = 5;
@@ -16,27 +16,25 @@
 impl World<'_> {
     pub(super) fn apply(&mut self, vm: usize, event: Event) {
         let mut effects = Vec::new();
-        if let Event::Ended(id, _) = &event
-            && let Some(held) = self.held.get_mut(&(vm, *id))
-        {
-            held.attempt = None;
+        match &event {
+            Event::Ended(id, End::Served | End::Abandoned | End::TimedOut) => {
+                self.held.remove(&(vm, *id));
+            }
+            Event::Ended(id, _) => {
+                if let Some(held) = self.held.get_mut(&(vm, *id)) {
+                    held.attempt = None;
+                }
+            }
+            _ => {}
         }
-        let ended = match &event {
-            Event::Ended(id, outcome) => Some((*id, *outcome)),
-            _ => None,
-        };
         self.vms[vm].reducer.apply(self.now, event, &mut effects);
-        if let Some((id, End::Served | End::Abandoned | End::TimedOut)) = ended {
-            self.held.remove(&(vm, id));
-        }
         for effect in effects {
             match effect {
                 Effect::Dispatch(id, dispatch) => self.dispatch(vm, id, &dispatch),
                 Effect::Refuse(id, refusal) => {
                     if let Some(held) = self.held.remove(&(vm, id)) {
-                        let number = self.callers[held.call].as_ref().map_or(0, |c| c.tries);
-                        let what = ToCaller::Refused(refusal);
-                        self.push(self.now + CALLER, What::ToCaller(held.call, number, what));
+                        let refused = ToCaller::Refused(refusal);
+                        self.tell_caller(Duration::ZERO, held.call, refused);
                     }
                 }
                 Effect::Queue(..) | Effect::Alone(..) | Effect::Planned(_) | Effect::Planner(_) => {
@@ -197,9 +195,7 @@
         if self.now >= running.deadline {
             let call = running.call;
             self.ended(vm, id, End::TimedOut, Duration::ZERO);
-            let number = self.callers[call].as_ref().map_or(0, |c| c.tries);
-            let closed = What::ToCaller(call, number, ToCaller::Closed);
-            self.push(self.now + CALLER, closed);
+            self.tell_caller(Duration::ZERO, call, ToCaller::Closed);
             return;
         }
         let limit = if running.started {
--- a/core/src/fleet/attempts.rs
+++ b/core/src/fleet/attempts.rs
@@ -3,14 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::directory::LEASE;
+use super::directory::{LEASE, Record};
 use super::line::HARM;
-use super::pending::{Pending, Running, duration, least_duration, silence};
+use super::pending::{Pending, Running, duration, gap, silence};
 use super::placement::Candidate;
 use super::tally::Piece;
 use super::{
     Budget, Choice, Dispatch, Effect, Id, Load, Outcome, Placement, Reason, Reducer, Refusal,
-    Repeat, Tokens,
+    Repeat, Target, Tokens,
 };
 use crate::time::Instant;
 
@@ -27,15 +27,6 @@
 /// Part of the time left that a prediction may use; a request that needs more is refused at once.
 const IN_TIME: f64 = 0.9;
 
-/// Assumed size of a generation that does not tell it.
-pub(super) const DEFAULT_TOKENS: Tokens = Tokens {
-    prompt: 4_000,
-    answer: 500,
-};
-
-/// Pause between events that is on time where the route does not say.
-pub(super) const DEFAULT_GAP: Duration = Duration::from_millis(500);
-
 /// Retry hint while a service has no target.
 pub(super) const NO_TARGET_RETRY: Duration = Duration::from_millis(300);
 
@@ -57,15 +48,10 @@
             / self.peers as f64;
         let mut candidates = Vec::new();
         for (target, record) in self.directory.records() {
-            let announcement = &record.announcement;
-            let out = self.zones_out.contains(&announcement.zone);
-            if !record.usable(now)
-                || out
-                || announcement.service != pending.service.name
-                || pending.tried.contains(&target)
-            {
+            if !self.may_run(now, pending, target, record) {
                 continue;
             }
+            let announcement = &record.announcement;
             let cold = now < record.cold_until;
             if cold {
                 let budget = self.cold.get_mut(&target);
@@ -82,7 +68,7 @@
                 local: announcement.zone == self.settings.zone,
                 load: self.tally.load(record.order, now),
                 slots: announcement.slots,
-                avoided: health.avoided(now) || health.unreachable_since(record.heard),
+                avoided: health.avoided(now, record.heard),
                 cold,
                 pace: health.pace(),
                 spread: xxhash_rust::xxh3::xxh3_64_with_seed(
@@ -94,6 +80,21 @@
         candidates
     }
 
+    /// Returns whether a target takes work for a request, now or after its cold start.
+    pub(super) fn may_run(
+        &self,
+        now: Instant,
+        pending: &Pending,
+        target: Target,
+        record: &Record,
+    ) -> bool {
+        let announcement = &record.announcement;
+        record.usable(now)
+            && announcement.service == pending.service.name
+            && !self.zones_out.contains(&announcement.zone)
+            && !pending.tried.contains(&target)
+    }
+
     /// Sends a request to a target, puts it in line, or refuses it.
     pub(super) fn place(&mut self, now: Instant, id: Id, effects: &mut Vec<Effect>) {
         let Some(pending) = self.pending.get(&id).cloned() else {
@@ -113,17 +114,18 @@
                 .route
                 .objective
                 .saturating_sub(now.since(pending.arrived)),
-            gap: pending.service.gap.unwrap_or(DEFAULT_GAP),
+            gap: gap(&pending.service),
         };
-        let tokens = pending.request.tokens.unwrap_or(DEFAULT_TOKENS);
+        let tokens = pending.tokens();
         let choice = match &pending.service.engine {
             Some(engine) => placement.generation(engine, tokens, &candidates),
             None => Placement::plain(&candidates),
         };
-        if let Some(choice) = &choice
-            && self.leaves_before(now, id, choice, effects)
-        {
-            return;
+        if let (Some(_), Some(choice)) = (self.leaving, &choice) {
+            let needed = duration(&pending.service, tokens, choice);
+            if self.leaves_before(now, id, needed, effects) {
+                return;
+            }
         }
         if let (Some(engine), Some(choice)) = (&pending.service.engine, &choice)
             && choice.exclusive
@@ -175,32 +177,15 @@
         }
     }
 
-    /// Refuses a request that would not end before this VM stops; returns whether it did.
+    /// Refuses a request that takes at least `needed` if this VM stops before; returns whether it did.
     pub(super) fn leaves_before(
         &mut self,
         now: Instant,
         id: Id,
-        choice: &Choice,
+        needed: Duration,
         effects: &mut Vec<Effect>,
     ) -> bool {
-        let (Some(until), Some(pending)) = (self.leaving, self.pending.get(&id)) else {
-            return false;
-        };
-        let tokens = pending.request.tokens.unwrap_or(DEFAULT_TOKENS);
-        let late = now + duration(&pending.service, tokens, choice) > until;
-        if late {
-            self.refuse(now, id, Reason::Leaving, Some(LEAVING_RETRY), effects);
-        }
-        late
-    }
-
-    /// Refuses a request that waits and cannot end before this VM stops; returns whether it did.
-    pub(super) fn cannot_end(&mut self, now: Instant, id: Id, effects: &mut Vec<Effect>) -> bool {
-        let (Some(until), Some(pending)) = (self.leaving, self.pending.get(&id)) else {
-            return false;
-        };
-        let tokens = pending.request.tokens.unwrap_or(DEFAULT_TOKENS);
-        let late = now + least_duration(&pending.service, tokens) > until;
+        let late = self.leaving.is_some_and(|until| now + needed > until);
         if late {
             self.withdraw(id, effects);
             self.refuse(now, id, Reason::Leaving, Some(LEAVING_RETRY), effects);
@@ -209,18 +194,11 @@
     }
 
     /// Counts the work of a request at its targets.
-    pub(super) fn count_work(
-        &mut self,
-        now: Instant,
-        id: Id,
-        pending: &Pending,
-        choice: &Choice,
-        tokens: Tokens,
-    ) {
-        let Some(record) = self.directory.record(choice.target) else {
+    pub(super) fn count_work(&mut self, now: Instant, id: Id, choice: &Choice, tokens: Tokens) {
+        let record = self.directory.record(choice.target);
+        let (Some(record), Some(pending)) = (record, self.pending.get(&id)) else {
             return;
         };
-        let order = record.order;
         let engine = pending.service.engine.as_ref();
         let read_at = now + choice.predicted;
         let load = Load {
@@ -244,7 +222,7 @@
             kv_tokens: load.kv_tokens.saturating_sub(held as u32),
             ..load
         };
-        self.tally.add(order, id, piece(own, false));
+        self.tally.add(record.order, id, piece(own, false));
         for helper in &choice.helpers {
             if let Some(record) = self.directory.record(helper.target) {
                 let load = Load {
@@ -278,10 +256,10 @@
         let (order, name) = (record.order, Arc::clone(&record.announcement.name));
         let before = self.tally.load(order, now);
         let (address, cold) = (record.announcement.address, now < record.cold_until);
-        let Some(pending) = self.pending.get(&id).cloned() else {
+        if !self.pending.contains_key(&id) {
             return;
-        };
-        self.count_work(now, id, &pending, choice, tokens);
+        }
+        self.count_work(now, id, choice, tokens);
         if cold {
             let budget = self.cold.entry(choice.target);
             let budget = budget.or_insert_with(|| Budget::new(Duration::from_secs(1)));
@@ -300,7 +278,6 @@
             predicted: choice.predicted,
             started: false,
         });
-        self.counters.dispatched += 1;
         self.share_due = true;
         if choice.exclusive {
             // Peers must see at once that these targets are taken.
@@ -436,9 +413,6 @@
             Reason::NotRun
         };
         if again && attempts_left && time_left && (!sent || self.take_repeat(now, &service)) {
-            if sent {
-                self.counters.repeated += 1;
-            }
             self.place(now, id, effects);
         } else {
             self.refuse(now, id, reason, Some(NO_TARGET_RETRY), effects);
@@ -454,11 +428,7 @@
         let requests = windows.requests.count(now) as f64;
         let limit = (requests * settings.retry_ratio + settings.retry_slack / self.peers as f64)
             * BUDGET_SHARE;
-        let taken = windows.repeats.take(now, limit);
-        if !taken {
-            self.counters.over_budget += 1;
-        }
-        taken
+        windows.repeats.take(now, limit)
     }
 
     pub(super) fn refuse(
@@ -477,9 +447,6 @@
         };
         let not_run = !pending.may_have_run;
         let reason = if not_run { reason } else { Reason::Failed };
-        if not_run {
-            self.counters.refused += 1;
-        }
         effects.push(Effect::Refuse(
             id,
             Refusal {
--- a/core/src/fleet/health.rs
+++ b/core/src/fleet/health.rs
@@ -84,19 +84,17 @@
         self.unreachable_at = Some(now);
     }
 
-    /// Returns whether the target was found unreachable after it was last heard.
-    pub fn unreachable_since(&self, heard: Instant) -> bool {
-        self.unreachable_at.is_some_and(|at| at >= heard)
-    }
-
     /// Records a target that has no room until about `until`.
     pub fn pause(&mut self, until: Instant) {
         self.paused_until = self.paused_until.max(until);
     }
 
-    /// Returns whether the target should get no work while others can take it.
-    pub fn avoided(&self, now: Instant) -> bool {
-        now < self.paused_until || self.rate > GREY || self.pace > SLOW
+    /// Returns whether the target, last heard at `heard`, should get no work while others can take it.
+    pub fn avoided(&self, now: Instant, heard: Instant) -> bool {
+        now < self.paused_until
+            || self.rate > GREY
+            || self.pace > SLOW
+            || self.unreachable_at.is_some_and(|at| at >= heard)
     }
 
     /// Returns how many times longer than predicted the target takes, at least 1.
--- a/core/src/fleet/line.rs
+++ b/core/src/fleet/line.rs
@@ -51,8 +51,7 @@
     pub(super) fn own_waiting(&self, without: Option<Id>) -> usize {
         let others = self.line.iter().filter(|id| Some(**id) != without);
         let line = others.filter_map(|id| self.pending.get(id));
-        line.filter(|pending| pending.short && pending.running.is_none())
-            .count()
+        line.filter(|pending| pending.waits_for_slot()).count()
     }
 
     /// Takes one of the free slots. While more short prompts wait at all VMs than slots are free, each VM
@@ -127,12 +126,8 @@
         if now.since(pending.arrived) > total / LINE_PART {
             return false;
         }
-        self.directory.records().any(|(target, record)| {
-            record.usable(now)
-                && record.announcement.service == pending.service.name
-                && !self.zones_out.contains(&record.announcement.zone)
-                && !pending.tried.contains(&target)
-        })
+        let mut records = self.directory.records();
+        records.any(|(target, record)| self.may_run(now, pending, target, record))
     }
 
     pub(super) fn serve_line(&mut self, now: Instant, effects: &mut Vec<Effect>) {
@@ -164,8 +159,7 @@
                 continue;
             }
             self.place(now, id, effects);
-            let waits = |pending: &Pending| pending.short && pending.running.is_none();
-            if self.pending.get(&id).is_some_and(waits) {
+            if self.pending.get(&id).is_some_and(Pending::waits_for_slot) {
                 full.push(service);
             }
         }
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -46,6 +46,6 @@
 pub use health::Health;
 pub use note::{Ask, Denial, Grant, Note};
 pub use placement::{Candidate, Choice, Helper, Placement};
-pub use reducer::{Counters, Reducer, Settings};
+pub use reducer::{Reducer, Settings};
 pub use request::{Id, Request, Tokens};
 pub use tally::{Load, Tally};
--- a/core/src/fleet/pending.rs
+++ b/core/src/fleet/pending.rs
@@ -7,9 +7,18 @@
 
 use super::engine::predicted;
 use super::planner::{Asked, Foreign};
-use super::{Choice, Organisation, Request, Route, Service, Target, Tokens};
+use super::{Choice, Organisation, Placement, Request, Route, Service, Target, Tokens};
 use crate::time::Instant;
 
+/// Assumed size of a generation that does not tell it.
+const DEFAULT_TOKENS: Tokens = Tokens {
+    prompt: 4_000,
+    answer: 500,
+};
+
+/// Pause between events that is on time where the route does not say.
+const DEFAULT_GAP: Duration = Duration::from_millis(500);
+
 #[derive(Debug, Clone)]
 pub(super) struct Running {
     pub(super) target: Target,
@@ -84,6 +93,32 @@
             foreign: None,
         }
     }
+
+    /// Returns the size of the request.
+    pub(super) fn tokens(&self) -> Tokens {
+        self.request.tokens.unwrap_or(DEFAULT_TOKENS)
+    }
+
+    /// Returns whether it waits for a slot beside other short prompts.
+    pub(super) fn waits_for_slot(&self) -> bool {
+        self.short && self.running.is_none()
+    }
+
+    /// Returns whether it runs at targets that the planner gave.
+    pub(super) fn runs_granted(&self) -> bool {
+        self.planner.is_some() && self.running.is_some()
+    }
+}
+
+/// Returns the shortest pause between events that is on time for a service's routes.
+pub(super) fn gap(service: &Service) -> Duration {
+    service.gap.unwrap_or(DEFAULT_GAP)
+}
+
+/// Returns whether a prompt reads apart from short ones.
+pub(super) fn reads_apart(service: &Service, tokens: Tokens) -> bool {
+    let engine = service.engine.as_ref();
+    engine.is_some_and(|engine| Placement::apart(engine, tokens, gap(service)))
 }
 
 /// Returns the longest time that a request usually takes: that of an answer with all its tokens.
--- a/core/src/fleet/planner.rs
+++ b/core/src/fleet/planner.rs
@@ -19,12 +19,10 @@
 
 use smallvec::SmallVec;
 
-use super::attempts::{BUSY_RETRY, DEFAULT_GAP, DEFAULT_TOKENS};
+use super::attempts::BUSY_RETRY;
 use super::note::{Ask, Denial, Grant, Note};
-use super::pending::Pending;
-use super::{
-    Choice, Effect, Helper, Id, Placement, Planned, Reason, Reducer, Request, Target, Tokens,
-};
+use super::pending::{Pending, duration, least_duration, reads_apart};
+use super::{Choice, Effect, Helper, Id, Planned, Reason, Reducer, Request, Target, Tokens};
 use crate::time::Instant;
 
 /// VMs that may be the planner: enough that some are left when a zone and single VMs are lost.
@@ -129,18 +127,15 @@
         pending: &Pending,
         effects: &mut Vec<Effect>,
     ) -> bool {
-        let Some(engine) = &pending.service.engine else {
-            return false;
-        };
-        let gap = pending.service.gap.unwrap_or(DEFAULT_GAP);
-        let tokens = pending.request.tokens.unwrap_or(DEFAULT_TOKENS);
-        if pending.foreign.is_some() || pending.local || !Placement::apart(engine, tokens, gap) {
+        let apart = reads_apart(&pending.service, pending.tokens());
+        if pending.foreign.is_some() || pending.local || !apart {
             return false;
         }
         let Some(planner) = self.planner(now).cloned() else {
             return false;
         };
-        if self.cannot_end(now, id, effects) {
+        let needed = least_duration(&pending.service, pending.tokens());
+        if self.leaves_before(now, id, needed, effects) {
             return true;
         }
         if let Some(pending) = self.pending.get_mut(&id) {
@@ -149,7 +144,6 @@
                 sent: now,
                 heard: now,
             });
-            self.asked += 1;
         }
         self.send_ask(now, id, planner, effects);
         true
@@ -167,7 +161,7 @@
             .filter(|(target, record)| {
                 let health = self.health.get(target);
                 record.announcement.service == pending.service.name
-                    && health.is_some_and(|h| h.avoided(now) || h.unreachable_since(record.heard))
+                    && health.is_some_and(|health| health.avoided(now, record.heard))
             })
             .map(|(target, _)| target);
         let ask = Ask {
@@ -175,7 +169,7 @@
             request: Arc::clone(&pending.request.name),
             route: Arc::clone(&pending.route.name),
             service: Arc::clone(&pending.service.name),
-            tokens: pending.request.tokens.unwrap_or(DEFAULT_TOKENS),
+            tokens: pending.tokens(),
             waited_ms: now.since(pending.arrived).as_millis() as u32,
             left_ms: pending.deadline.since(now).as_millis() as u32,
             excluded: tried.chain(avoided).filter_map(order).collect(),
@@ -185,16 +179,12 @@
 
     /// Repeats questions, and decides without the planner where it is silent.
     pub(super) fn repeat_asks(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        if self.asked == 0 {
-            return;
-        }
         let mut waiting: SmallVec<[(Id, Asked); 8]> = SmallVec::new();
         for (id, pending) in &self.pending {
             if let Some(asked) = &pending.asked {
                 waiting.push((*id, asked.clone()));
             }
         }
-        self.asked = waiting.len();
         for (id, asked) in waiting {
             let Some(pending) = self.pending.get(&id) else {
                 continue;
@@ -204,7 +194,8 @@
                 self.refuse(now, id, Reason::Late, None, effects);
                 continue;
             }
-            if self.cannot_end(now, id, effects) {
+            let needed = least_duration(&pending.service, pending.tokens());
+            if self.leaves_before(now, id, needed, effects) {
                 continue;
             }
             let silent = now.since(asked.heard) >= ANSWER_TIMEOUT;
@@ -246,8 +237,7 @@
         match note {
             Note::Ask(ask) => self.asked_by(now, peer, &ask, effects),
             Note::Withdraw(id) => {
-                let found = self.foreign(peer, id);
-                if let Some(id) = found {
+                if let Some(id) = self.foreign(peer, id) {
                     self.pending.remove(&id);
                 }
                 self.confirm(peer, &[id]);
@@ -264,7 +254,7 @@
                 if let Some(pending) = self.answered(now, peer, id) {
                     pending.asked = None;
                     self.use_grant(now, id, peer, &grant, effects);
-                } else if !self.granted_runs(id) {
+                } else if !self.pending.get(&id).is_some_and(Pending::runs_granted) {
                     effects.push(Effect::Tell(Arc::clone(peer), Note::Withdraw(id.0)));
                 }
             }
@@ -296,11 +286,6 @@
         Some(pending)
     }
 
-    fn granted_runs(&self, id: Id) -> bool {
-        let pending = self.pending.get(&id);
-        pending.is_some_and(|pending| pending.planner.is_some() && pending.running.is_some())
-    }
-
     /// Sends a request where the planner says, if this VM knows nothing that speaks against it.
     fn use_grant(
         &mut self,
@@ -325,13 +310,14 @@
             self.refuse(now, id, Reason::Late, None, effects);
             return;
         }
-        if self.leaves_before(now, id, &choice, effects) {
+        let tokens = pending.tokens();
+        let needed = duration(&pending.service, tokens, &choice);
+        if self.leaves_before(now, id, needed, effects) {
             return;
         }
         if let Some(pending) = self.pending.get_mut(&id) {
             pending.planner = Some(Arc::clone(planner));
         }
-        let tokens = pending.request.tokens.unwrap_or(DEFAULT_TOKENS);
         self.dispatch(now, id, &choice, tokens, effects);
     }
 
@@ -364,8 +350,8 @@
 
     /// Returns the numbers of requests that run at granted targets, for the planner.
     pub(super) fn taken(&self) -> Vec<u64> {
-        let running = |pending: &&Pending| pending.planner.is_some() && pending.running.is_some();
-        let own = self.pending.iter().filter(|(_, pending)| running(pending));
+        let own = self.pending.iter();
+        let own = own.filter(|(_, pending)| pending.runs_granted());
         own.map(|(id, _)| id.0).collect()
     }
 }
@@ -391,14 +377,12 @@
             effects.push(tell(Note::Granted(granted.grant.clone())));
             return;
         }
-        let line = self.line.len().min(usize::from(u16::MAX)) as u16;
-        if let Some(id) = self.foreign(peer, ask.id)
-            && let Some(pending) = self.pending.get_mut(&id)
-        {
-            if let Some(foreign) = &mut pending.foreign {
+        if let Some(id) = self.foreign(peer, ask.id) {
+            let pending = self.pending.get_mut(&id);
+            if let Some(foreign) = pending.and_then(|pending| pending.foreign.as_mut()) {
                 foreign.renewed = now;
             }
-            effects.push(tell(Note::Held(ask.id, line)));
+            self.hold_foreign(id, effects);
             return;
         }
         let unknown = tell(Note::Denied(ask.id, Denial::Unknown));
@@ -409,9 +393,7 @@
             effects.push(unknown);
             return;
         };
-        let gap = service.gap.unwrap_or(DEFAULT_GAP);
-        let engine = service.engine.as_ref();
-        if !engine.is_some_and(|engine| Placement::apart(engine, ask.tokens, gap)) {
+        if !reads_apart(&service, ask.tokens) {
             effects.push(unknown);
             return;
         }
@@ -452,6 +434,27 @@
         }
     }
 
+    /// Returns the decision on a request of another VM, for logs.
+    fn planned(
+        &self,
+        now: Instant,
+        pending: &Pending,
+        foreign: &Foreign,
+        choice: Option<&Choice>,
+    ) -> Effect {
+        let target = choice.and_then(|choice| self.directory.get(choice.target));
+        Effect::Planned(Box::new(Planned {
+            request: Arc::clone(&pending.request.name),
+            peer: Arc::clone(&foreign.peer),
+            target: target.map(|announcement| Arc::clone(&announcement.name)),
+            helpers: choice.map_or(0, |choice| choice.helpers.len()),
+            prompt: pending.tokens().prompt,
+            waited: now.since(pending.arrived),
+            predicted: choice.map_or(Duration::ZERO, |choice| choice.predicted),
+            line: self.line.len(),
+        }))
+    }
+
     /// Refuses a request of another VM; returns false if it is one of this VM.
     pub(super) fn deny(
         &mut self,
@@ -465,24 +468,15 @@
         }
         let pending = self.pending.remove(&id);
         if let Some(pending) = pending
-            && let Some(foreign) = pending.foreign
+            && let Some(foreign) = &pending.foreign
         {
             let denial = match reason {
                 Reason::Busy => Denial::Busy,
                 _ => Denial::Unknown,
             };
             let denied = Note::Denied(foreign.id, denial);
-            effects.push(Effect::Planned(Box::new(Planned {
-                request: pending.request.name,
-                peer: Arc::clone(&foreign.peer),
-                target: None,
-                helpers: 0,
-                prompt: pending.request.tokens.map_or(0, |tokens| tokens.prompt),
-                waited: now.since(pending.arrived),
-                predicted: Duration::ZERO,
-                line: self.line.len(),
-            })));
-            effects.push(Effect::Tell(foreign.peer, denied));
+            effects.push(self.planned(now, &pending, foreign, None));
+            effects.push(Effect::Tell(Arc::clone(&foreign.peer), denied));
         }
         true
     }
@@ -499,6 +493,7 @@
         if !is_foreign(id) {
             return false;
         }
+        self.count_work(now, id, choice, tokens);
         let Some(pending) = self.pending.remove(&id) else {
             return true;
         };
@@ -518,18 +513,7 @@
             predicted_ms: choice.predicted.as_secs_f64() * 1e3,
             read_ms: choice.read_ms,
         };
-        self.count_work(now, id, &pending, choice, tokens);
-        let name = self.directory.get(choice.target);
-        effects.push(Effect::Planned(Box::new(Planned {
-            request: Arc::clone(&pending.request.name),
-            peer: Arc::clone(&foreign.peer),
-            target: name.map(|announcement| Arc::clone(&announcement.name)),
-            helpers: choice.helpers.len(),
-            prompt: tokens.prompt,
-            waited: now.since(pending.arrived),
-            predicted: choice.predicted,
-            line: self.line.len(),
-        })));
+        effects.push(self.planned(now, &pending, foreign, Some(choice)));
         let granted = Note::Granted(grant.clone());
         effects.push(Effect::Tell(Arc::clone(&foreign.peer), granted));
         let granted = Granted {
@@ -555,16 +539,14 @@
 
     /// Forgets requests that no VM asks about any more, and grants without news.
     pub(super) fn expire_foreign(&mut self, now: Instant) {
-        if !self.granted.is_empty() {
-            let tally = &mut self.tally;
-            self.granted.retain(|id, granted| {
-                let holds = now.since(granted.at) < GRANT_LEASE;
-                if !holds {
-                    tally.remove(*id);
-                }
-                holds
-            });
-        }
+        let tally = &mut self.tally;
+        self.granted.retain(|id, granted| {
+            let holds = now.since(granted.at) < GRANT_LEASE;
+            if !holds {
+                tally.remove(*id);
+            }
+            holds
+        });
         let foreign = self.pending.range(Id(FOREIGN)..);
         let expired: SmallVec<[Id; 8]> = foreign
             .filter(|(_, pending)| {
--- a/core/src/fleet/reducer.rs
+++ b/core/src/fleet/reducer.rs
@@ -51,21 +51,6 @@
     pub key_bound: Duration,
 }
 
-/// Counts of decisions since the start.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Counters {
-    /// Requests that arrived.
-    pub arrived: u64,
-    /// Requests sent to a target, repeats included.
-    pub dispatched: u64,
-    /// Of these, repeats.
-    pub repeated: u64,
-    /// Requests refused as not run.
-    pub refused: u64,
-    /// Repeats that the budget did not allow.
-    pub over_budget: u64,
-}
-
 #[derive(Debug, Clone)]
 pub(super) struct Windows {
     pub(super) requests: Budget,
@@ -92,8 +77,6 @@
     pub(super) silent: HashMap<Arc<str>, Instant>,
     /// Planner that was told last.
     pub(super) followed: Option<Arc<str>>,
-    /// Largest number of own requests that the planner is asked for.
-    pub(super) asked: usize,
     /// Requests of other VMs so far.
     pub(super) next_foreign: u64,
     pub(super) granted: BTreeMap<Id, Granted>,
@@ -108,7 +91,6 @@
     pub(super) share_sequence: u64,
     pub(super) share_due: bool,
     pub(super) faded_at: Instant,
-    pub(super) counters: Counters,
     /// When this VM stops.
     pub(super) leaving: Option<Instant>,
     /// Differs from VM to VM.
@@ -134,7 +116,6 @@
             standing: Vec::new(),
             silent: HashMap::new(),
             followed: None,
-            asked: 0,
             next_foreign: 0,
             granted: BTreeMap::new(),
             pending: BTreeMap::new(),
@@ -146,7 +127,6 @@
             share_sequence: 0,
             share_due: false,
             faded_at: Instant::default(),
-            counters: Counters::default(),
             leaving: None,
         }
     }
@@ -171,11 +151,6 @@
         self.pending.len()
     }
 
-    /// Returns the counts since the start.
-    pub fn counters(&self) -> Counters {
-        self.counters
-    }
-
     /// Returns the known targets.
     pub fn directory(&self) -> &Directory {
         &self.directory
@@ -274,7 +249,6 @@
     }
 
     fn arrived(&mut self, now: Instant, id: Id, request: Request, effects: &mut Vec<Effect>) {
-        self.counters.arrived += 1;
         let admitted = self.admit(now, request);
         match admitted {
             Ok(pending) => {
@@ -292,7 +266,6 @@
                 self.place(now, id, effects);
             }
             Err(refusal) => {
-                self.counters.refused += 1;
                 effects.push(Effect::Refuse(id, refusal));
             }
         }
--- a/core/src/fleet/tally.rs
+++ b/core/src/fleet/tally.rs
@@ -169,13 +169,15 @@
         load
     }
 
+    /// Returns the peers whose lines still count.
+    fn lines(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        let peers = self.peers.values();
+        peers.filter(move |peer| now.since(peer.heard) < URGENT_LEASE)
+    }
+
     /// Returns whether a peer has a long prompt in line that can wait less long than until `until`.
     pub(super) fn peer_before(&self, until: Instant, now: Instant) -> bool {
-        let urgent = self
-            .peers
-            .values()
-            .filter(|peer| now.since(peer.heard) < URGENT_LEASE);
-        let mut urgent = urgent.filter_map(|peer| peer.urgent_until);
+        let mut urgent = self.lines(now).filter_map(|peer| peer.urgent_until);
         urgent.any(|other| now < other && other < until)
     }
 
@@ -187,22 +189,13 @@
 
     /// Returns the short prompts that wait at peers for a slot.
     pub(super) fn peers_waiting(&self, now: Instant) -> u32 {
-        let fresh = self
-            .peers
-            .values()
-            .filter(|peer| now.since(peer.heard) < URGENT_LEASE);
-        fresh.map(|peer| peer.waiting).sum()
+        self.lines(now).map(|peer| peer.waiting).sum()
     }
 
     /// Returns whether a peer has a long prompt in line that can still be on time.
     pub(super) fn peer_waits(&self, now: Instant) -> bool {
-        let urgent = self
-            .peers
-            .values()
-            .filter(|peer| now.since(peer.heard) < URGENT_LEASE);
-        urgent
-            .filter_map(|peer| peer.urgent_until)
-            .any(|other| now < other)
+        let mut urgent = self.lines(now).filter_map(|peer| peer.urgent_until);
+        urgent.any(|other| now < other)
     }
 
     /// Returns this VM's work for its peers.
--- a/core/tests/fleet/planner.rs
+++ b/core/tests/fleet/planner.rs
@@ -31,6 +31,13 @@
     usize::from(planner == 0)
 }
 
+/// Returns a fleet with its planner and another VM.
+fn fleet() -> (Fleet, usize, usize) {
+    let mut fleet = Fleet::new(9, 16);
+    let planner = planner(&mut fleet);
+    (fleet, planner, other(planner))
+}
+
 /// Pattern: long prompts at all VMs in the same instant. Guards against VMs that choose the same targets
 /// before they hear of each other.
 #[test]
@@ -111,9 +118,7 @@
 /// Guards against requests that wait for a VM that is lost.
 #[test]
 fn a_vm_without_an_answer_decides_by_itself() {
-    let mut fleet = Fleet::new(9, 16);
-    let planner = planner(&mut fleet);
-    let vm = other(planner);
+    let (mut fleet, planner, vm) = fleet();
     fleet.cut = vec![planner];
     let id = fleet.arrive(vm, request("long", 180_000));
     fleet.run(ms(240));
@@ -135,9 +140,7 @@
 /// planner counts.
 #[test]
 fn a_lost_answer_is_repeated() {
-    let mut fleet = Fleet::new(9, 16);
-    let planner = planner(&mut fleet);
-    let vm = other(planner);
+    let (mut fleet, _, vm) = fleet();
     let id = fleet.arrive(vm, request("long", 180_000));
     fleet.run(ms(2));
     // The answer is on its way and does not arrive.
@@ -162,9 +165,7 @@
 /// that are lost with targets that they were given.
 #[test]
 fn what_is_not_used_is_forgotten() {
-    let mut fleet = Fleet::new(9, 16);
-    let planner = planner(&mut fleet);
-    let vm = other(planner);
+    let (mut fleet, planner, vm) = fleet();
     let ids: Vec<Id> = (0..6)
         .map(|_| fleet.arrive(vm, request("long", 400_000)))
         .collect();
@@ -193,9 +194,7 @@
 /// zone that was taken out.
 #[test]
 fn a_grant_is_checked() {
-    let mut fleet = Fleet::new(9, 16);
-    let planner = planner(&mut fleet);
-    let vm = other(planner);
+    let (mut fleet, _, vm) = fleet();
     for number in 0..16 {
         if number % 3 != vm % 3 {
             let mut gone = announcement("engine", number, number % 3);
@@ -245,9 +244,7 @@
 /// free at last: another VM takes them at once.
 #[test]
 fn a_vm_that_stops_sends_waiting_prompts_elsewhere_at_once() {
-    let mut fleet = Fleet::new(9, 16);
-    let planner = planner(&mut fleet);
-    let vm = other(planner);
+    let (mut fleet, _, vm) = fleet();
     let ids: Vec<Id> = (0..4)
         .map(|_| fleet.arrive(vm, request("long", 400_000)))
         .collect();
@@ -270,9 +267,7 @@
 /// Guards against messages that come twice, late, or from VMs that were not asked.
 #[test]
 fn answers_to_no_question_change_nothing() {
-    let mut fleet = Fleet::new(9, 16);
-    let planner = planner(&mut fleet);
-    let vm = other(planner);
+    let (mut fleet, planner, vm) = fleet();
     let stranger = (0..9).find(|other| *other != vm && *other != planner);
     let peer: std::sync::Arc<str> = format!("entry-{}", stranger.unwrap()).into();
     let id = fleet.arrive(vm, request("long", 180_000));
@@ -304,9 +299,7 @@
 /// configuration.
 #[test]
 fn a_planner_says_what_it_does_not_know() {
-    let mut fleet = Fleet::new(9, 16);
-    let planner = planner(&mut fleet);
-    let vm = other(planner);
+    let (mut fleet, planner, vm) = fleet();
     let id = fleet.arrive(vm, request("long", 180_000));
     let sent = fleet.notes.iter().find_map(|(_, _, note)| match note {
         Note::Ask(ask) if ask.id == id.0 => Some(ask.clone()),
--- a/tests/src/world/check.rs
+++ b/tests/src/world/check.rs
@@ -1,8 +1,7 @@
 //! Checks of the promises against what engines ran and callers were told.
 
 use super::{
-    ANNOUNCEMENT_LEASE, Caller, DEADLINE_SLACK, Delivery, OUT_BOUND, Run, SPREAD_BOUND, Stage,
-    World,
+    ANNOUNCEMENT_LEASE, Caller, DEADLINE_SLACK, OUT_BOUND, Run, SPREAD_BOUND, Stage, World,
 };
 use crate::engine::ANSWER_TOKENS;
 use crate::promise::{Promise, Violation};
@@ -179,14 +178,7 @@
             request: parent,
             end,
         };
-        self.push_after(
-            delay,
-            Delivery::Node {
-                node,
-                incarnation,
-                event,
-            },
-        );
+        self.tell_node(delay, (node, incarnation), event);
     }
 
     pub(super) fn check_at_rest(&mut self) {
--- a/tests/src/world/engines.rs
+++ b/tests/src/world/engines.rs
@@ -65,14 +65,7 @@
         if let Some(node) = alive {
             let incarnation = self.nodes[node].incarnation;
             let delay = self.latency();
-            self.push_after(
-                delay,
-                Delivery::Node {
-                    node,
-                    incarnation,
-                    event: Event::Announced(announcement),
-                },
-            );
+            self.tell_node(delay, (node, incarnation), Event::Announced(announcement));
         }
     }
 
@@ -93,14 +86,7 @@
         let answer = |world: &mut Self, end: End| {
             let delay = world.latency();
             let event = Event::Ended { attempt, end };
-            world.push_after(
-                delay,
-                Delivery::Node {
-                    node,
-                    incarnation,
-                    event,
-                },
-            );
+            world.tell_node(delay, (node, incarnation), event);
         };
         let Some(index) = self
             .engine_at(dispatch.address)
@@ -181,14 +167,7 @@
                 attempt,
                 end: End::Lost,
             };
-            return self.push_after(
-                delay,
-                Delivery::Node {
-                    node,
-                    incarnation,
-                    event,
-                },
-            );
+            return self.tell_node(delay, (node, incarnation), event);
         };
         self.streams += 1;
         kept.stream = self.streams;
@@ -287,14 +266,7 @@
         let delay = self.latency();
         self.stages.push(Stage::Reserved);
         let event = Event::Reserved { attempt, all };
-        self.push_after(
-            delay,
-            Delivery::Node {
-                node,
-                incarnation,
-                event,
-            },
-        );
+        self.tell_node(delay, (node, incarnation), event);
     }
 
     /// Releases what belongs to processes that are not in `live`, and ends their streams.
@@ -328,13 +300,6 @@
         let (node, incarnation) = held.owner;
         let delay = self.latency();
         let event = Event::Ended { attempt, end };
-        self.push_after(
-            delay,
-            Delivery::Node {
-                node,
-                incarnation,
-                event,
-            },
-        );
+        self.tell_node(delay, (node, incarnation), event);
     }
 }
--- a/tests/src/world/mod.rs
+++ b/tests/src/world/mod.rs
@@ -472,6 +472,18 @@
         self.push(self.now + delay, delivery);
     }
 
+    /// Hands an event to the start of a node that is meant, unless it has ended by then.
+    fn tell_node(&mut self, delay: Duration, (node, incarnation): (usize, u64), event: Event) {
+        self.push_after(
+            delay,
+            Delivery::Node {
+                node,
+                incarnation,
+                event,
+            },
+        );
+    }
+
     fn latency(&mut self) -> Duration {
         Duration::from_micros(self.rng.random_range(100..3_000))
     }
@@ -543,13 +555,10 @@
                     self.ledger.call(self.now, call)
                 };
                 let delay = self.latency();
-                self.push_after(
+                self.tell_node(
                     delay,
-                    Delivery::Node {
-                        node,
-                        incarnation,
-                        event: Event::Ledger { request, answer },
-                    },
+                    (node, incarnation),
+                    Event::Ledger { request, answer },
                 );
             }
             Delivery::LeasesExpire(node) => {
--- a/tests/src/world/node.rs
+++ b/tests/src/world/node.rs
@@ -289,14 +289,7 @@
                 message: message.clone(),
             };
             let incarnation = self.nodes[node].incarnation;
-            self.push_after(
-                delay,
-                Delivery::Node {
-                    node,
-                    incarnation,
-                    event,
-                },
-            );
+            self.tell_node(delay, (node, incarnation), event);
         }
     }
 
