--- a/gateway/src/core/server.rs
+++ b/gateway/src/core/server.rs
@@ -70,12 +70,7 @@
         metrics::Core::new(&registry),
     ));
     let refreshed = Rc::clone(&hub);
-    let served = metrics::serve(common.metrics, registry, move || refreshed.refresh());
-    actix_rt::spawn(async move {
-        if let Err(error) = served.await {
-            log::error!("metrics are not served: {error:#}");
-        }
-    });
+    metrics::start(common.metrics, registry, move || refreshed.refresh());
     log::info!(
         vm = &*common.vm, zone = &*common.zone, seeds = common.seeds.len(),
         bootstrap = settings.bootstrap; "control started"
--- a/gateway/src/front/server.rs
+++ b/gateway/src/front/server.rs
@@ -55,12 +55,7 @@
     let node = Rc::new(Node::new(settings, protocol, registry.clone(), datagrams));
     log::info!(vm = &*common.vm, zone = &*common.zone, seeds = common.seeds.len(); "entry started");
     let refreshed = Rc::clone(&node);
-    let served = metrics::serve(common.metrics, registry, move || refreshed.refresh());
-    actix_rt::spawn(async move {
-        if let Err(error) = served.await {
-            log::error!("metrics are not served: {error:#}");
-        }
-    });
+    metrics::start(common.metrics, registry, move || refreshed.refresh());
     actix_rt::spawn(uplink::run(Rc::clone(&node)));
     let sharing = Rc::clone(&node);
     actix_rt::spawn(async move { sharing.receive_shares().await });
--- a/gateway/src/link.rs
+++ b/gateway/src/link.rs
@@ -9,7 +9,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -56,7 +56,7 @@
             while let Ok(message) = outgoing.try_recv() {
                 append(&mut bytes, &message)?;
             }
-            write(&mut writer, &bytes).await?;
+            writer.write_all(&bytes).await?;
             bytes.clear();
         }
     };
@@ -73,10 +73,6 @@
     Ok(())
 }
 
-async fn write(writer: &mut OwnedWriteHalf, bytes: &[u8]) -> eyre::Result<()> {
-    Ok(writer.write_all(bytes).await?)
-}
-
 async fn read(reader: &mut OwnedReadHalf) -> eyre::Result<Message> {
     let mut length = [0; 4];
     reader.read_exact(&mut length).await?;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -122,8 +122,19 @@
     Label::new(key, value)
 }
 
-/// Serves the metrics as text. `refresh` sets the gauges before each answer.
-pub async fn serve<F>(address: SocketAddr, metrics: Metrics, refresh: F) -> eyre::Result<()>
+/// Serves the metrics as text in a task of its own. `refresh` sets the gauges before each answer.
+pub fn start<F>(address: SocketAddr, metrics: Metrics, refresh: F)
+where
+    F: Fn() + 'static,
+{
+    actix_rt::spawn(async move {
+        if let Err(error) = serve(address, metrics, refresh).await {
+            log::error!("metrics are not served: {error:#}");
+        }
+    });
+}
+
+async fn serve<F>(address: SocketAddr, metrics: Metrics, refresh: F) -> eyre::Result<()>
 where
     F: Fn() + 'static,
 {
