gateway: Bound what targets in trouble cost, leave a silent target only for a free one

Cause: a target that sent an event, trailers or interim responses without end held its streams until their deadlines and 15 to 60 MB each; a byte now and then counted as progress; the body of a refusal or an error was awaited with a limit per read only; a 421 was taken for 'not run' before its echo was read, and an answer without an echo for the request's own. A process that stopped did not count a request whose head had arrived in part, and closed connections that it had just accepted. A restarted control replica answered reads from an old state before it knew what is committed.

Change: limits::Messages; Events splits the stream and tells events from comments; Stall watches progress and asks Reducer::can_relocate; an answer that has begun is neither queued nor refused as busy; memory::Memory bounds buffered bodies of a process in sum; refusals are taken from their head; requests count as pending from their first byte; /v1/config answers 503 not_current.

--- a/control/src/admin.rs
+++ b/control/src/admin.rs
@@ -192,6 +192,13 @@
         let get = request.method() == Method::GET;
         let post = request.method() == Method::POST;
         match segments[..] {
+            ["v1", "config"] | ["v1", "config", "history"] if get && !self.is_current() => {
+                Answer::error(
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "not_current",
+                    "this replica does not know yet which configuration is the newest; ask another one",
+                )
+            }
             ["v1", "config"] if get => Answer::new(StatusCode::OK, self.config_document()),
             ["v1", "config", "history"] if get => {
                 let state = self.proposer.shared.state();
@@ -230,6 +237,11 @@
         }
     }
 
+    /// Returns whether this replica has applied all changes that it can know of.
+    fn is_current(&self) -> bool {
+        self.proposer.shared.view().is_current
+    }
+
     async fn apply(&self, apply: Apply) -> Answer {
         let Apply {
             id,
--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -131,6 +131,7 @@
         setup.shared.publish_view(View {
             role: Role::Follower,
             leader: None,
+            is_current: false,
             failure: Some(format!("{error:#}")),
             ..view
         });
@@ -490,6 +491,7 @@
             leader: leader.map(|leader| (vm::Name::clone(&leader.vm), leader.address)),
             members: reducer.committed_members().cloned().unwrap_or_default(),
             applied: reducer.applied(),
+            is_current: reducer.has_caught_up(),
             failure: None,
         };
         let meters = &self.setup.meters;
--- a/control/src/shared.rs
+++ b/control/src/shared.rs
@@ -21,6 +21,9 @@
     pub(crate) members: Members,
     /// Index of the last applied entry.
     pub(crate) applied: u64,
+    /// Whether all entries known to be committed are applied; see
+    /// [`primrosepin_core::consensus::Reducer::is_current`].
+    pub(crate) is_current: bool,
     /// Store error after which the replica acknowledges nothing until the store is reopened.
     pub(crate) failure: Option<String>,
 }
@@ -44,6 +47,7 @@
             leader: None,
             members: Members::default(),
             applied: 0,
+            is_current: false,
             failure: None,
         };
         Self {
--- a/core/src/consensus/reducer.rs
+++ b/core/src/consensus/reducer.rs
@@ -58,6 +58,10 @@
 /// open membership. Applies to learners, and to voters whose removal lowers the quorum.
 const REMOVE_SILENT_AFTER: Duration = Duration::from_secs(6);
 
+/// Longest time that a message waits for its link to open, with a margin. Links are opened within 500 ms
+/// or their queued messages are dropped.
+const MAX_MESSAGE_AGE: Duration = Duration::from_millis(700);
+
 /// Settings of a replica.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -166,6 +170,10 @@
     log: Log,
     snapshot: Option<Snapshot>,
     commit_index: u64,
+    /// Until then, messages may arrive that were sent before this process started.
+    stale_until: Instant,
+    /// Term and highest commit index heard from a leader since `stale_until`.
+    leader_commit: Option<(u64, u64)>,
     applied_index: u64,
     /// Highest index that is synced on the local disk.
     synced_index: u64,
@@ -231,6 +239,8 @@
             log,
             snapshot,
             commit_index: applied,
+            stale_until: now + MAX_MESSAGE_AGE,
+            leader_commit: None,
             applied_index: applied,
             write_sequence: 0,
             persisted_sequence: 0,
@@ -299,6 +309,24 @@
         self.applied_index
     }
 
+    /// Returns whether everything that was committed when this replica last heard from the current leader
+    /// is applied. False after a restart until a leader was heard, and while none is known.
+    pub fn has_caught_up(&self) -> bool {
+        if let Some(leader_state) = &self.leader_state {
+            // An entry of its own term tells a leader which earlier entries are committed.
+            return leader_state.start_index <= self.commit_index
+                && self.applied_index >= self.commit_index;
+        }
+        let term = self.hard_state.term;
+        self.leader_id.is_some()
+            && self.leader_commit.is_some_and(|(heard_term, commit)| {
+                // Before its first own entry is committed, a leader does not know what is.
+                heard_term == term
+                    && self.applied_index >= commit
+                    && self.log.term_at(commit) == Some(term)
+            })
+    }
+
     /// Returns the index and term of the entry before the first one in memory.
     pub fn base(&self) -> (u64, u64) {
         let index = self.log.base_index();
@@ -1088,6 +1116,11 @@
             return;
         }
         let term = self.hard_state.term;
+        if self.now >= self.stale_until {
+            let heard = self.leader_commit.filter(|heard| heard.0 == term);
+            let commit = heard.map_or(commit, |heard| heard.1.max(commit));
+            self.leader_commit = Some((term, commit));
+        }
         let response = |accepted, index| Body::AppendResponse {
             term,
             accepted,
--- a/core/src/fleet/attempts.rs
+++ b/core/src/fleet/attempts.rs
@@ -133,8 +133,11 @@
                 return;
             }
         }
+        // An answer that has begun is cut off if it is refused, so it neither waits nor gives way.
+        let resumes = pending.may_have_run;
         if let (Some(engine), Some(choice)) = (&pending.service.engine, &choice)
             && choice.exclusive
+            && !resumes
         {
             let slack = placement.slack(engine, tokens, &candidates);
             let late = slack.is_zero();
@@ -154,6 +157,7 @@
         if let Some(choice) = &choice
             && !choice.exclusive
             && !choice.idle
+            && !resumes
         {
             self.wait_for_slot(now, id, effects);
             return;
@@ -161,6 +165,7 @@
         if let Some(choice) = &choice
             && !choice.exclusive
             && pending.service.is_engine()
+            && !resumes
             && !self.take_slot(now, id, &candidates)
         {
             self.wait_for_slot(now, id, effects);
@@ -427,6 +432,8 @@
         } else {
             Reason::NotRun
         };
+        // The planner may refuse the request or keep it in its queue.
+        pending.decide_locally = pending.may_have_run;
         if retry && attempts_left && time_left && (!sent || self.take_retry(now, &service)) {
             self.place(now, id, effects);
         } else {
@@ -434,16 +441,29 @@
         }
     }
 
-    /// Takes a retry from this VM's share of the fleet-wide retry budget.
-    pub(super) fn take_retry(&mut self, now: Instant, service: &Arc<str>) -> bool {
+    /// Returns this VM's share of the fleet-wide retry budget, in retries per window.
+    fn retry_limit(&mut self, now: Instant, service: &Arc<str>) -> f64 {
         let settings = &self.settings;
         let Some(windows) = self.retry_windows.get_mut(service) else {
-            return false;
+            return 0.0;
         };
         let requests = windows.requests.count(now) as f64;
-        let limit = (requests * settings.retry_ratio + settings.retry_slack / self.vm_count as f64)
-            * BUDGET_FRACTION;
-        windows.retries.take(now, limit)
+        (requests * settings.retry_ratio + settings.retry_slack / self.vm_count as f64)
+            * BUDGET_FRACTION
+    }
+
+    /// Returns whether this VM has a retry left.
+    pub(super) fn has_retry(&mut self, now: Instant, service: &Arc<str>) -> bool {
+        let limit = self.retry_limit(now, service);
+        let windows = self.retry_windows.get_mut(service);
+        windows.is_some_and(|windows| (windows.retries.count(now) as f64) < limit.floor())
+    }
+
+    /// Takes a retry from this VM's share of the fleet-wide retry budget.
+    pub(super) fn take_retry(&mut self, now: Instant, service: &Arc<str>) -> bool {
+        let limit = self.retry_limit(now, service);
+        let windows = self.retry_windows.get_mut(service);
+        windows.is_some_and(|windows| windows.retries.take(now, limit))
     }
 
     pub(super) fn refuse(
@@ -473,6 +493,11 @@
     }
 }
 
+/// Returns whether a target runs as many requests as it can at the same time.
+pub(super) fn is_full(candidate: &Candidate) -> bool {
+    u32::from(candidate.load.running) >= candidate.slots
+}
+
 /// Returns whether one more request stays within this VM's share of a limit on requests per second.
 /// With a share below one, the VM may send one request in one second of each period of several
 /// seconds; `offset` makes this second differ between VMs.
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -35,6 +35,7 @@
 mod planner_message;
 mod queue;
 mod reducer;
+mod relocation;
 mod request;
 mod window;
 
--- a/core/tests/consensus.rs
+++ b/core/tests/consensus.rs
@@ -524,3 +524,56 @@
         }
     }
 }
+
+/// Guards against a replica that answers reads from an old state after a restart: it must not count as
+/// current before it has applied everything that was committed when it started again.
+#[test]
+fn a_restarted_replica_is_not_current_before_it_has_caught_up() {
+    for seed in 0..20 {
+        let mut cluster = Cluster::bootstrapped(3, seed);
+        for _ in 0..10 {
+            cluster.commit();
+        }
+        let follower = others(&cluster, cluster.leader().unwrap())[0];
+        cluster.crash(follower);
+        for _ in 0..30 {
+            cluster.commit();
+        }
+        let committed = cluster.reducer(cluster.leader().unwrap()).commit();
+        cluster.start(follower);
+        let all: Vec<usize> = (0..3).collect();
+        check_current(&mut cluster, &[follower], committed);
+        // A restart of all: no replica knows what is committed before one of them leads.
+        let committed = cluster.reducer(cluster.leader().unwrap()).commit();
+        for index in &all {
+            cluster.crash(*index);
+        }
+        for index in &all {
+            cluster.start(*index);
+        }
+        check_current(&mut cluster, &all, committed);
+    }
+}
+
+/// Runs until all of these replicas are current, and checks at each step that none is current too early.
+fn check_current(cluster: &mut Cluster, replicas: &[usize], committed: u64) {
+    for _ in 0..20_000 {
+        let mut current = 0;
+        for index in replicas {
+            let reducer = cluster.reducer(*index);
+            if reducer.has_caught_up() {
+                current += 1;
+                assert!(
+                    reducer.applied() >= committed,
+                    "replica {index} counts as current with {} of {committed} entries applied",
+                    reducer.applied()
+                );
+            }
+        }
+        if current == replicas.len() {
+            return;
+        }
+        cluster.step();
+    }
+    panic!("not all replicas became current");
+}
--- a/gateway/src/control/calls.rs
+++ b/gateway/src/control/calls.rs
@@ -14,6 +14,7 @@
 use super::hub::Hub;
 use crate::document;
 use crate::http::{self, Connection, Error};
+use crate::memory::Share;
 use crate::metrics::label;
 use crate::protocol::{Call, Protocol};
 
@@ -90,7 +91,12 @@
             Err(error) => return reject(&mut caller, &error).await,
         };
         let body = match caller
-            .read_body(head.body, MAX_BODY_BYTES, READ_TIMEOUT)
+            .read_body(
+                head.body,
+                MAX_BODY_BYTES,
+                READ_TIMEOUT,
+                &mut Share::uncounted(),
+            )
             .await
         {
             Ok(body) => body,
@@ -156,6 +162,8 @@
         Error::HeadTooLong => (431, "the head is too long"),
         Error::BodyTooLong => (413, "the body is too long"),
         Error::Slow => (408, "the call came too slowly"),
+        // Only reading a response returns this error.
+        Error::TooManyInterim => return,
     };
     log::info!(status = status, cause = message; "call rejected: it could not be read");
     // Fails if the peer has closed the connection.
--- a/gateway/src/entry/attempt.rs
+++ b/gateway/src/entry/attempt.rs
@@ -3,11 +3,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use primrosepin_core::fleet::{Dispatch, Event, Id, Outcome, RetryPolicy};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until};
 
-use super::delivery::{Delivery, split_events};
+use super::delivery::Delivery;
+use super::events::Events;
 use super::node::Node;
 use super::reservation::Reservation;
 use crate::http::{Body, Connection, Request, Response};
@@ -22,11 +23,8 @@
 /// target is tried.
 const PLAIN_FIRST_BYTE_FRACTION: f64 = 0.4;
 
-/// Maximum size of a buffered response body, bytes.
-const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
-
-/// Time limit for each read while the body of a refusal or an error response is read.
-const ERROR_BODY_TIMEOUT: Duration = Duration::from_millis(500);
+/// Interval at which it is checked whether a request at a silent target can start elsewhere.
+const RELOCATION_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// An attempt, with the parts of its request that it needs.
 pub(super) struct Attempt<'a> {
@@ -44,12 +42,58 @@
 enum ResponseError {
     /// The connection failed or the response is malformed.
     Broken,
-    /// The response did not start in time.
-    TimedOut,
+    /// The response did not start in time, and another target can take the request.
+    Stalled,
     /// The caller closed its connection.
     CallerGone,
 }
 
+/// Watches for progress at a target. A target that makes none is left only if the request can start at
+/// another one at once: silence alone does not tell a lost target from a slow one.
+struct Stall<'a> {
+    attempt: &'a Attempt<'a>,
+    progress_at: Instant,
+    /// When it is next checked whether the request can start elsewhere; `None` if it never can.
+    check_at: Option<Instant>,
+}
+
+impl<'a> Stall<'a> {
+    fn new(attempt: &'a Attempt<'a>, limit: Option<Duration>) -> Self {
+        let progress_at = Instant::now();
+        Self {
+            attempt,
+            progress_at,
+            check_at: limit.map(|limit| progress_at + limit),
+        }
+    }
+
+    /// Records progress; the next is expected within `limit`.
+    fn record_progress(&mut self, limit: Option<Duration>) {
+        *self = Self::new(self.attempt, limit);
+    }
+
+    /// Waits until the target has made no progress in time and the request can start elsewhere.
+    async fn wait(&mut self) {
+        loop {
+            let Some(check_at) = self.check_at else {
+                return std::future::pending().await;
+            };
+            sleep_until(check_at.into()).await;
+            let attempt = self.attempt;
+            if attempt.node.can_relocate(attempt.id) {
+                let silent_ms = self.progress_at.elapsed().as_millis() as u64;
+                log::info!(
+                    request = attempt.request_id, target_name = &*attempt.dispatch.name,
+                    attempt = attempt.dispatch.attempt, silent_ms = silent_ms;
+                    "target makes no progress, and another one can take the request"
+                );
+                return;
+            }
+            self.check_at = Some(Instant::now() + RELOCATION_CHECK_INTERVAL);
+        }
+    }
+}
+
 impl Attempt<'_> {
     /// Sends the request to the target and delivers its response to the caller.
     pub(super) async fn run(&self, caller: &mut Connection, delivery: &mut Delivery) -> Outcome {
@@ -107,13 +151,17 @@
                 return broken(delivery);
             }
             match self.read_response_head(&mut target, caller).await {
-                Ok(head) => return self.handle_response(target, &head, caller, delivery).await,
+                Ok(head) => {
+                    return self
+                        .handle_response(target, &head, reused, caller, delivery)
+                        .await;
+                }
                 Err(ResponseError::CallerGone) => return Outcome::CallerGone,
                 Err(ResponseError::Broken) if reused && target.input.is_empty() => {
                     // The target closed the idle connection without a response.
                     self.node.pool.borrow_mut().clear(&self.dispatch.name);
                 }
-                Err(ResponseError::Broken | ResponseError::TimedOut) => {
+                Err(ResponseError::Broken | ResponseError::Stalled) => {
                     self.node.pool.borrow_mut().clear(&self.dispatch.name);
                     return broken(delivery);
                 }
@@ -160,9 +208,9 @@
         out
     }
 
-    /// Returns the time limit for the first byte of the response; `None` if the request cannot be
-    /// retried at another target.
-    fn first_byte_limit(&self) -> Option<Duration> {
+    /// Returns the time after which a target that has sent no event, or no head of a plain response, makes
+    /// no progress; `None` if the request cannot be retried at another target.
+    fn first_progress_limit(&self) -> Option<Duration> {
         match (self.dispatch.retryable, self.dispatch.stream) {
             (false, _) => None,
             (_, true) => Some(self.dispatch.stall_timeout + self.dispatch.predicted),
@@ -176,22 +224,19 @@
         target: &mut Connection,
         caller: &mut Connection,
     ) -> Result<Response, ResponseError> {
-        let limit = self.first_byte_limit().unwrap_or(self.dispatch.time_left);
+        let mut stall = Stall::new(self, self.first_progress_limit());
         let head = tokio::select! {
-            head = timeout(limit, target.read_response(&self.head.method)) => head,
-            () = caller.closed() => return Err(ResponseError::CallerGone),
-        };
-        match head {
-            Ok(Ok(head)) => Ok(head),
-            Ok(Err(error)) => {
-                self.log_broken(&format!("{error:?}"));
-                Err(ResponseError::Broken)
-            }
-            Err(_) => {
+            head = target.read_response(&self.head.method) => head,
+            () = stall.wait() => {
                 self.log_broken("no response head in time");
-                Err(ResponseError::TimedOut)
+                return Err(ResponseError::Stalled);
             }
-        }
+            () = caller.closed() => return Err(ResponseError::CallerGone),
+        };
+        head.map_err(|error| {
+            self.log_broken(&format!("{error:?}"));
+            ResponseError::Broken
+        })
     }
 
     /// Logs why the attempt got no complete response. `primrosepin explain` matches the start of the
@@ -208,24 +253,39 @@
         &self,
         mut target: Connection,
         head: &Response,
+        reused: bool,
         caller: &mut Connection,
         delivery: &mut Delivery,
     ) -> Outcome {
         let broken = Outcome::Broken {
             delivered: delivery.head_sent,
         };
-        match self.node.protocol.classify_response(head, self.request_id) {
+        let limits = self.node.settings.messages;
+        let verdict = self
+            .node
+            .protocol
+            .classify_response(head, self.request_id, reused);
+        match verdict {
             Verdict::Served if self.dispatch.stream => {
                 self.forward_stream(target, head, caller, delivery).await
             }
             Verdict::Served => {
+                let mut share = self.node.response_memory.share();
+                let mut stall = Stall::new(self, self.first_progress_limit());
                 let body = tokio::select! {
-                    body = target.read_body(head.body, MAX_RESPONSE_BYTES, self.dispatch.time_left) => body,
+                    body = target.read_body(head.body, limits.body_bytes, self.dispatch.time_left, &mut share) => body,
+                    () = stall.wait() => {
+                        self.log_broken("no complete body in time");
+                        return broken;
+                    }
                     () = caller.closed() => return Outcome::CallerGone,
                 };
-                let Ok(body) = body else {
-                    self.log_broken("incomplete body");
-                    return broken;
+                let body = match body {
+                    Ok(body) => body,
+                    Err(error) => {
+                        self.log_broken(&format!("incomplete body: {error:?}"));
+                        return broken;
+                    }
                 };
                 self.node.apply(Event::Started(self.id));
                 self.return_to_pool(target, head);
@@ -235,7 +295,7 @@
                 }
             }
             Verdict::Error => match target
-                .read_body(head.body, MAX_RESPONSE_BYTES, ERROR_BODY_TIMEOUT)
+                .read_body_within(head.body, limits.unused_body_bytes, limits.error_body_time)
                 .await
             {
                 Ok(body) => {
@@ -243,10 +303,13 @@
                     self.return_to_pool(target, head);
                     Outcome::Error
                 }
-                Err(_) => broken,
+                Err(error) => {
+                    self.log_broken(&format!("incomplete body of an error: {error:?}"));
+                    broken
+                }
             },
             Verdict::Full => {
-                self.discard_body(target, head).await;
+                self.discard_body(target, head);
                 Outcome::Full
             }
             Verdict::WrongTarget => Outcome::WrongTarget,
@@ -257,27 +320,40 @@
         }
     }
 
-    /// Reads and discards the body of an unused response, so that the connection can be reused.
-    async fn discard_body(&self, mut target: Connection, head: &Response) {
-        if target
-            .read_body(head.body, MAX_RESPONSE_BYTES, ERROR_BODY_TIMEOUT)
-            .await
-            .is_ok()
-        {
+    /// Reads and discards the body of an unused response in the background, so that the connection can be
+    /// reused. The request does not wait for it: the head says all.
+    fn discard_body(&self, mut target: Connection, head: &Response) {
+        if head.body.is_done() {
             self.return_to_pool(target, head);
+            return;
+        }
+        if head.closes {
+            return;
         }
+        let (node, head) = (Rc::clone(self.node), head.clone());
+        let name = std::sync::Arc::clone(&self.dispatch.name);
+        actix_rt::spawn(async move {
+            let limits = node.settings.messages;
+            let read = target
+                .read_body_within(head.body, limits.unused_body_bytes, limits.error_body_time)
+                .await;
+            match read {
+                Ok(_) => node.return_to_pool(&name, target, &head),
+                Err(error) => log::info!(
+                    target_name = &*name;
+                    "closing a connection: incomplete body of a refusal: {error:?}"
+                ),
+            }
+        });
     }
 
     /// Returns a connection to the pool after a complete response, if it can be reused.
     fn return_to_pool(&self, target: Connection, head: &Response) {
-        if head.closes || !target.input.is_empty() {
-            return;
-        }
-        let mut pool = self.node.pool.borrow_mut();
-        pool.put(&self.dispatch.name, target, keep_alive(head));
+        self.node.return_to_pool(&self.dispatch.name, target, head);
     }
 
-    /// Forwards the events of a stream as they arrive.
+    /// Forwards the events of a stream as they arrive. Only complete events count as progress, not single
+    /// bytes or comments: a target that sends those now and then may be stalled.
     async fn forward_stream(
         &self,
         mut target: Connection,
@@ -285,52 +361,71 @@
         caller: &mut Connection,
         delivery: &mut Delivery,
     ) -> Outcome {
+        let limits = self.node.settings.messages;
         let mut body = head.body;
-        let mut decoded = BytesMut::new();
+        let mut events = Events::new();
+        let mut share = self.node.response_memory.share();
         let mut started = false;
+        let mut stall = Stall::new(self, self.first_progress_limit());
         loop {
-            if body.decode(&mut target.input, &mut decoded).is_err() {
-                self.log_broken("malformed body");
+            if let Err(error) = body.decode(&mut target.input, events.undelivered()) {
+                self.log_broken(&format!("malformed body: {}", error.0));
                 break;
             }
-            if let Some(events) = split_events(&mut decoded) {
-                if !started {
+            if let Some(complete) = events.split() {
+                if !started && complete.is_progress {
                     started = true;
                     self.node.apply(Event::Started(self.id));
                 }
-                if delivery.send_events(caller, head, &events).await.is_err() {
+                if delivery
+                    .send_events(caller, head, &complete.bytes)
+                    .await
+                    .is_err()
+                {
                     return Outcome::CallerGone;
                 }
+                if complete.is_progress {
+                    let retryable = self.dispatch.retryable;
+                    stall.record_progress(retryable.then_some(self.dispatch.stall_timeout));
+                }
             }
             if body.is_done() {
+                let remaining = events.undelivered().split();
                 return self
-                    .finish_stream(target, head, &decoded, caller, delivery)
+                    .finish_stream(target, head, &remaining, caller, delivery)
                     .await;
             }
-            let limit = if started {
-                self.dispatch.stall_timeout
-            } else {
-                self.first_byte_limit().unwrap_or(self.dispatch.time_left)
+            let undelivered = events.undelivered().len();
+            if undelivered > limits.event_bytes {
+                self.log_broken(&format!(
+                    "an event of more than {} bytes",
+                    limits.event_bytes
+                ));
+                break;
+            }
+            let read = async {
+                share.resize(undelivered).await;
+                target.fill().await
             };
             let read = tokio::select! {
-                read = timeout(limit, target.fill()) => read,
+                read = read => read,
+                () = stall.wait() => {
+                    self.log_broken("no event in time");
+                    break;
+                }
                 () = caller.closed() => return Outcome::CallerGone,
             };
             match read {
-                Ok(Ok(0)) if body == Body::UntilClose => body = Body::Done,
-                Ok(Ok(read)) if read > 0 => {}
-                Ok(Ok(_)) => {
+                Ok(0) if body == Body::UntilClose => body = Body::Done,
+                Ok(0) => {
                     self.log_broken("the target closed the connection before the end of the body");
                     break;
                 }
-                Ok(Err(error)) => {
+                Ok(_) => {}
+                Err(error) => {
                     self.log_broken(&error.to_string());
                     break;
                 }
-                Err(_) => {
-                    self.log_broken("no event in time");
-                    break;
-                }
             }
         }
         Outcome::Broken {
@@ -360,11 +455,3 @@
         }
     }
 }
-
-/// Returns the keep-alive timeout announced by the target, if any.
-fn keep_alive(head: &Response) -> Option<Duration> {
-    let value = head.headers.get("keep-alive")?;
-    let mut parts = value.split(',').map(str::trim);
-    let seconds = parts.find_map(|part| part.strip_prefix("timeout="))?;
-    seconds.parse().ok().map(Duration::from_secs)
-}
--- a/gateway/src/entry/caller.rs
+++ b/gateway/src/entry/caller.rs
@@ -8,7 +8,7 @@
 use primrosepin_core::fleet::{Event, Outcome, Reason, Refusal};
 use primrosepin_telemetry::metrics::Label;
 use tokio::net::TcpStream;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::attempt::Attempt;
 use super::delivery::Delivery;
@@ -19,29 +19,49 @@
 /// Time for which a connection stays half-closed, so that the caller can read the last response.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 
+/// Time within which the body of a request must be complete, however steadily it arrives.
+const REQUEST_BODY_TIME: Duration = Duration::from_mins(1);
+
+/// Time that a caller that was just accepted has for its first request while the process shuts down.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Serves the requests on a connection, one at a time.
 pub(super) async fn serve(node: Rc<Node>, stream: TcpStream) {
     crate::net::set_options(&stream);
     let mut caller = Connection::new(stream);
     let mut phases = node.phase.subscribe();
+    let mut is_first = true;
     loop {
         let limits = node.limits();
-        let head = tokio::select! {
-            head = caller.read_request(limits.head_bytes, limits.idle_timeout, limits.head_timeout) => head,
+        let waited = tokio::select! {
+            waited = caller.wait_for_request(limits.idle_timeout) => waited,
             _ = phases.wait_for(|phase| *phase == Phase::Closing) => {
-                // A partly received request is still served.
+                // A caller that was just accepted has a request on the way; one that has been served may
+                // have, and reads the close as a request that was not read.
+                let wait = if is_first { FIRST_REQUEST_TIMEOUT } else { Duration::ZERO };
                 if caller.input.is_empty() && caller.is_idle() {
-                    return;
+                    caller.wait_for_request(wait).await
+                } else {
+                    Ok(true)
                 }
-                caller.read_request(limits.head_bytes, limits.head_timeout, limits.head_timeout).await
             }
         };
-        let head = match head {
+        match waited {
+            Ok(true) => {}
+            Ok(false) => return,
+            Err(error) => return reject(&node, &mut caller, None, &error).await,
+        }
+        is_first = false;
+        // From its first byte on, the process does not exit before the request has its response.
+        let active = node.mark_active();
+        let head = match caller
+            .read_request(limits.head_bytes, limits.head_timeout, limits.head_timeout)
+            .await
+        {
             Ok(Some(head)) => head,
             Ok(None) => return,
             Err(error) => return reject(&node, &mut caller, None, &error).await,
         };
-        let active = node.mark_active();
         if head.headers.has_token("expect", "100-continue")
             && caller
                 .write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -50,9 +70,16 @@
         {
             return;
         }
-        let body = caller
-            .read_body(head.body, limits.body_bytes, limits.head_timeout)
-            .await;
+        let mut share = node.request_memory.share();
+        let body = caller.read_body(
+            head.body,
+            limits.body_bytes,
+            limits.head_timeout,
+            &mut share,
+        );
+        let body = timeout(REQUEST_BODY_TIME, body)
+            .await
+            .unwrap_or(Err(Error::Slow));
         let body = match body {
             Ok(body) => body,
             Err(error) => return reject(&node, &mut caller, Some(&head), &error).await,
@@ -87,6 +114,8 @@
         Error::HeadTooLong => (431, "the head is too long"),
         Error::BodyTooLong => (413, "the body is too long"),
         Error::Slow => (408, "the request came too slowly"),
+        // Only reading a response returns this error.
+        Error::TooManyInterim => return,
     };
     log::info!(status = status, cause = message; "request rejected");
     let labels = [label("outcome", "rejected"), label("class", "unread")];
--- a/gateway/src/entry/delivery.rs
+++ b/gateway/src/entry/delivery.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
-use memchr::memmem;
+use bytes::Bytes;
 
+use super::events::last_event_id;
 use crate::http::{self, Connection, Response};
 use crate::protocol::Protocol;
 
@@ -129,21 +129,3 @@
         caller.write(&out).await
     }
 }
-
-/// Splits the complete events off the front of the decoded bytes; returns `None` if there is none.
-pub(super) fn split_events(decoded: &mut BytesMut) -> Option<BytesMut> {
-    let end = memmem::rfind(decoded, b"\n\n")
-        .map(|at| at + 2)
-        .max(memmem::rfind(decoded, b"\r\n\r\n").map(|at| at + 4))?;
-    Some(decoded.split_to(end))
-}
-
-/// Returns the last event id in a sequence of events.
-fn last_event_id(events: &[u8]) -> Option<Arc<str>> {
-    let lines = events.split(|byte| *byte == b'\n');
-    let id = lines
-        .filter_map(|line| line.strip_prefix(b"id:"))
-        .next_back()?;
-    let id = std::str::from_utf8(id).ok()?.trim();
-    Some(id.into())
-}
--- a/gateway/src/entry/mod.rs
+++ b/gateway/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod caller;
 mod delivery;
+mod events;
 mod node;
 mod pool;
 mod reservation;
--- a/gateway/src/entry/node.rs
+++ b/gateway/src/entry/node.rs
@@ -16,6 +16,8 @@
 use tokio::sync::{mpsc, watch};
 
 use super::pool::Pool;
+use crate::http::{Connection, Response};
+use crate::memory::Memory;
 use crate::message::{EntryVm, Message};
 use crate::metrics;
 use crate::protocol::Protocol;
@@ -60,6 +62,10 @@
     pub(super) registry: Metrics,
     pub(super) instruments: metrics::Entry,
     pub(super) pool: RefCell<Pool>,
+    /// Memory for the bodies of callers' requests.
+    pub(super) request_memory: Memory,
+    /// Memory for buffered responses of targets.
+    pub(super) response_memory: Memory,
     pub(super) phase: watch::Sender<Phase>,
     pub(super) links: RefCell<HashMap<IpAddr, Link>>,
     /// Seed control VMs from the settings.
@@ -69,7 +75,7 @@
     next_request: Cell<u64>,
     /// When the configuration was last requested from a control VM.
     pub(super) config_requested_at: Cell<Instant>,
-    /// Requests whose head was received and whose connection task has not finished serving them.
+    /// Requests whose first byte was received and whose connection task has not finished serving them.
     active: Cell<usize>,
     /// Other entry VMs.
     peers: RefCell<BTreeSet<EntryVm>>,
@@ -135,6 +141,8 @@
         Self {
             reducer: RefCell::new(Reducer::new(settings.decisions.clone())),
             seeds: RefCell::new(settings.common.seeds.clone()),
+            request_memory: Memory::new(settings.messages.request_memory_bytes),
+            response_memory: Memory::new(settings.messages.memory_bytes),
             settings,
             protocol,
             instruments: metrics::Entry::new(&registry),
@@ -190,6 +198,22 @@
         }
     }
 
+    /// Returns whether a request at a target that makes no progress can start at another one at once.
+    pub(super) fn can_relocate(&self, id: Id) -> bool {
+        let now = primrosepin_process::now();
+        self.reducer.borrow_mut().can_relocate(now, id)
+    }
+
+    /// Returns a connection to the pool after a complete response, if it can be reused.
+    pub(super) fn return_to_pool(
+        &self,
+        target: &Arc<str>,
+        connection: Connection,
+        head: &Response,
+    ) {
+        self.pool.borrow_mut().put(target, connection, head);
+    }
+
     fn send_decision(&self, id: Id, decision: Decision) {
         if let Some(request) = self.requests.borrow().get(&id) {
             // Fails only if the task has ended, and then the request has ended too.
@@ -299,13 +323,13 @@
         *self.phase.borrow() == Phase::Serving && self.reducer.borrow().ready(now)
     }
 
-    /// Returns the number of active requests plus the number of registered ones, so that a request being
-    /// served counts twice. Zero means that the process has no request left.
+    /// Returns the number of requests from their first byte until their response was written. Zero means
+    /// that the process has no request left.
     pub(super) fn pending(&self) -> usize {
-        self.requests.borrow().len() + self.active.get()
+        self.active.get()
     }
 
-    /// Marks a request as active, from the end of its head until its response was written.
+    /// Marks a request as active, from its first byte until its response was written.
     pub(super) fn mark_active(self: &Rc<Self>) -> ActiveGuard {
         self.active.set(self.active.get() + 1);
         ActiveGuard(Rc::clone(self))
--- a/gateway/src/entry/pool.rs
+++ b/gateway/src/entry/pool.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::http::Connection;
+use crate::http::{Connection, Response};
 
 /// Maximum time a connection stays in the pool. Targets may drop idle connections early and without notice.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
@@ -40,14 +40,12 @@
         None
     }
 
-    /// Adds a connection. `keep_alive` is the target's keep-alive timeout, if it announced one.
-    pub(super) fn put(
-        &mut self,
-        target: &Arc<str>,
-        connection: Connection,
-        keep_alive: Option<Duration>,
-    ) {
-        let idle_time = keep_alive.map_or(MAX_IDLE_TIME, |time| {
+    /// Adds a connection after a complete response, if it can be reused.
+    pub(super) fn put(&mut self, target: &Arc<str>, connection: Connection, head: &Response) {
+        if head.closes || !connection.input.is_empty() {
+            return;
+        }
+        let idle_time = keep_alive(head).map_or(MAX_IDLE_TIME, |time| {
             time.mul_f64(KEEP_ALIVE_FRACTION).min(MAX_IDLE_TIME)
         });
         let idle = self.idle.entry(Arc::clone(target)).or_default();
@@ -75,3 +73,11 @@
         });
     }
 }
+
+/// Returns the keep-alive timeout announced by the target, if any.
+fn keep_alive(head: &Response) -> Option<Duration> {
+    let value = head.headers.get("keep-alive")?;
+    let mut parts = value.split(',').map(str::trim);
+    let seconds = parts.find_map(|part| part.strip_prefix("timeout="))?;
+    seconds.parse().ok().map(Duration::from_secs)
+}
--- a/gateway/src/entry/reservation.rs
+++ b/gateway/src/entry/reservation.rs
@@ -131,7 +131,7 @@
         // The body carries no information; it is read so that the target can finish its response.
         drop(
             target
-                .read_body(head.body, MAX_RESPONSE_BYTES, ORDER_TIMEOUT)
+                .read_body_within(head.body, MAX_RESPONSE_BYTES, ORDER_TIMEOUT)
                 .await,
         );
         Some(head.status)
--- a/gateway/src/http.rs
+++ b/gateway/src/http.rs
@@ -12,6 +12,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::memory::Share;
+
 /// Maximum number of headers in a message.
 const MAX_HEADERS: usize = 100;
 
@@ -27,6 +29,19 @@
 /// Maximum number of pipelined bytes read while a request is being served.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
 
+/// Maximum number of trailer lines after a chunked body.
+const MAX_TRAILER_LINES: u16 = 32;
+
+/// Maximum number of interim (1xx) responses before the final one.
+const MAX_INTERIM_RESPONSES: usize = 8;
+
+/// Time without progress of a write after which the connection counts as failed. A peer that reads
+/// slowly makes progress; a peer that never reads would otherwise hold its response in memory for good.
+const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Length of an incomplete head up to which it is parsed after every read, bytes.
+const FIRST_PARSE_BYTES: usize = 64;
+
 /// A header field.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Header {
@@ -160,6 +175,8 @@
     BodyTooLong,
     /// The message did not arrive within the time limit.
     Slow,
+    /// More interim responses than a target has reason to send.
+    TooManyInterim,
 }
 
 impl From<io::Error> for Error {
@@ -196,8 +213,8 @@
     Data(u64),
     /// Expects the line end after chunk data.
     DataEnd,
-    /// Expects trailer lines or the final empty line.
-    Trailer,
+    /// Expects trailer lines or the final empty line; holds the number of trailer lines so far.
+    Trailer(u16),
 }
 
 impl Body {
@@ -268,7 +285,7 @@
             let hex = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_hexdigit());
             let size = u64::from_str_radix(text, 16).ok().filter(|_| hex);
             match size {
-                Some(0) => Body::Chunks(ChunkState::Trailer),
+                Some(0) => Body::Chunks(ChunkState::Trailer(0)),
                 Some(size) => Body::Chunks(ChunkState::Data(size)),
                 None => return Err(Malformed("chunk size")),
             }
@@ -292,10 +309,11 @@
             input.advance(2);
             Body::Chunks(ChunkState::Size)
         }
-        ChunkState::Trailer => match line(input)? {
+        ChunkState::Trailer(lines) => match line(input)? {
             None => return Ok(None),
             Some(line) if line.is_empty() => Body::Done,
-            Some(_) => Body::Chunks(ChunkState::Trailer),
+            Some(_) if lines >= MAX_TRAILER_LINES => return Err(Malformed("too many trailers")),
+            Some(_) => Body::Chunks(ChunkState::Trailer(lines + 1)),
         },
     }))
 }
@@ -323,9 +341,18 @@
         self.stream.read_buf(&mut self.input).await
     }
 
-    /// Writes all bytes to the stream.
+    /// Writes all bytes to the stream. Fails with [`io::ErrorKind::TimedOut`] if the peer accepts no bytes
+    /// for `WRITE_STALL_TIMEOUT`.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.stream.write_all(bytes).await
+        let mut rest = bytes;
+        while !rest.is_empty() {
+            let written = timeout(WRITE_STALL_TIMEOUT, self.stream.write(rest)).await;
+            match written.map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))?? {
+                0 => return Err(io::ErrorKind::WriteZero.into()),
+                written => rest = &rest[written..],
+            }
+        }
+        Ok(())
     }
 
     /// Shuts down the write side, so that written bytes are delivered before the connection is closed.
@@ -356,6 +383,18 @@
             && matches!(self.stream.try_read_buf(&mut self.input), Err(error) if would_block(&error))
     }
 
+    /// Waits until the first byte of a request is buffered. Returns whether there is one; there is none
+    /// if the connection is closed or nothing arrives within `idle_timeout`.
+    pub async fn wait_for_request(&mut self, idle_timeout: Duration) -> Result<bool, Error> {
+        if self.input.is_empty() {
+            match timeout(idle_timeout, self.fill()).await {
+                Ok(Ok(0)) | Err(_) => return Ok(false),
+                Ok(read) => drop(read?),
+            }
+        }
+        Ok(true)
+    }
+
     /// Reads the head of a request. Returns `None` if the connection is closed or nothing arrives within
     /// `idle_timeout`; the head must be complete within `head_timeout` of its first byte.
     pub async fn read_request(
@@ -364,15 +403,15 @@
         idle_timeout: Duration,
         head_timeout: Duration,
     ) -> Result<Option<Request>, Error> {
-        if self.input.is_empty() {
-            match timeout(idle_timeout, self.fill()).await {
-                Ok(Ok(0)) | Err(_) => return Ok(None),
-                Ok(read) => drop(read?),
-            }
+        if !self.wait_for_request(idle_timeout).await? {
+            return Ok(None);
         }
+        let mut progress = HeadProgress::default();
         let head = async {
             loop {
-                if let Some(head) = parse_request(&mut self.input, max_bytes)? {
+                if progress.may_be_complete(&self.input)
+                    && let Some(head) = parse_request(&mut self.input, max_bytes)?
+                {
                     return Ok(Some(head));
                 }
                 if self.input.len() > max_bytes {
@@ -388,12 +427,14 @@
             .unwrap_or(Err(Error::Slow))
     }
 
-    /// Reads a complete body. `read_timeout` limits the wait for more bytes, not the total time.
+    /// Reads a complete body into memory counted by `share`. `read_timeout` limits the wait for more bytes,
+    /// not the total time.
     pub async fn read_body(
         &mut self,
         mut body: Body,
         max_bytes: usize,
         read_timeout: Duration,
+        share: &mut Share,
     ) -> Result<Bytes, Error> {
         if matches!(body, Body::Length(length) if length > max_bytes as u64) {
             return Err(Error::BodyTooLong);
@@ -407,6 +448,7 @@
             if body.is_done() {
                 return Ok(output.freeze());
             }
+            share.resize(output.len()).await;
             match timeout(read_timeout, self.fill()).await {
                 Err(_) => return Err(Error::Slow),
                 Ok(Ok(0)) if body == Body::UntilClose => return Ok(output.freeze()),
@@ -416,14 +458,35 @@
         }
     }
 
-    /// Reads the head of the final response to a request with this method.
+    /// Reads a complete body that must end within `time_limit`, however steadily its bytes arrive.
+    pub async fn read_body_within(
+        &mut self,
+        body: Body,
+        max_bytes: usize,
+        time_limit: Duration,
+    ) -> Result<Bytes, Error> {
+        let mut share = Share::uncounted();
+        let read = self.read_body(body, max_bytes, time_limit, &mut share);
+        timeout(time_limit, read).await.unwrap_or(Err(Error::Slow))
+    }
+
+    /// Reads the head of the final response to a request with this method. Skips at most
+    /// `MAX_INTERIM_RESPONSES` interim responses.
     pub async fn read_response(&mut self, method: &str) -> Result<Response, Error> {
+        let mut progress = HeadProgress::default();
+        let mut interim = 0;
         loop {
-            if let Some(head) = parse_response(&mut self.input, method)? {
-                // Skips interim (1xx) responses.
+            if progress.may_be_complete(&self.input)
+                && let Some(head) = parse_response(&mut self.input, method)?
+            {
                 if head.status >= 200 {
                     return Ok(head);
                 }
+                interim += 1;
+                if interim > MAX_INTERIM_RESPONSES {
+                    return Err(Error::TooManyInterim);
+                }
+                progress = HeadProgress::default();
                 continue;
             }
             if self.input.len() > MAX_RESPONSE_HEAD_BYTES {
@@ -436,6 +499,33 @@
     }
 }
 
+/// Decides when a head that arrives in pieces is parsed, so that a head of n bytes costs O(n) however it
+/// is fragmented.
+#[derive(Debug, Default)]
+struct HeadProgress {
+    /// Number of bytes that were searched for the end of the head.
+    searched: usize,
+    /// Length from which the head is parsed without its end. Finds malformed heads early.
+    next_parse: usize,
+}
+
+impl HeadProgress {
+    /// Returns whether the buffered bytes are worth parsing.
+    fn may_be_complete(&mut self, input: &[u8]) -> bool {
+        // The end may have been split: it is at most three bytes long.
+        let from = self.searched.saturating_sub(2).min(input.len());
+        self.searched = input.len();
+        let unseen = &input[from..];
+        let ended =
+            memmem::find(unseen, b"\n\r\n").is_some() || memmem::find(unseen, b"\n\n").is_some();
+        let parse = ended || input.len() >= self.next_parse;
+        if parse {
+            self.next_parse = (input.len() * 2).max(FIRST_PARSE_BYTES);
+        }
+        parse
+    }
+}
+
 /// Parses and removes the head of a request; returns `None` if `input` holds only a part of it.
 pub fn parse_request(input: &mut BytesMut, max_bytes: usize) -> Result<Option<Request>, Error> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
--- a/gateway/src/protocol.rs
+++ b/gateway/src/protocol.rs
@@ -95,8 +95,10 @@
     /// Returns the order that releases reserved memory.
     fn release(&self, name: &str) -> Order;
 
-    /// Classifies a target's response to the request with this id.
-    fn classify_response(&self, head: &http::Response, request_id: &str) -> Verdict;
+    /// Classifies a target's response to the request with this id. `reused` tells that the connection has
+    /// carried another request before, so that a response that does not name its request may belong to
+    /// that one.
+    fn classify_response(&self, head: &http::Response, request_id: &str, reused: bool) -> Verdict;
 
     /// Returns whether a header of a target's response is forwarded to the caller.
     fn returns_header(&self, name: &str) -> bool;
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -7,6 +7,8 @@
 
 use primrosepin_core::fleet;
 
+use crate::limits;
+
 /// Source from which settings can be reloaded.
 pub trait Source: 'static {
     /// Reads the current addresses of the seed control VMs.
@@ -50,6 +52,8 @@
     pub ready: SocketAddr,
     /// Settings of the scheduling decisions.
     pub decisions: fleet::Settings,
+    /// Limits on messages and their memory.
+    pub messages: limits::Messages,
 }
 
 /// Settings of a control process. The option `--check` prints this name.
