fleet: Report load inside zones, with relays between them; renew announcements in short

Cause: with 295 entry VMs each one sent its whole load to all others. Each repeated announcement went in full to every entry VM from every control VM.

Ruled out: one aggregator for the region (its link of 20 Mbit/s carries the table to 295 VMs only four times a second); whole tables inside a zone at each change (the sender's link again).

Change: fleet::Topology. Up to 24 VMs nothing changes. Above, a VM reports to its zone and to two relays of each zone; the first relay that is heard passes on the sums of the other zones and the planners that it hears, each 150 ms. Planners are the first relays of the zones, so a zone that is cut off keeps one. LoadTable looks up a target's load by target instead of walking all peers. Unchanged announcements travel as Renewal (hash, start, sequence, state, age); a receiver that cannot match one asks for the announcements. Message format 3.

Tests: core/tests/fleet/scale.rs (7): growth of reports, loads once while relays stop, one planner, a zone cut off, renewals.

--- a/bench/src/region/world/mod.rs
+++ b/bench/src/region/world/mod.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 
 use primrosepin_core::fleet::{
-    Announcement, Config, Entry, Event, Id, Limits, Reducer, Refusal, RetryPolicy, Route, Service,
-    Settings, State,
+    Announcement, Config, Entry, Event, Id, Limits, Peer, Reducer, Refusal, RetryPolicy, Route,
+    Service, Settings, State,
 };
 use primrosepin_core::time::Instant;
 use primrosepin_standin::passes;
@@ -449,7 +449,11 @@
         self.apply(vm, config);
         let peers = self.names.iter().enumerate();
         let peers = peers.filter(|(peer, _)| *peer != vm);
-        let peers = peers.map(|(_, name)| Arc::clone(name)).collect();
+        let peers = peers.map(|(peer, name)| Peer {
+            vm: Arc::clone(name),
+            zone: format!("zone-{}", self.vms[peer].zone).into(),
+        });
+        let peers = peers.collect();
         self.apply(vm, Event::Peers(peers));
         for target in 0..self.targets.len() {
             if self.targets[target].up {
--- a/bench/src/region/world/vm.rs
+++ b/bench/src/region/world/vm.rs
@@ -1,5 +1,6 @@
 //! Entry VMs: execution of the effects of their reducers.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -52,9 +53,13 @@
                         self.send_vm(after, peer, Event::PlannerMessage { peer: vm, message });
                     }
                 }
-                Effect::ReportLoad(report) => {
+                Effect::ReportLoad(recipients, report) => {
+                    let recipients: HashSet<&Arc<str>> = recipients.iter().collect();
                     for peer in 0..self.vms.len() {
-                        if peer != vm && self.vms[peer].up && !self.drops_message() {
+                        if recipients.contains(&self.names[peer])
+                            && self.vms[peer].up
+                            && !self.drops_message()
+                        {
                             let after = self.latency(self.vms[vm].zone, self.vms[peer].zone);
                             let event = Event::LoadReported {
                                 peer: Arc::clone(&self.names[vm]),
--- a/core/src/fleet/attempts.rs
+++ b/core/src/fleet/attempts.rs
@@ -51,7 +51,7 @@
         let cold_limit = (pending.service.cold_per_s * self.settings.cold_factor
             + self.settings.cold_slack)
             * BUDGET_FRACTION
-            / self.vm_count as f64;
+            / self.topology.vm_count() as f64;
         let mut candidates = Vec::new();
         for (target, record) in self.directory.records() {
             if !self.may_run(now, pending, target, record) {
@@ -448,7 +448,7 @@
             return 0.0;
         };
         let requests = windows.requests.count(now) as f64;
-        (requests * settings.retry_ratio + settings.retry_slack / self.vm_count as f64)
+        (requests * settings.retry_ratio + settings.retry_slack / self.topology.vm_count() as f64)
             * BUDGET_FRACTION
     }
 
--- a/core/src/fleet/directory.rs
+++ b/core/src/fleet/directory.rs
@@ -68,6 +68,34 @@
     pub age_ms: u64,
 }
 
+/// A repeated announcement in which nothing changed, without what is known from the earlier one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Renewal {
+    /// Hash of the target's name.
+    pub name_hash: u64,
+    /// Wall-clock time at which the target started, ms.
+    pub started_ms: u64,
+    /// Sequence number of the announcement.
+    pub sequence: u64,
+    /// Announced state. A receiver that knows another one has missed an announcement.
+    pub state: State,
+    /// Time since the announcement arrived at the first VM that received it, ms.
+    pub age_ms: u64,
+}
+
+impl Renewal {
+    /// Creates the renewal for an announcement that is `age_ms` old.
+    pub fn new(announcement: &Announcement, age_ms: u64) -> Self {
+        Self {
+            name_hash: xxhash_rust::xxh3::xxh3_64(announcement.name.as_bytes()),
+            started_ms: announcement.started_ms,
+            sequence: announcement.sequence,
+            state: announcement.state,
+            age_ms,
+        }
+    }
+}
+
 /// Process-local ID of a target, an index into the directory.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Target(pub u32);
@@ -94,6 +122,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Directory {
     ids: HashMap<Arc<str>, Target>,
+    by_hash: HashMap<u64, Target>,
     records: Vec<Option<Record>>,
 }
 
@@ -117,16 +146,46 @@
             return None;
         }
         let id = Target(self.records.len() as u32);
+        let name_hash = xxhash_rust::xxh3::xxh3_64(announcement.name.as_bytes());
         self.ids.insert(Arc::clone(&announcement.name), id);
+        self.by_hash.insert(name_hash, id);
         self.records.push(Some(Record {
             heard,
             cold_until: heard + Duration::from_millis(announcement.cold_ms),
-            name_hash: xxhash_rust::xxh3::xxh3_64(announcement.name.as_bytes()),
+            name_hash,
             announcement,
         }));
         Some(id)
     }
 
+    /// Records a repeated announcement of a known target; returns false if the target is unknown, has
+    /// started again or is in another state, so that its full announcement is needed.
+    pub fn renew(&mut self, now: Instant, renewal: &Renewal) -> bool {
+        let Some(id) = self.by_name_hash(renewal.name_hash) else {
+            return false;
+        };
+        let Some(Some(record)) = self.records.get_mut(id.0 as usize) else {
+            return false;
+        };
+        let known = &mut record.announcement;
+        if renewal.started_ms > known.started_ms {
+            return false;
+        }
+        let is_newer = renewal.started_ms == known.started_ms
+            && renewal.sequence > known.sequence
+            && known.state != State::Gone;
+        if is_newer && renewal.state != known.state {
+            return false;
+        }
+        if is_newer {
+            known.sequence = renewal.sequence;
+            record.heard = record
+                .heard
+                .max(now - Duration::from_millis(renewal.age_ms));
+        }
+        true
+    }
+
     /// Returns whether a target that started later has the address of an announcement.
     fn is_superseded(&self, announcement: &Announcement) -> bool {
         self.records.iter().flatten().any(|record| {
@@ -164,6 +223,7 @@
                 && now.since(record.heard) > TOMBSTONE_TTL
             {
                 self.ids.remove(&record.announcement.name);
+                self.by_hash.remove(&record.name_hash);
                 *slot = None;
             }
         }
@@ -185,9 +245,7 @@
 
     /// Returns a target by the hash of its name.
     pub(super) fn by_name_hash(&self, name_hash: u64) -> Option<Target> {
-        let mut records = self.records();
-        let found = records.find(|(_, record)| record.name_hash == name_hash);
-        found.map(|(target, _)| target)
+        self.by_hash.get(&name_hash).copied()
     }
 
     pub(super) fn records(&self) -> impl Iterator<Item = (Target, &Record)> {
--- a/core/src/fleet/effect.rs
+++ b/core/src/fleet/effect.rs
@@ -99,6 +99,17 @@
     pub can_plan: bool,
     /// IDs, at the reporting VM, of requests that run on targets granted by the planner.
     pub used_grants: Vec<u64>,
+    /// What the VMs of other zones reported, if the reporting VM passes it on. None says nothing new.
+    pub relayed: Option<Relayed>,
+}
+
+/// What a relay passes on to the VMs of its zone.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Relayed {
+    /// Sums of the loads of VMs of other zones, by hash of the target's name.
+    pub loads: Vec<(u64, Load)>,
+    /// Planner candidates that are heard, by hash of their names, with the age of their last report, ms.
+    pub planners: Vec<(u64, u32)>,
 }
 
 /// A decision on a peer's request, for logs.
@@ -131,8 +142,8 @@
     Queue(Id, usize),
     /// Ends a request with a refusal.
     Refuse(Id, Refusal),
-    /// Sends a load report to all peers.
-    ReportLoad(LoadReport),
+    /// Sends a load report to these peers.
+    ReportLoad(Arc<[Arc<str>]>, LoadReport),
     /// Sends a message about a long prompt to one peer.
     SendToPeer(Arc<str>, PlannerMessage),
     /// The planner, named here, did not answer a query in time, so this VM places the request
--- a/core/src/fleet/event.rs
+++ b/core/src/fleet/event.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Config, Entry, Id, LoadReport, PlannerMessage, Request};
+use super::{Config, Entry, Id, LoadReport, Peer, PlannerMessage, Request};
 
 /// How an attempt at a target ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -60,7 +60,7 @@
         until: crate::time::Instant,
     },
     /// Names of the other entry VMs that are known to run.
-    Peers(Vec<Arc<str>>),
+    Peers(Vec<Peer>),
     /// A peer reported its load at the targets.
     LoadReported {
         /// Name of the peer.
--- a/core/src/fleet/load.rs
+++ b/core/src/fleet/load.rs
@@ -3,11 +3,12 @@
 //! Engines report their load with a delay, in which more work arrives. Each VM therefore counts its
 //! own requests when it sends them, and reports them to its peers.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 
 use super::LoadReport;
 use super::planner::is_peer_request;
@@ -19,6 +20,10 @@
 /// Age after which a peer's queue no longer counts.
 const QUEUE_LEASE: Duration = Duration::from_millis(700);
 
+/// Age after which the sums of a relay no longer count, so that the next relay's do: three missed reports
+/// with a margin.
+pub(super) const RELAY_LEASE: Duration = Duration::from_millis(700);
+
 /// Load of one target.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Load {
@@ -58,17 +63,40 @@
     }
 }
 
+/// What a VM reported.
 #[derive(Debug, Clone)]
 struct Peer {
+    /// Number of the peer in [`Contribution::peer`].
+    number: u32,
     heard: Instant,
     sequence: u64,
-    loads: HashMap<u64, Load>,
+    /// Targets at which it has load.
+    targets: Vec<u64>,
     /// Time until which its most urgent queued long prompt can wait and meet its objective.
     latest_start: Option<Instant>,
     /// Its short prompts that wait for a slot.
     waiting: u32,
     /// Whether it may act as the planner.
     can_plan: bool,
+    /// What it last relayed from other zones.
+    relayed: Option<RelayedLoads>,
+}
+
+/// Loads of VMs of other zones, passed on by a relay.
+#[derive(Debug, Clone)]
+struct RelayedLoads {
+    heard: Instant,
+    loads: HashMap<u64, Load>,
+    /// Planner candidates that the relay hears, by hash of their names, with the time of their last report.
+    planners: HashMap<u64, Instant>,
+}
+
+/// Load of one peer at one target.
+#[derive(Debug, Clone, Copy)]
+struct Contribution {
+    peer: u32,
+    heard: Instant,
+    load: Load,
 }
 
 /// Work of one request of this VM at one target.
@@ -86,6 +114,11 @@
 pub struct LoadTable {
     own: HashMap<u64, Vec<(super::Id, Work)>>,
     peers: HashMap<Arc<str>, Peer>,
+    next_peer: u32,
+    /// Loads of peers, by hash of the target's name.
+    by_target: HashMap<u64, Vec<Contribution>>,
+    /// Relays whose sums count, in order of precedence.
+    relays: SmallVec<[Arc<str>; 2]>,
 }
 
 impl LoadTable {
@@ -137,42 +170,148 @@
         if !restarted && known.is_some_and(|known| known.sequence >= report.sequence) {
             return;
         }
+        let known = self.peers.remove(&peer);
+        let (number, kept) = match known {
+            Some(known) => {
+                self.remove_contributions(&known);
+                (known.number, known.relayed)
+            }
+            None => {
+                self.next_peer += 1;
+                (self.next_peer, None)
+            }
+        };
+        for (target, load) in &report.loads {
+            self.by_target
+                .entry(*target)
+                .or_default()
+                .push(Contribution {
+                    peer: number,
+                    heard: now,
+                    load: *load,
+                });
+        }
+        let relayed = report.relayed.map(|relayed| RelayedLoads {
+            heard: now,
+            loads: relayed.loads.into_iter().collect(),
+            planners: relayed
+                .planners
+                .into_iter()
+                .map(|(planner, age_ms)| (planner, now - Duration::from_millis(age_ms.into())))
+                .collect(),
+        });
         let state = Peer {
+            number,
             heard: now,
             sequence: report.sequence,
-            loads: report.loads.into_iter().collect(),
+            targets: report.loads.iter().map(|(target, _)| *target).collect(),
             waiting: u32::from(report.waiting),
             can_plan: report.can_plan,
             latest_start: report
                 .min_slack_ms
                 .map(|ms| now + Duration::from_millis(u64::from(ms))),
+            relayed: relayed.or(kept),
         };
         self.peers.insert(peer, state);
     }
 
+    fn remove_contributions(&mut self, peer: &Peer) {
+        for target in &peer.targets {
+            if let Some(contributions) = self.by_target.get_mut(target) {
+                contributions.retain(|contribution| contribution.peer != peer.number);
+                if contributions.is_empty() {
+                    self.by_target.remove(target);
+                }
+            }
+        }
+    }
+
+    /// Sets the relays whose sums count, in order of precedence. A relay itself hears all VMs and uses
+    /// none.
+    pub(super) fn set_relays(&mut self, relays: SmallVec<[Arc<str>; 2]>) {
+        self.relays = relays;
+    }
+
     /// Removes peers that have not reported for [`PEER_LEASE`].
     pub(super) fn expire(&mut self, now: Instant) {
-        self.peers
-            .retain(|_, peer| now.since(peer.heard) < PEER_LEASE);
+        let silent = |peer: &Peer| now.since(peer.heard) >= PEER_LEASE;
+        let expired: Vec<Peer> = self
+            .peers
+            .extract_if(|_, peer| silent(peer))
+            .map(|(_, peer)| peer)
+            .collect();
+        for peer in expired {
+            self.remove_contributions(&peer);
+        }
+    }
+
+    /// Returns the sums of the first relay that was heard recently.
+    fn relayed(&self, now: Instant) -> Option<&RelayedLoads> {
+        let relays = self.relays.iter();
+        let relayed = relays.filter_map(|relay| self.peers.get(relay)?.relayed.as_ref());
+        relayed
+            .filter(|relayed| now.since(relayed.heard) < RELAY_LEASE)
+            .next()
     }
 
     /// Returns the load of a target.
     pub fn load(&self, target: u64, now: Instant) -> Load {
         let mut load = self.own(target, now, true);
-        for peer in self.peers.values() {
-            if let Some(other) = peer.loads.get(&target) {
-                let other = other.after(now.since(peer.heard));
-                // A target prefills its prompts one after the other, and each VM reports the time
-                // until all that it knows of are prefilled. So the longest time counts, not the
-                // sum.
-                let prefill_ms = load.prefill_ms.max(other.prefill_ms);
-                load.add(other);
-                load.prefill_ms = prefill_ms;
-            }
+        // A target prefills its prompts one after the other, and each VM reports the time until all that
+        // it knows of are prefilled. So the longest time counts, not the sum.
+        let mut add = |other: Load, heard: Instant| {
+            let other = other.after(now.since(heard));
+            let prefill_ms = load.prefill_ms.max(other.prefill_ms);
+            load.add(other);
+            load.prefill_ms = prefill_ms;
+        };
+        for contribution in self.by_target.get(&target).into_iter().flatten() {
+            add(contribution.load, contribution.heard);
+        }
+        if let Some(relayed) = self.relayed(now)
+            && let Some(other) = relayed.loads.get(&target)
+        {
+            add(*other, relayed.heard);
         }
         load
     }
 
+    /// Returns the sums of the loads of some peers, to pass on.
+    pub(super) fn sums<F>(&self, now: Instant, included: F) -> Vec<(u64, Load)>
+    where
+        F: Fn(&str) -> bool,
+    {
+        let numbers: HashSet<u32> = self
+            .peers
+            .iter()
+            .filter(|(name, _)| included(name))
+            .map(|(_, peer)| peer.number)
+            .collect();
+        let mut sums: Vec<(u64, Load)> = Vec::new();
+        for (target, contributions) in &self.by_target {
+            let mut sum = Load::default();
+            for contribution in contributions {
+                if numbers.contains(&contribution.peer) {
+                    let other = contribution.load.after(now.since(contribution.heard));
+                    let prefill_ms = sum.prefill_ms.max(other.prefill_ms);
+                    sum.add(other);
+                    sum.prefill_ms = prefill_ms;
+                }
+            }
+            if sum != Load::default() {
+                sums.push((*target, sum));
+            }
+        }
+        sums.sort_unstable_by_key(|(target, _)| *target);
+        sums
+    }
+
+    /// Returns the time since a peer was heard.
+    pub(super) fn age(&self, peer: &str, now: Instant) -> Duration {
+        let peer = self.peers.get(peer);
+        peer.map_or(Duration::MAX, |peer| now.since(peer.heard))
+    }
+
     /// Returns the peers whose queues still count.
     fn fresh_peers(&self, now: Instant) -> impl Iterator<Item = &Peer> {
         let peers = self.peers.values();
@@ -186,10 +325,15 @@
         urgent.any(|other| now < other && other < until)
     }
 
-    /// Returns the time since a peer reported that it may act as the planner.
+    /// Returns the time since a peer reported, to this VM or to a relay, that it may act as the planner.
     pub(super) fn beacon_age(&self, peer: &str, now: Instant) -> Duration {
-        let peer = self.peers.get(peer).filter(|peer| peer.can_plan);
-        peer.map_or(Duration::MAX, |peer| now.since(peer.heard))
+        let direct = self.peers.get(peer).filter(|peer| peer.can_plan);
+        let direct = direct.map_or(Duration::MAX, |peer| now.since(peer.heard));
+        let relayed = self.relayed(now).and_then(|relayed| {
+            let planners = &relayed.planners;
+            planners.get(&xxhash_rust::xxh3::xxh3_64(peer.as_bytes()))
+        });
+        direct.min(relayed.map_or(Duration::MAX, |heard| now.since(*heard)))
     }
 
     /// Returns the number of short prompts that wait for a slot at peers.
--- a/core/src/fleet/planner.rs
+++ b/core/src/fleet/planner.rs
@@ -23,21 +23,24 @@
 use super::attempts::BUSY_RETRY;
 use super::pending::{Pending, max_duration, min_duration, needs_exclusive};
 use super::planner_message::{Denial, Grant, PlannerMessage, Query};
+use super::topology::Topology;
 use super::{
-    Choice, Effect, Helper, Id, PlannerDecision, Reason, Reducer, Request, Target, Tokens,
+    Choice, Effect, Helper, Id, Peer, PlannerDecision, Reason, Reducer, Request, Target, Tokens,
 };
 use crate::time::Instant;
 
-/// Number of VMs that may be the planner: enough that some remain when a zone and single VMs are
-/// lost.
-const MAX_PLANNER_CANDIDATES: usize = 5;
-
 /// Interval at which VMs that may be the planner report to their peers.
 pub(super) const BEACON_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Silence after which a VM no longer counts as the planner: three missed beacons.
 const BEACON_LEASE: Duration = Duration::from_millis(650);
 
+/// The same where relays pass beacons on, which adds up to [`RELAY_INTERVAL`] to their age.
+const RELAYED_BEACON_LEASE: Duration = Duration::from_millis(1_000);
+
+/// Interval at which a relay passes on what VMs of other zones report.
+pub(super) const RELAY_INTERVAL: Duration = Duration::from_millis(150);
+
 /// Interval at which a query is repeated.
 const QUERY_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -86,32 +89,41 @@
 }
 
 impl Reducer {
-    /// Sets the names of the other entry VMs.
-    pub(super) fn set_peers(&mut self, peers: Vec<Arc<str>>) {
-        self.vm_count = peers.len() + 1;
-        let own = Arc::clone(&self.settings.vm);
-        let mut planner_candidates: Vec<Arc<str>> = peers.into_iter().chain([own]).collect();
-        planner_candidates.sort_by_key(|name| xxhash_rust::xxh3::xxh3_64(name.as_bytes()));
-        planner_candidates.truncate(MAX_PLANNER_CANDIDATES);
-        self.planner_candidates = planner_candidates;
+    /// Sets the other entry VMs.
+    pub(super) fn set_peers(&mut self, peers: &[Peer]) {
+        let own = Peer {
+            vm: Arc::clone(&self.settings.vm),
+            zone: Arc::clone(&self.settings.zone),
+        };
+        self.topology = Topology::new(&own, peers);
+        let relays = if self.topology.is_relay() {
+            SmallVec::new()
+        } else {
+            self.topology.zone_relays().iter().cloned().collect()
+        };
+        self.loads.set_relays(relays);
     }
 
     /// Returns whether this VM may act as the planner.
     pub(super) fn can_plan(&self) -> bool {
         self.shutdown_at.is_none()
             && self.config.is_some()
-            && self.planner_candidates.contains(&self.settings.vm)
+            && self.topology.planners().contains(&self.settings.vm)
     }
 
     /// Returns the planner; none if it is this VM, or if no other candidate is heard.
     fn planner(&self, now: Instant) -> Option<&Arc<str>> {
-        let first = self.planner_candidates.iter().find(|name| {
+        let lease = if self.topology.zone_relays().is_empty() {
+            BEACON_LEASE
+        } else {
+            RELAYED_BEACON_LEASE
+        };
+        let first = self.topology.planners().iter().find(|name| {
             if **name == self.settings.vm {
                 return self.can_plan();
             }
             let timed_out = self.unresponsive.get(*name);
-            timed_out.is_none_or(|until| now >= *until)
-                && self.loads.beacon_age(name, now) < BEACON_LEASE
+            timed_out.is_none_or(|until| now >= *until) && self.loads.beacon_age(name, now) < lease
         });
         first.filter(|name| **name != self.settings.vm)
     }
--- a/core/src/fleet/reducer.rs
+++ b/core/src/fleet/reducer.rs
@@ -5,18 +5,20 @@
 use std::time::Duration;
 
 use super::attempts::NO_TARGET_RETRY;
+use super::load::RELAY_LEASE;
 use super::pending::{Pending, choose_service};
-use super::planner::{BEACON_INTERVAL, UnconfirmedGrant};
+use super::planner::{BEACON_INTERVAL, RELAY_INTERVAL, UnconfirmedGrant};
+use super::topology::Topology;
 use super::{
     Announcement, Config, Directory, Effect, Entry, Event, Freshness, Health, Id, Load, LoadReport,
-    LoadTable, Reason, Refusal, Request, SlidingWindow, State, Target,
+    LoadTable, Reason, Refusal, Relayed, Renewal, Request, SlidingWindow, State, Target,
 };
 use crate::time::Instant;
 
 /// Shortest interval between load reports about short requests.
 const REPORT_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Added to the interval for each VM, so that the total number of reports grows more slowly than
+/// Added to the interval for each recipient, so that the total number of reports grows more slowly than
 /// the square of the number of VMs.
 const REPORT_INTERVAL_PER_VM: Duration = Duration::from_millis(1);
 
@@ -75,10 +77,8 @@
     /// Requests and retries in the retry window, by service.
     pub(super) retry_windows: HashMap<Arc<str>, RetryWindows>,
     pub(super) loads: LoadTable,
-    /// Number of entry VMs known to run, including this one.
-    pub(super) vm_count: usize,
-    /// VMs that may act as the planner, in order of precedence.
-    pub(super) planner_candidates: Vec<Arc<str>>,
+    /// Roles of the entry VMs known to run.
+    pub(super) topology: Topology,
     /// Time until which VMs that did not answer are not queried.
     pub(super) unresponsive: HashMap<Arc<str>, Instant>,
     /// Planner that was last reported as an effect.
@@ -97,6 +97,8 @@
     pub(super) slot_share_at: Instant,
     /// When the last load report was sent; reset to zero to send the next one at once.
     pub(super) reported_at: Instant,
+    /// When this VM last passed on the loads of other zones.
+    relayed_at: Instant,
     pub(super) report_sequence: u64,
     /// Whether the load has changed since the last report.
     pub(super) report_due: bool,
@@ -122,8 +124,7 @@
             cold_windows: HashMap::new(),
             retry_windows: HashMap::new(),
             loads: LoadTable::default(),
-            vm_count: 1,
-            planner_candidates: Vec::new(),
+            topology: Topology::default(),
             unresponsive: HashMap::new(),
             reported_planner: None,
             peer_request_count: 0,
@@ -134,6 +135,7 @@
             slot_share: 0.0,
             slot_share_at: Instant::default(),
             reported_at: Instant::default(),
+            relayed_at: Instant::default(),
             report_sequence: 0,
             report_due: false,
             decayed_at: Instant::default(),
@@ -177,6 +179,14 @@
         self.config.is_some() && self.directory.usable(now) > 0
     }
 
+    /// Records repeated announcements; returns false if the full announcement of a target is needed.
+    pub fn renew(&mut self, now: Instant, renewals: &[Renewal]) -> bool {
+        let renewed = renewals
+            .iter()
+            .filter(|renewal| self.directory.renew(now, renewal));
+        renewed.count() == renewals.len()
+    }
+
     /// Processes an event and appends its effects.
     pub fn apply(&mut self, now: Instant, event: Event, effects: &mut Vec<Effect>) {
         match event {
@@ -210,7 +220,7 @@
                 age_ms,
             }) => self.announced(now, announcement, age_ms),
             Event::ShuttingDown { until } => self.shutdown_at = Some(until),
-            Event::Peers(peers) => self.set_peers(peers),
+            Event::Peers(peers) => self.set_peers(&peers),
             Event::LoadReported { peer, report } => {
                 self.confirm_grants(&peer, &report.used_grants);
                 self.loads.update_peer(now, peer, report);
@@ -334,28 +344,69 @@
     }
 
     fn report_load(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        let interval = REPORT_INTERVAL + REPORT_INTERVAL_PER_VM * self.vm_count as u32;
+        self.relay_loads(now, effects);
+        let recipients = Arc::clone(self.topology.recipients());
+        let interval = REPORT_INTERVAL + REPORT_INTERVAL_PER_VM * recipients.len() as u32;
         let since = now.since(self.reported_at);
+        let is_beacon = self.can_plan() || self.topology.is_relay();
         let repeat = !self.pending.is_empty() && since >= REPORT_REFRESH
-            || self.can_plan() && since >= BEACON_INTERVAL;
-        if self.vm_count <= 1 || !(repeat || self.report_due && since >= interval) {
+            || is_beacon && since >= BEACON_INTERVAL;
+        if recipients.is_empty() || !(repeat || self.report_due && since >= interval) {
             return;
         }
         self.report_due = false;
         self.reported_at = now;
+        let report = self.load_report(now, None);
+        effects.push(Effect::ReportLoad(recipients, report));
+    }
+
+    /// Passes on what the VMs of other zones reported, if this VM is the active relay of its zone.
+    fn relay_loads(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        if !self.topology.is_relay() || now.since(self.relayed_at) < RELAY_INTERVAL {
+            return;
+        }
+        let mut relays = self.topology.zone_relays().iter();
+        let active =
+            relays.find(|vm| **vm == self.settings.vm || self.loads.age(vm, now) < RELAY_LEASE);
+        if active != Some(&self.settings.vm) {
+            return;
+        }
+        self.relayed_at = now;
+        let topology = &self.topology;
+        let loads = self.loads.sums(now, |vm| topology.is_remote(vm));
+        let heard = topology.planners().iter().filter_map(|vm| {
+            let age = if *vm == self.settings.vm {
+                self.can_plan().then_some(Duration::ZERO)?
+            } else {
+                self.loads.beacon_age(vm, now)
+            };
+            let age_ms = u32::try_from(age.as_millis()).ok()?;
+            Some((xxhash_rust::xxh3::xxh3_64(vm.as_bytes()), age_ms))
+        });
+        let relayed = Relayed {
+            planners: heard.collect(),
+            loads,
+        };
+        let recipients = Arc::clone(self.topology.zone_peers());
+        let report = self.load_report(now, Some(relayed));
+        effects.push(Effect::ReportLoad(recipients, report));
+    }
+
+    fn load_report(&mut self, now: Instant, relayed: Option<Relayed>) -> LoadReport {
         self.report_sequence += 1;
         let urgent = self
             .pending
             .values()
             .filter_map(|pending| pending.latest_start)
             .min();
-        effects.push(Effect::ReportLoad(LoadReport {
+        LoadReport {
             sequence: self.report_sequence,
             loads: self.loads.own_loads(now),
             waiting: self.own_waiting(None) as u16,
             can_plan: self.can_plan(),
             used_grants: self.used_grants(),
             min_slack_ms: urgent.map(|until| until.since(now).as_millis() as u32),
-        }));
+            relayed,
+        }
     }
 }
--- a/core/tests/fleet/main.rs
+++ b/core/tests/fleet/main.rs
@@ -3,5 +3,6 @@
 mod load;
 mod planner;
 mod rules;
+mod scale;
 mod support;
 mod targets;
--- a/core/tests/fleet/support.rs
+++ b/core/tests/fleet/support.rs
@@ -7,8 +7,8 @@
 
 use primrosepin_core::fleet::{
     Announcement, Config, Dispatch, Effect, Engine, Entry, Event, Id, Limits, Organisation,
-    Outcome, PlannerMessage, Reducer, Refusal, Request, RetryPolicy, Route, Service, Settings,
-    State, Tokens,
+    Outcome, Peer, PlannerMessage, Reducer, Refusal, Request, RetryPolicy, Route, Service,
+    Settings, State, Tokens,
 };
 use primrosepin_core::time::Instant;
 use smallvec::smallvec;
@@ -149,6 +149,8 @@
     pub partitioned: Vec<usize>,
     /// Messages about long prompts that were sent, with sender and receiver.
     pub planner_messages: Vec<(usize, usize, PlannerMessage)>,
+    /// Number of load reports that were sent.
+    pub reports: usize,
     messages: BTreeMap<(Instant, u64), (usize, Event)>,
     next: u64,
 }
@@ -173,6 +175,7 @@
             delay: ms(2),
             partitioned: Vec::new(),
             planner_messages: Vec::new(),
+            reports: 0,
             messages: BTreeMap::new(),
             next: 0,
         };
@@ -182,7 +185,7 @@
             zones_out: Vec::new(),
         });
         for vm in 0..vms {
-            fleet.apply(vm, Event::Peers(fleet.peer_names(vm)));
+            fleet.apply(vm, Event::Peers(fleet.peers(vm)));
         }
         for number in 0..engines {
             fleet.announce(announcement("engine", number, number % 3));
@@ -194,10 +197,14 @@
         fleet
     }
 
-    /// Returns the names of the peers of a VM.
-    pub fn peer_names(&self, vm: usize) -> Vec<Arc<str>> {
+    /// Returns the peers of a VM.
+    pub fn peers(&self, vm: usize) -> Vec<Peer> {
         let peers = (0..self.vms.len()).filter(|peer| *peer != vm);
-        peers.map(|peer| format!("entry-{peer}").into()).collect()
+        let peer = |peer: usize| Peer {
+            vm: format!("entry-{peer}").into(),
+            zone: format!("zone-{}", peer % 3).into(),
+        };
+        peers.map(peer).collect()
     }
 
     /// Applies an event at all VMs.
@@ -255,14 +262,14 @@
                     let at = self.now + self.delay;
                     self.messages.insert((at, self.next), (peer, event));
                 }
-                Effect::ReportLoad(report) => {
-                    for peer in 0..self.vms.len() {
-                        if peer == vm
-                            || self.partitioned.contains(&peer)
-                            || self.partitioned.contains(&vm)
-                        {
+                Effect::ReportLoad(recipients, report) => {
+                    for recipient in recipients.iter() {
+                        let peer = recipient.strip_prefix("entry-").unwrap();
+                        let peer: usize = peer.parse().unwrap();
+                        if self.partitioned.contains(&peer) || self.partitioned.contains(&vm) {
                             continue;
                         }
+                        self.reports += 1;
                         self.next += 1;
                         let event = Event::LoadReported {
                             peer: format!("entry-{vm}").into(),
--- a/gateway/src/control/hub.rs
+++ b/gateway/src/control/hub.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use primrosepin_control::replica::Replica;
-use primrosepin_core::fleet::{Announcement, Directory, Entry, State};
+use primrosepin_core::fleet::{Announcement, Directory, Entry, Renewal, State};
 use primrosepin_core::time::Instant;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -75,7 +75,8 @@
             previous.state == announcement.state
                 && previous.started_ms == announcement.started_ms
                 && previous.address == announcement.address
-                && (previous.cold_ms == 0) == (announcement.cold_ms == 0)
+                && previous.cold_ms == 0
+                && announcement.cold_ms == 0
         });
         if unchanged {
             self.renewals.borrow_mut().push((announcement, received_at));
@@ -117,11 +118,10 @@
         let now = primrosepin_process::now();
         let renewals = std::mem::take(&mut *self.renewals.borrow_mut());
         if !renewals.is_empty() {
-            let entry = |(announcement, received_at): (Announcement, Instant)| Entry {
-                announcement,
-                age_ms: now.since(received_at).as_millis() as u64,
+            let renewal = |(announcement, received_at): &(Announcement, Instant)| {
+                Renewal::new(announcement, now.since(*received_at).as_millis() as u64)
             };
-            self.broadcast(&Message::Targets(renewals.into_iter().map(entry).collect()));
+            self.broadcast(&Message::Renewals(renewals.iter().map(renewal).collect()));
         }
         if self.roster_outdated.replace(false) {
             let roster = self.roster();
@@ -222,6 +222,10 @@
             Message::RevisionRequest { request_sent_us } => {
                 self.send(outgoing, self.revision(Some(request_sent_us)));
             }
+            Message::TargetsRequest => {
+                let entries = self.directory.borrow().entries(primrosepin_process::now());
+                self.send(outgoing, Message::Targets(entries));
+            }
             Message::ConfigRequest => {
                 let published = self.replica.published();
                 let config = Message::Config {
@@ -243,6 +247,7 @@
             | Message::Revision { .. }
             | Message::Config { .. }
             | Message::Targets(_)
+            | Message::Renewals(_)
             | Message::Roster { .. }
             | Message::RelayAck { .. }
             | Message::LoadReport { .. }
--- a/gateway/src/entry/node.rs
+++ b/gateway/src/entry/node.rs
@@ -1,14 +1,14 @@
 //! State of an entry process: the reducer, and the channels and sockets that connect it to its environment.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
 
 use primrosepin_core::fleet::{
-    Dispatch, Effect, Event, Id, Limits, LoadReport, PlannerDecision, PlannerMessage, Reducer,
-    Refusal,
+    Dispatch, Effect, Event, Id, Limits, LoadReport, Peer, PlannerDecision, PlannerMessage,
+    Reducer, Refusal, Renewal,
 };
 use primrosepin_core::time::Instant;
 use primrosepin_telemetry::metrics::Metrics;
@@ -75,10 +75,12 @@
     next_request: Cell<u64>,
     /// When the configuration was last requested from a control VM.
     pub(super) config_requested_at: Cell<Instant>,
+    /// When all announcements were last requested from a control VM.
+    pub(super) targets_requested_at: Cell<Instant>,
     /// Requests whose first byte was received and whose connection task has not finished serving them.
     active: Cell<usize>,
-    /// Other entry VMs.
-    peers: RefCell<BTreeSet<EntryVm>>,
+    /// Other entry VMs, by name.
+    peers: RefCell<BTreeMap<Arc<str>, EntryVm>>,
     datagrams: UdpSocket,
 }
 
@@ -153,6 +155,7 @@
             requests: RefCell::default(),
             next_request: Cell::new(0),
             config_requested_at: Cell::default(),
+            targets_requested_at: Cell::default(),
             active: Cell::new(0),
             peers: RefCell::default(),
             datagrams,
@@ -184,7 +187,7 @@
                 }
                 Effect::Refuse(id, refusal) => self.send_decision(id, Decision::Refuse(refusal)),
                 Effect::Queue(id, length) => self.send_decision(id, Decision::Queue(length)),
-                Effect::ReportLoad(report) => self.broadcast_load(report),
+                Effect::ReportLoad(recipients, report) => self.report_load(&recipients, report),
                 Effect::SendToPeer(peer, message) => self.send_to_peer(&peer, message),
                 Effect::PlannerTimedOut(id, planner) => {
                     self.send_decision(id, Decision::PlannerTimedOut(planner));
@@ -198,6 +201,12 @@
         }
     }
 
+    /// Records repeated announcements; returns false if the full announcement of a target is needed.
+    pub(super) fn renew(&self, renewals: &[Renewal]) -> bool {
+        let now = primrosepin_process::now();
+        self.reducer.borrow_mut().renew(now, renewals)
+    }
+
     /// Returns whether a request at a target that makes no progress can start at another one at once.
     pub(super) fn can_relocate(&self, id: Id) -> bool {
         let now = primrosepin_process::now();
@@ -221,7 +230,7 @@
         }
     }
 
-    fn broadcast_load(&self, report: LoadReport) {
+    fn report_load(&self, recipients: &[Arc<str>], report: LoadReport) {
         let vm = Arc::clone(&self.settings.common.vm);
         let bytes = match (Message::LoadReport { vm, report }).encode() {
             Ok(bytes) => bytes,
@@ -230,7 +239,8 @@
                 return;
             }
         };
-        for peer in self.peers.borrow().iter() {
+        let peers = self.peers.borrow();
+        for peer in recipients.iter().filter_map(|name| peers.get(name)) {
             if self.datagrams.try_send_to(&bytes, peer.address).is_err() {
                 self.instruments.unsent_datagrams.add(1, &[]);
             }
@@ -239,7 +249,7 @@
 
     fn send_to_peer(&self, peer: &str, message: PlannerMessage) {
         let peers = self.peers.borrow();
-        let Some(peer) = peers.iter().find(|other| *other.vm == *peer) else {
+        let Some(peer) = peers.get(peer) else {
             // The peer has left; the reducer decides on its own when its query times out.
             self.instruments.unsent_datagrams.add(1, &[]);
             return;
@@ -280,20 +290,24 @@
     pub(super) fn update_peers(&self) {
         let links = self.links.borrow();
         let own = &self.settings.common.vm;
-        let mut peers: BTreeSet<EntryVm> = links
-            .values()
-            .flat_map(|link| link.entry_vms.iter().cloned())
+        let rosters = links.values().flat_map(|link| &link.entry_vms);
+        let mut peers: BTreeMap<Arc<str>, EntryVm> = rosters
+            .map(|peer| (Arc::clone(&peer.vm), peer.clone()))
             .collect();
-        peers.retain(|peer| peer.vm != *own);
+        peers.remove(own);
         drop(links);
         // Without a link the last peers are kept, so that fleet-wide limits stay divided among the entry
         // VMs.
         if peers.is_empty() || *self.peers.borrow() == peers {
             return;
         }
-        let names = peers.iter().map(|peer| Arc::clone(&peer.vm)).collect();
+        let known = peers.values().map(|peer| Peer {
+            vm: Arc::clone(&peer.vm),
+            zone: Arc::clone(&peer.zone),
+        });
+        let known = known.collect();
         self.peers.replace(peers);
-        self.apply(Event::Peers(names));
+        self.apply(Event::Peers(known));
     }
 
     /// Returns the revision of the configuration in force.
--- a/gateway/src/entry/uplink.rs
+++ b/gateway/src/entry/uplink.rs
@@ -22,6 +22,9 @@
 /// seen again in the next revision response.
 const MIN_CONFIG_REQUEST_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Minimum interval between two requests for all announcements.
+const MIN_TARGETS_REQUEST_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Interval at which missing links are opened.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -73,6 +76,7 @@
     let (outgoing, queue) = mpsc::channel(link::QUEUE_MESSAGES);
     let hello = Message::Hello(EntryVm {
         vm: Arc::clone(&common.vm),
+        zone: Arc::clone(&common.zone),
         address: common.address(),
     });
     // Cannot fail: the queue is empty and its receiver exists.
@@ -166,6 +170,18 @@
                 node.apply(Event::Announced(entry));
             }
         }
+        Message::Renewals(renewals) => {
+            let now = primrosepin_process::now();
+            let requested_at = node.targets_requested_at.get();
+            if !node.renew(&renewals)
+                && now.since(requested_at) >= MIN_TARGETS_REQUEST_INTERVAL
+                && let Some(link) = node.links.borrow().get(&ip)
+            {
+                node.targets_requested_at.set(now);
+                // Dropped if the queue is full; the next renewal triggers another request.
+                drop(link.outgoing.try_send(Message::TargetsRequest));
+            }
+        }
         Message::Roster {
             entry_vms,
             control_vms,
@@ -180,6 +196,7 @@
         | Message::Hello(_)
         | Message::RevisionRequest { .. }
         | Message::ConfigRequest
+        | Message::TargetsRequest
         | Message::Consensus(_)
         | Message::Relay { .. }
         | Message::RelayAck { .. }
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -5,20 +5,22 @@
 
 use eyre::{bail, ensure};
 use primrosepin_core::consensus;
-use primrosepin_core::fleet::{Entry, LoadReport, PlannerMessage};
+use primrosepin_core::fleet::{Entry, LoadReport, PlannerMessage, Renewal};
 use serde::{Deserialize, Serialize};
 
 /// Version of the message format. Messages with another version are rejected.
-pub const VERSION: u8 = 2;
+pub const VERSION: u8 = 3;
 
 /// Maximum size of an encoded message, bytes. Configurations and snapshots are the largest messages.
 pub const MAX_BYTES: usize = 16 * 1024 * 1024;
 
-/// Name and datagram address of an entry VM.
+/// Name, zone and datagram address of an entry VM.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct EntryVm {
     /// Name of the VM.
     pub vm: Arc<str>,
+    /// Availability zone of the VM.
+    pub zone: Arc<str>,
     /// Address that receives datagrams.
     pub address: SocketAddr,
 }
@@ -57,6 +59,10 @@
     },
     /// Announcements of targets, with their ages.
     Targets(Vec<Entry>),
+    /// Repeated announcements of targets in which nothing changed.
+    Renewals(Vec<Renewal>),
+    /// Requests the announcements of all targets, after a renewal of one that the sender does not know.
+    TargetsRequest,
     /// Entry VMs with a link to the sender, and control VMs known to the sender.
     Roster {
         /// Entry VMs with a link to the sender.
--- a/gateway/tests/http.rs
+++ b/gateway/tests/http.rs
@@ -5,6 +5,7 @@
 
 use bytes::BytesMut;
 use primrosepin_gateway::http::{Body, Connection, Error, parse_request, parse_response};
+use primrosepin_gateway::memory::{Memory, Share};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -162,7 +163,10 @@
             ("POST", "/a/b?c=d")
         );
         assert_eq!(
-            &connection.read_body(head.body, 100, time).await.unwrap()[..],
+            &connection
+                .read_body(head.body, 100, time, &mut Share::uncounted())
+                .await
+                .unwrap()[..],
             b"hello"
         );
         drop(peer);
@@ -171,3 +175,44 @@
         }
     });
 }
+
+/// Guards against responses that each wait for memory that the others hold: all of them must end, and no
+/// more than one may exceed the pool.
+#[actix_rt::test]
+async fn responses_that_exhaust_the_memory_still_end() {
+    const POOL: usize = 1024 * 1024;
+    let memory = Memory::new(POOL);
+    let tasks: Vec<_> = (0..20)
+        .map(|_| {
+            let memory = memory.clone();
+            actix_rt::spawn(async move {
+                let mut share = memory.share();
+                for step in 1..=8 {
+                    share.resize(step * POOL / 8).await;
+                    tokio::task::yield_now().await;
+                }
+            })
+        })
+        .collect();
+    for task in tasks {
+        tokio::time::timeout(Duration::from_mins(1), task)
+            .await
+            .expect("responses wait for each other")
+            .unwrap();
+    }
+    assert_eq!(memory.free_bytes(), POOL);
+}
+
+/// Guards against heads, interim responses and trailers without end.
+#[test]
+fn endless_parts_of_a_response_are_refused() {
+    let mut input = BytesMut::from(&CHUNKED[..CHUNKED.len() - 2]);
+    let mut output = BytesMut::new();
+    let mut head = parse_response(&mut input, "GET").unwrap().unwrap();
+    let mut refused = false;
+    for _ in 0..1_000 {
+        input.extend_from_slice(b"X: y\r\n");
+        refused |= head.body.decode(&mut input, &mut output).is_err();
+    }
+    assert!(refused, "a thousand trailers were accepted");
+}
--- a/gateway/tests/message.rs
+++ b/gateway/tests/message.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use primrosepin_core::fleet::{
-    Announcement, Entry, Grant, Load, LoadReport, PlannerMessage, Query, State, Tokens,
+    Announcement, Entry, Grant, Load, LoadReport, PlannerMessage, Query, Relayed, Renewal, State,
+    Tokens,
 };
 use primrosepin_gateway::document;
 use primrosepin_gateway::message::{EntryVm, Message};
@@ -30,6 +31,7 @@
         Message::Heartbeat,
         Message::Hello(EntryVm {
             vm: "entry-1".into(),
+            zone: "zone-1".into(),
             address: "10.0.0.2:7340".parse().unwrap(),
         }),
         Message::Revision {
@@ -43,6 +45,14 @@
             zones_out: vec!["zone-1".into()],
         },
         Message::Targets(vec![entry.clone()]),
+        Message::Renewals(vec![Renewal {
+            name_hash: 77,
+            started_ms: 1_700_000_000_000,
+            sequence: 9,
+            state: State::Ready,
+            age_ms: 12,
+        }]),
+        Message::TargetsRequest,
         Message::Relay { number: 3, entry },
         Message::LoadReport {
             vm: "entry-1".into(),
@@ -53,6 +63,10 @@
                 waiting: 3,
                 can_plan: true,
                 used_grants: vec![4],
+                relayed: Some(Relayed {
+                    loads: vec![(78, Load::default())],
+                    planners: vec![(79, 120)],
+                }),
             },
         },
         Message::Planner {
