fleet: Fetch configurations from the own zone, one request at a time

Cause: each entry VM asked the control VM that told of a change first, and asked another one after 200 ms although the copy was on its way. Decoding took the processor from requests.

Ruled out: differences instead of documents (the compressed document is small; the copies are the cost); passing documents on between entry VMs (a VM may then be behind a peer that is behind).

Change: core::fleet::Fetch decides whom to ask and when: the control VM of the own zone, one request in flight, another source after 500 ms without a response, an interval of eight times the time that applying one takes. Rosters tell the sender's zone.

--- a/gateway/src/control/hub.rs
+++ b/gateway/src/control/hub.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use primrosepin_control::replica::Replica;
@@ -29,6 +30,8 @@
 /// State of a control process: the directory of targets and the links to entry VMs, which it keeps
 /// informed.
 pub(super) struct Hub {
+    /// Availability zone of this VM.
+    zone: Arc<str>,
     pub(super) replica: Replica,
     pub(super) peers: Peers,
     pub(super) instruments: metrics::Control,
@@ -41,8 +44,14 @@
 }
 
 impl Hub {
-    pub(super) fn new(replica: Replica, peers: Peers, instruments: metrics::Control) -> Self {
+    pub(super) fn new(
+        zone: Arc<str>,
+        replica: Replica,
+        peers: Peers,
+        instruments: metrics::Control,
+    ) -> Self {
         Self {
+            zone,
             replica,
             peers,
             instruments,
@@ -139,6 +148,7 @@
         let links = self.links.borrow();
         let entry_vms = links.values().map(|link| link.entry_vm.clone());
         Message::Roster {
+            zone: Arc::clone(&self.zone),
             entry_vms: entry_vms.collect(),
             control_vms: self.replica.member_addresses(),
         }
@@ -208,15 +218,16 @@
         match message {
             Message::Hello(entry_vm) => {
                 log::info!(entry = &*entry_vm.vm; "link to entry VM opened");
-                let entries = self.directory.borrow().entries(primrosepin_process::now());
-                self.send(outgoing, Message::Targets(entries));
-                self.send(outgoing, self.revision(None));
                 let link = EntryLink {
                     entry_vm,
                     outgoing: outgoing.clone(),
                 };
                 self.links.borrow_mut().insert(id, link);
+                // The roster tells the zone, which decides from whom the configuration is fetched.
                 self.send(outgoing, self.roster());
+                let entries = self.directory.borrow().entries(primrosepin_process::now());
+                self.send(outgoing, Message::Targets(entries));
+                self.send(outgoing, self.revision(None));
                 self.mark_roster_outdated();
             }
             Message::RevisionRequest { request_sent_us } => {
--- a/gateway/src/control/server.rs
+++ b/gateway/src/control/server.rs
@@ -68,6 +68,7 @@
     let (sent, all_sent) = oneshot::channel();
     actix_rt::spawn(peers::send_log_messages(peers.clone(), log_messages, sent));
     let hub = Rc::new(Hub::new(
+        Arc::clone(&common.zone),
         replica.clone(),
         peers,
         metrics::Control::new(&registry),
--- a/gateway/src/entry/node.rs
+++ b/gateway/src/entry/node.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use primrosepin_core::fleet::{
-    Dispatch, Effect, Event, Id, Limits, LoadReport, Peer, PlannerDecision, PlannerMessage,
+    Dispatch, Effect, Event, Fetch, Id, Limits, LoadReport, Peer, PlannerDecision, PlannerMessage,
     Reducer, Refusal, Renewal,
 };
 use primrosepin_core::time::Instant;
@@ -51,6 +51,8 @@
 #[derive(Debug)]
 pub(super) struct Link {
     pub(super) outgoing: mpsc::Sender<Message>,
+    /// Availability zone of the control VM, once it is known.
+    pub(super) zone: Option<Arc<str>>,
     pub(super) entry_vms: Vec<EntryVm>,
     pub(super) control_vms: Vec<SocketAddr>,
 }
@@ -73,8 +75,8 @@
     reducer: RefCell<Reducer>,
     requests: RefCell<HashMap<Id, mpsc::UnboundedSender<Decision>>>,
     next_request: Cell<u64>,
-    /// When the configuration was last requested from a control VM.
-    pub(super) config_requested_at: Cell<Instant>,
+    /// Fetches of new configurations from control VMs.
+    pub(super) fetch: RefCell<Fetch<IpAddr>>,
     /// When all announcements were last requested from a control VM.
     pub(super) targets_requested_at: Cell<Instant>,
     /// Requests whose first byte was received and whose connection task has not finished serving them.
@@ -154,7 +156,7 @@
             links: RefCell::default(),
             requests: RefCell::default(),
             next_request: Cell::new(0),
-            config_requested_at: Cell::default(),
+            fetch: RefCell::default(),
             targets_requested_at: Cell::default(),
             active: Cell::new(0),
             peers: RefCell::default(),
--- a/gateway/src/entry/server.rs
+++ b/gateway/src/entry/server.rs
@@ -79,6 +79,7 @@
     loop {
         ticks.tick().await;
         node.apply(Event::Tick);
+        uplink::fetch_config(&node);
         node.pool.borrow_mut().expire();
     }
 }
--- a/gateway/src/entry/uplink.rs
+++ b/gateway/src/entry/uplink.rs
@@ -18,10 +18,6 @@
 /// Interval of revision requests. Each response confirms that the configuration is current.
 const REVISION_REQUEST_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Minimum interval between two requests for the configuration. A revision skipped for this reason is
-/// seen again in the next revision response.
-const MIN_CONFIG_REQUEST_INTERVAL: Duration = Duration::from_millis(200);
-
 /// Minimum interval between two requests for all announcements.
 const MIN_TARGETS_REQUEST_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -83,6 +79,7 @@
     drop(outgoing.try_send(hello));
     let entry = Link {
         outgoing: outgoing.clone(),
+        zone: None,
         entry_vms: Vec::new(),
         control_vms: Vec::new(),
     };
@@ -92,6 +89,7 @@
     let ended = link::run(stream, queue, |message| handle_message(node, ip, message)).await;
     requester.abort();
     node.links.borrow_mut().remove(&ip);
+    node.fetch.borrow_mut().lost(ip);
     let cause = ended
         .err()
         .map_or_else(|| "closed".into(), |error| format!("{error:#}"));
@@ -109,6 +107,19 @@
     }
 }
 
+/// Requests the configuration if a newer revision is known and it is time to.
+pub(super) fn fetch_config(node: &Node) {
+    let now = primrosepin_process::now();
+    let applied = node.revision();
+    let Some(ip) = node.fetch.borrow_mut().next(now, applied) else {
+        return;
+    };
+    if let Some(link) = node.links.borrow().get(&ip) {
+        // Dropped if the queue is full; another control VM is asked after a time without a response.
+        drop(link.outgoing.try_send(Message::ConfigRequest));
+    }
+}
+
 fn handle_message(node: &Rc<Node>, ip: IpAddr, message: Message) {
     match message {
         Message::Revision {
@@ -116,18 +127,16 @@
             quorum_age_us,
             revision,
         } => {
-            if revision > node.revision() {
-                // Limits the request rate, so that changes in quick succession are fetched together.
-                let last_request = node.config_requested_at.get();
-                let now = primrosepin_process::now();
-                if now.since(last_request) >= MIN_CONFIG_REQUEST_INTERVAL
-                    && let Some(link) = node.links.borrow().get(&ip)
-                {
-                    node.config_requested_at.set(now);
-                    // Dropped if the queue is full; the next revision response triggers another request.
-                    drop(link.outgoing.try_send(Message::ConfigRequest));
-                }
-            }
+            let link = node.links.borrow();
+            let zone = link.get(&ip).and_then(|link| link.zone.as_ref());
+            let local = zone == Some(&node.settings.common.zone);
+            drop(link);
+            let now = primrosepin_process::now();
+            let applied = node.revision();
+            let mut fetch = node.fetch.borrow_mut();
+            fetch.heard(now, ip, local, revision, applied);
+            drop(fetch);
+            fetch_config(node);
             if let (Some(request_sent_us), Some(age_us)) = (request_sent_us, quorum_age_us) {
                 node.apply(Event::Confirmed {
                     requested_at: Instant::from_micros(request_sent_us),
@@ -141,7 +150,12 @@
             document,
             zones_out,
         } => {
+            let started = std::time::Instant::now();
             if revision <= node.revision() || document.is_empty() {
+                let now = primrosepin_process::now();
+                let applied = node.revision();
+                let mut fetch = node.fetch.borrow_mut();
+                fetch.received(now, ip, applied, Duration::ZERO);
                 return;
             }
             let config = document::decompress(&document)
@@ -164,6 +178,10 @@
                     log::error!(revision = revision; "cannot decode the configuration: {error}");
                 }
             }
+            let now = primrosepin_process::now();
+            let applied = node.revision();
+            let mut fetch = node.fetch.borrow_mut();
+            fetch.received(now, ip, applied, started.elapsed());
         }
         Message::Targets(entries) => {
             for entry in entries {
@@ -183,10 +201,12 @@
             }
         }
         Message::Roster {
+            zone,
             entry_vms,
             control_vms,
         } => {
             if let Some(link) = node.links.borrow_mut().get_mut(&ip) {
+                link.zone = Some(zone);
                 link.entry_vms = entry_vms;
                 link.control_vms = control_vms;
             }
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -65,6 +65,8 @@
     TargetsRequest,
     /// Entry VMs with a link to the sender, and control VMs known to the sender.
     Roster {
+        /// Availability zone of the sender.
+        zone: Arc<str>,
         /// Entry VMs with a link to the sender.
         entry_vms: Vec<EntryVm>,
         /// Link addresses of control VMs.
