--- a/core/src/fleet/load.rs
+++ b/core/src/fleet/load.rs
@@ -171,15 +171,12 @@
             return;
         }
         let known = self.peers.remove(&peer);
-        let (number, kept) = match known {
-            Some(known) => {
-                self.remove_contributions(&known);
-                (known.number, known.relayed)
-            }
-            None => {
-                self.next_peer += 1;
-                (self.next_peer, None)
-            }
+        let (number, kept) = if let Some(known) = known {
+            self.remove_contributions(&known);
+            (known.number, known.relayed)
+        } else {
+            self.next_peer += 1;
+            (self.next_peer, None)
         };
         for (target, load) in &report.loads {
             self.by_target
@@ -248,10 +245,8 @@
     /// Returns the sums of the first relay that was heard recently.
     fn relayed(&self, now: Instant) -> Option<&RelayedLoads> {
         let relays = self.relays.iter();
-        let relayed = relays.filter_map(|relay| self.peers.get(relay)?.relayed.as_ref());
-        relayed
-            .filter(|relayed| now.since(relayed.heard) < RELAY_LEASE)
-            .next()
+        let mut relayed = relays.filter_map(|relay| self.peers.get(relay)?.relayed.as_ref());
+        relayed.find(|relayed| now.since(relayed.heard) < RELAY_LEASE)
     }
 
     /// Returns the load of a target.
--- a/core/src/fleet/planner.rs
+++ b/core/src/fleet/planner.rs
@@ -36,7 +36,7 @@
 const BEACON_LEASE: Duration = Duration::from_millis(650);
 
 /// The same where relays pass beacons on, which adds up to [`RELAY_INTERVAL`] to their age.
-const RELAYED_BEACON_LEASE: Duration = Duration::from_millis(1_000);
+const RELAYED_BEACON_LEASE: Duration = Duration::from_secs(1);
 
 /// Interval at which a relay passes on what VMs of other zones report.
 pub(super) const RELAY_INTERVAL: Duration = Duration::from_millis(150);
--- a/gateway/src/control/calls.rs
+++ b/gateway/src/control/calls.rs
@@ -157,13 +157,12 @@
 /// Responds to a call that could not be read, and closes the connection.
 async fn reject(caller: &mut Connection, error: &Error) {
     let (status, message) = match error {
-        Error::Io(_) => return,
+        // Only reading a response fails with too many interim responses.
+        Error::Io(_) | Error::TooManyInterim => return,
         Error::Malformed(malformed) => (400, malformed.0),
         Error::HeadTooLong => (431, "the head is too long"),
         Error::BodyTooLong => (413, "the body is too long"),
         Error::Slow => (408, "the call came too slowly"),
-        // Only reading a response returns this error.
-        Error::TooManyInterim => return,
     };
     log::info!(status = status, cause = message; "call rejected: it could not be read");
     // Fails if the peer has closed the connection.
--- a/gateway/src/entry/caller.rs
+++ b/gateway/src/entry/caller.rs
@@ -109,13 +109,12 @@
 /// Responds to a request that could not be read, and closes the connection.
 async fn reject(node: &Node, caller: &mut Connection, head: Option<&Request>, error: &Error) {
     let (status, message) = match error {
-        Error::Io(_) => return,
+        // Only reading a response fails with too many interim responses.
+        Error::Io(_) | Error::TooManyInterim => return,
         Error::Malformed(malformed) => (400, malformed.0),
         Error::HeadTooLong => (431, "the head is too long"),
         Error::BodyTooLong => (413, "the body is too long"),
         Error::Slow => (408, "the request came too slowly"),
-        // Only reading a response returns this error.
-        Error::TooManyInterim => return,
     };
     log::info!(status = status, cause = message; "request rejected");
     let labels = [label("outcome", "rejected"), label("class", "unread")];
--- a/gateway/src/memory.rs
+++ b/gateway/src/memory.rs
@@ -86,14 +86,13 @@
         let missing = (needed - held).min(u32::MAX as usize) as u32;
         tokio::select! {
             biased;
-            blocks = Arc::clone(&memory.blocks).acquire_many_owned(missing) => match blocks {
-                Ok(blocks) => match &mut self.blocks {
-                    Some(known) => known.merge(blocks),
-                    None => self.blocks = Some(blocks),
-                },
-                // The semaphores are never closed.
-                Err(_) => {}
-            },
+            blocks = Arc::clone(&memory.blocks).acquire_many_owned(missing) => {
+                // The semaphores are never closed, so the blocks are always there.
+                match (&mut self.blocks, blocks) {
+                    (Some(known), Ok(blocks)) => known.merge(blocks),
+                    (known, blocks) => *known = blocks.ok(),
+                }
+            }
             overdraft = Arc::clone(&memory.overdraft).acquire_owned() => {
                 self.overdraft = overdraft.ok();
             }
