--- a/core/src/fleet/load.rs
+++ b/core/src/fleet/load.rs
@@ -1,7 +1,8 @@
 //! Load of each target, from this VM and its peers.
 //!
 //! Engines report their load with a delay, in which more work arrives. Each VM therefore counts its
-//! own requests when it sends them, and reports them to its peers.
+//! own requests when it sends them, and reports them to its peers. In large fleets, sums that a relay
+//! passes on stand for the VMs of other zones; see [`super::topology`].
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
--- a/gateway/src/entry/attempt.rs
+++ b/gateway/src/entry/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt of a request at a target.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -295,7 +296,7 @@
                 }
             }
             Verdict::Error => match target
-                .read_body_within(head.body, limits.unused_body_bytes, limits.error_body_time)
+                .read_body_within(head.body, limits.error_body_bytes, limits.error_body_time)
                 .await
             {
                 Ok(body) => {
@@ -331,11 +332,11 @@
             return;
         }
         let (node, head) = (Rc::clone(self.node), head.clone());
-        let name = std::sync::Arc::clone(&self.dispatch.name);
+        let name = Arc::clone(&self.dispatch.name);
         actix_rt::spawn(async move {
             let limits = node.settings.messages;
             let read = target
-                .read_body_within(head.body, limits.unused_body_bytes, limits.error_body_time)
+                .read_body_within(head.body, limits.error_body_bytes, limits.error_body_time)
                 .await;
             match read {
                 Ok(_) => node.return_to_pool(&name, target, &head),
--- a/gateway/src/limits.rs
+++ b/gateway/src/limits.rs
@@ -13,8 +13,8 @@
     pub body_bytes: usize,
     /// Maximum size of an event that is not complete yet, bytes.
     pub event_bytes: usize,
-    /// Maximum size of the body of a response that is not delivered, bytes.
-    pub unused_body_bytes: usize,
+    /// Maximum size of the body of a refusal or of an error, bytes.
+    pub error_body_bytes: usize,
     /// Time within which the body of a refusal or of an error must be complete, however steadily it
     /// arrives.
     pub error_body_time: Duration,
@@ -29,7 +29,7 @@
         Self {
             body_bytes: 8 * 1024 * 1024,
             event_bytes: 256 * 1024,
-            unused_body_bytes: 64 * 1024,
+            error_body_bytes: 64 * 1024,
             error_body_time: Duration::from_millis(500),
             // The smallest entry VMs have 160 MB.
             memory_bytes: 48 * 1024 * 1024,
