core, gateway: Use one piece for a full target, room in a window and all announcements

Cause: reading the whole change once more. relocation.rs had its own is_full beside the same comparison in place_plain and place_shared; has_retry repeated the test of SlidingWindow::take; the hub sent all announcements in two places; a doc link in shared.rs named a method that was renamed.

Change: Candidate::is_full, SlidingWindow::has_room and Hub::send_targets serve both places each; the link names has_caught_up. No behaviour changes.

--- a/control/src/shared.rs
+++ b/control/src/shared.rs
@@ -22,7 +22,7 @@
     /// Index of the last applied entry.
     pub(crate) applied: u64,
     /// Whether all entries known to be committed are applied; see
-    /// [`primrosepin_core::consensus::Reducer::is_current`].
+    /// [`primrosepin_core::consensus::Reducer::has_caught_up`].
     pub(crate) is_current: bool,
     /// Store error after which the replica acknowledges nothing until the store is reopened.
     pub(crate) failure: Option<String>,
--- a/core/src/fleet/attempts.rs
+++ b/core/src/fleet/attempts.rs
@@ -456,7 +456,7 @@
     pub(super) fn has_retry(&mut self, now: Instant, service: &Arc<str>) -> bool {
         let limit = self.retry_limit(now, service);
         let windows = self.retry_windows.get_mut(service);
-        windows.is_some_and(|windows| (windows.retries.count(now) as f64) < limit.floor())
+        windows.is_some_and(|windows| windows.retries.has_room(now, limit))
     }
 
     /// Takes a retry from this VM's share of the fleet-wide retry budget.
@@ -493,11 +493,6 @@
     }
 }
 
-/// Returns whether a target runs as many requests as it can at the same time.
-pub(super) fn is_full(candidate: &Candidate) -> bool {
-    u32::from(candidate.load.running) >= candidate.slots
-}
-
 /// Returns whether one more request stays within this VM's share of a limit on requests per second.
 /// With a share below one, the VM may send one request in one second of each period of several
 /// seconds; `offset` makes this second differ between VMs.
--- a/core/src/fleet/placement.rs
+++ b/core/src/fleet/placement.rs
@@ -117,6 +117,11 @@
         !self.avoided && !self.cold && self.short_prompts() == 0
     }
 
+    /// Returns whether it runs as many requests as it can at the same time.
+    pub(super) fn is_full(&self) -> bool {
+        u32::from(self.load.running) >= self.slots
+    }
+
     /// Returns the number of short prompts there.
     fn short_prompts(&self) -> u16 {
         self.load.running.saturating_sub(self.load.exclusive)
@@ -216,10 +221,9 @@
     /// Chooses a target for a request to a plain service.
     pub fn place_plain(candidates: &[Candidate]) -> Option<Choice> {
         let best = candidates.iter().min_by_key(|candidate| {
-            let full = u32::from(candidate.load.running) >= candidate.slots;
             (
                 candidate.avoided,
-                full,
+                candidate.is_full(),
                 candidate.cold,
                 !candidate.local,
                 candidate.load.running,
@@ -283,7 +287,7 @@
         let chosen = chosen.or_else(|| fitting[local..].iter().filter(open).min_by_key(rank));
         // Next best are targets where the gaps of decoding requests grow, and then those without a
         // free slot.
-        let room = |c: &&&Candidate| !c.avoided && u32::from(c.load.running) < c.slots;
+        let room = |c: &&&Candidate| !c.avoided && !c.is_full();
         let chosen = chosen.or_else(|| fitting.iter().filter(room).min_by_key(rank));
         let idle = chosen.is_some();
         let chosen =
--- a/core/src/fleet/relocation.rs
+++ b/core/src/fleet/relocation.rs
@@ -4,7 +4,6 @@
 //! at another target at once. Leaving a silent target for a queue would give up work that may still
 //! finish.
 
-use super::attempts::is_full;
 use super::pending::gap;
 use super::queue::MAX_COST;
 use super::{Id, Placement, Reducer, RetryPolicy};
@@ -25,7 +24,7 @@
         let Some(engine) = &pending.service.engine else {
             return candidates
                 .iter()
-                .any(|candidate| !candidate.avoided && !is_full(candidate));
+                .any(|candidate| !candidate.avoided && !candidate.is_full());
         };
         let placement = Placement {
             objective: pending.route.objective,
--- a/core/src/fleet/window.rs
+++ b/core/src/fleet/window.rs
@@ -36,9 +36,14 @@
         self.times.push_back(now);
     }
 
+    /// Returns whether fewer than `limit` events are in the window.
+    pub fn has_room(&mut self, now: Instant, limit: f64) -> bool {
+        (self.count(now) as f64) < limit.floor()
+    }
+
     /// Adds an event if fewer than `limit` are in the window; returns whether it did.
     pub fn take(&mut self, now: Instant, limit: f64) -> bool {
-        let free = (self.count(now) as f64) < limit.floor();
+        let free = self.has_room(now, limit);
         if free {
             self.add(now);
         }
--- a/gateway/src/control/hub.rs
+++ b/gateway/src/control/hub.rs
@@ -185,6 +185,12 @@
         }
     }
 
+    /// Sends the announcements of all targets.
+    fn send_targets(&self, outgoing: &mpsc::Sender<Message>) {
+        let entries = self.directory.borrow().entries(primrosepin_process::now());
+        self.send(outgoing, Message::Targets(entries));
+    }
+
     /// Updates the gauges.
     pub(super) fn record_gauges(&self) {
         self.instruments
@@ -225,8 +231,7 @@
                 self.links.borrow_mut().insert(id, link);
                 // The roster tells the zone, which decides from whom the configuration is fetched.
                 self.send(outgoing, self.roster());
-                let entries = self.directory.borrow().entries(primrosepin_process::now());
-                self.send(outgoing, Message::Targets(entries));
+                self.send_targets(outgoing);
                 self.send(outgoing, self.revision(None));
                 self.mark_roster_outdated();
             }
@@ -234,8 +239,7 @@
                 self.send(outgoing, self.revision(Some(request_sent_us)));
             }
             Message::TargetsRequest => {
-                let entries = self.directory.borrow().entries(primrosepin_process::now());
-                self.send(outgoing, Message::Targets(entries));
+                self.send_targets(outgoing);
             }
             Message::ConfigRequest => {
                 let published = self.replica.published();
