gateway, platform: Name the parts of a prompt in the log lines of attempts

Ruled out: logging whole prompts (size, content); the parts' ids are short and tell what requests share. No decision uses them yet.

--- a/bench/src/region/world/caller.rs
+++ b/bench/src/region/world/caller.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use primrosepin_core::fleet::{Event, Id, Outcome as End, Request, Tokens};
+use primrosepin_core::fleet::{Event, Id, Outcome as End, PartIds, Request, Tokens};
 use rand::RngExt;
 
 use super::super::{Outcome, Policy};
@@ -62,6 +62,7 @@
                 prompt: arrival.prompt,
                 answer: arrival.answer,
             }),
+            parts: PartIds::new(),
             timeout: Some(deadline.since(now)),
         };
         let limit = self.event_timeout(call);
--- a/core/src/fleet/planner.rs
+++ b/core/src/fleet/planner.rs
@@ -25,7 +25,8 @@
 use super::planner_message::{Denial, Grant, PlannerMessage, Query};
 use super::topology::Topology;
 use super::{
-    Choice, Effect, Helper, Id, Peer, PlannerDecision, Reason, Reducer, Request, Target, Tokens,
+    Choice, Effect, Helper, Id, PartIds, Peer, PlannerDecision, Reason, Reducer, Request, Target,
+    Tokens,
 };
 use crate::time::Instant;
 
@@ -450,6 +451,8 @@
             path: Arc::clone(&route.prefix),
             key: None,
             tokens: Some(query.tokens),
+            // The VM that took the request checks its parts.
+            parts: PartIds::new(),
             timeout: Some(left),
         };
         let pending = Pending {
--- a/core/src/fleet/request.rs
+++ b/core/src/fleet/request.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::PartIds;
+
 /// Process-local ID of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Id(pub u64);
@@ -38,6 +40,8 @@
     pub key: Option<Arc<str>>,
     /// Size, if the request states one.
     pub tokens: Option<Tokens>,
+    /// Parts of the prompt that other requests may share.
+    pub parts: PartIds,
     /// How long the caller waits; none if it does not say.
     pub timeout: Option<Duration>,
 }
--- a/core/tests/fleet/support.rs
+++ b/core/tests/fleet/support.rs
@@ -7,7 +7,7 @@
 
 use primrosepin_core::fleet::{
     Announcement, Config, Dispatch, Effect, Engine, Entry, Event, Id, Limits, Organisation,
-    Outcome, Peer, PlannerMessage, Reducer, Refusal, Request, RetryPolicy, Route, Service,
+    Outcome, PartIds, Peer, PlannerMessage, Reducer, Refusal, Request, RetryPolicy, Route, Service,
     Settings, State, Tokens,
 };
 use primrosepin_core::time::Instant;
@@ -126,6 +126,7 @@
             prompt,
             answer: 1_300,
         }),
+        parts: PartIds::new(),
         timeout: Some(ms(10_000)),
     }
 }
--- a/gateway/src/entry/caller.rs
+++ b/gateway/src/entry/caller.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use primrosepin_core::fleet::{Event, Outcome, Reason, Refusal};
+use primrosepin_core::fleet::{Event, Outcome, PartId, Reason, Refusal};
 use primrosepin_telemetry::metrics::Label;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
@@ -152,6 +152,7 @@
     let prompt_length = request.tokens.map(|tokens| tokens.prompt);
     let (class, prompt_tokens) = (Class::new(prompt_length), prompt_length.unwrap_or(0));
     let caller_timeout = request.timeout;
+    let parts = join(&request.parts);
     let mut delivery = Delivery::new(Arc::clone(&node.protocol), close, parsed.resumed_after);
     let mut registration = node.register();
     let id = registration.id;
@@ -193,7 +194,7 @@
         log::info!(
             request = &*request_id, target_name = &*dispatch.name, route = &*dispatch.route,
             attempt = dispatch.attempt, helpers = dispatch.helpers.len(),
-            prompt_tokens = prompt_tokens, at_target = dispatch.load.running,
+            prompt_tokens = prompt_tokens, parts = &*parts, at_target = dispatch.load.running,
             exclusive = dispatch.load.exclusive, reading = dispatch.load.prefilling, read_ms = dispatch.load.prefill_ms,
             predicted_ms = dispatch.predicted.as_millis() as u64,
             placed_by = dispatch.planner.as_deref().unwrap_or(&node.settings.common.vm),
@@ -215,7 +216,7 @@
         node.instruments.attempts.add(1, &[label("outcome", ended)]);
         log::info!(
             request = &*request_id, target_name = &*dispatch.name, attempt = dispatch.attempt,
-            took_ms = arrived.elapsed().as_millis() as u64, begun = delivery.head_sent;
+            took_ms = arrived.elapsed().as_millis() as u64, begun = delivery.head_sent, parts = &*parts;
             "attempt ended: {ended}"
         );
         node.apply(Event::Ended(id, outcome));
@@ -260,6 +261,12 @@
     reusable
 }
 
+/// Joins the parts of a prompt for logs.
+fn join(parts: &[PartId]) -> String {
+    let parts: Vec<String> = parts.iter().map(PartId::to_string).collect();
+    parts.join(",")
+}
+
 fn outcome_name(outcome: Outcome) -> &'static str {
     match outcome {
         Outcome::Served => "served",
