--- a/bench/src/region/world/vm.rs
+++ b/bench/src/region/world/vm.rs
@@ -41,6 +41,8 @@
                 Effect::Queue(..)
                 | Effect::PlannerTimedOut(..)
                 | Effect::PlannerDecision(_)
+                | Effect::ReportCrash(_)
+                | Effect::ReportAnswered(_)
                 | Effect::PlannerChanged(_) => {}
                 Effect::SendToPeer(peer, message) => {
                     let names = self.names.iter();
@@ -221,7 +223,11 @@
             return;
         }
         let delivered = running.started || running.delivered_before > 0;
-        self.end_attempt(vm, id, End::Broken { delivered }, Duration::ZERO);
+        let broken = End::Broken {
+            delivered,
+            closed: false,
+        };
+        self.end_attempt(vm, id, broken, Duration::ZERO);
     }
 
     /// Places a request by a baseline policy.
--- a/control/src/disk.rs
+++ b/control/src/disk.rs
@@ -10,6 +10,7 @@
 
 use eyre::{WrapErr, bail, ensure};
 use primrosepin_core::consensus::{Entry, HardState, Id, Snapshot};
+use primrosepin_core::registry::State;
 use primrosepin_store::{Error, Recovered, Settings, Store};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -51,6 +52,14 @@
     }
 }
 
+/// Decodes the state machine of a snapshot, also of one that an earlier version wrote.
+pub(crate) fn decode_state(bytes: &[u8]) -> eyre::Result<State> {
+    decode(bytes).or_else(|error: eyre::Report| {
+        let extended = [bytes, &State::EARLIER_END].concat();
+        decode(&extended).map_err(|_error| error)
+    })
+}
+
 /// Encodes a snapshot: the length of the header, the header, then the state unencoded.
 pub(crate) fn encode_snapshot(snapshot: &Snapshot) -> eyre::Result<Vec<u8>> {
     let header = encode(&(snapshot.index, snapshot.term, &snapshot.members))?;
--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -17,7 +17,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::Clock;
-use crate::disk::{self, Disk, decode, encode, encode_snapshot};
+use crate::disk::{self, Disk, decode, decode_state, encode, encode_snapshot};
 use crate::meters::Meters;
 use crate::shared::{Shared, View};
 
@@ -522,7 +522,7 @@
 fn restore(shared: &Shared, snapshot: Option<&Snapshot>) -> eyre::Result<()> {
     let state = match snapshot {
         Some(snapshot) if !snapshot.state.is_empty() => {
-            decode(&snapshot.state).wrap_err("the snapshot cannot be read")?
+            decode_state(&snapshot.state).wrap_err("the snapshot cannot be read")?
         }
         _ => primrosepin_core::registry::State::default(),
     };
--- a/control/src/peers.rs
+++ b/control/src/peers.rs
@@ -149,7 +149,8 @@
         | Command::SetOut { .. }
         | Command::Ledger { .. }
         | Command::Publish { .. }
-        | Command::Evacuate { .. } => false,
+        | Command::Evacuate { .. }
+        | Command::Quarantine { .. } => false,
     }
 }
 
--- a/control/src/replica.rs
+++ b/control/src/replica.rs
@@ -9,6 +9,7 @@
 
 use primrosepin_core::consensus::{self, Role};
 use primrosepin_core::message::Message;
+use primrosepin_core::quarantine::Rule;
 use primrosepin_core::registry::{Command, Published};
 use primrosepin_core::time::Instant;
 use primrosepin_core::vm;
@@ -143,6 +144,11 @@
         self.shared.state().published().clone()
     }
 
+    /// Returns the rules on prompts that this replica has applied.
+    pub fn quarantine(&self) -> Vec<Rule> {
+        self.shared.state().quarantine().to_vec()
+    }
+
     /// Returns a receiver that is notified of changes.
     pub fn watch(&self) -> ChangeReceiver {
         ChangeReceiver(self.shared.watch())
--- a/core/src/fleet/attempts.rs
+++ b/core/src/fleet/attempts.rs
@@ -111,6 +111,9 @@
             self.refuse(now, id, Reason::DeadlineExceeded, None, effects);
             return;
         }
+        if self.refuse_quarantined(now, id, effects) {
+            return;
+        }
         if self.query_planner(now, id, &pending, effects) {
             return;
         }
@@ -263,7 +266,9 @@
         tokens: Tokens,
         effects: &mut Vec<Effect>,
     ) {
-        if self.grant_peer_request(now, id, choice, tokens, effects) {
+        if self.grant_peer_request(now, id, choice, tokens, effects)
+            || self.refuse_quarantined(now, id, effects)
+        {
             return;
         }
         let Some(record) = self.directory.record(choice.target) else {
@@ -292,7 +297,8 @@
             target: choice.target,
             sent_at: now,
             predicted: choice.predicted,
-            started: false,
+            started_at: None,
+            answered: false,
         });
         self.report_due = true;
         if choice.exclusive {
@@ -341,10 +347,10 @@
         let Some(running) = &mut pending.running else {
             return;
         };
-        if running.started {
+        if running.started_at.is_some() {
             return;
         }
-        running.started = true;
+        running.started_at = Some(now);
         if pending.service.engine.is_some() {
             let taken = now.since(running.sent_at);
             let health = self.health.entry(running.target).or_default();
@@ -378,10 +384,14 @@
             self.pending.remove(&id);
             return;
         };
+        self.record_end(now, id, outcome, &running, effects);
+        let Some(pending) = self.pending.get_mut(&id) else {
+            return;
+        };
         let health = self.health.entry(running.target).or_default();
         let retry_policy = pending.route.retry_policy;
         let retry = match outcome {
-            Outcome::Served => {
+            Outcome::Served | Outcome::ServedUnframed => {
                 health.record_success();
                 None
             }
@@ -409,7 +419,7 @@
                 pending.may_have_run = true;
                 Some(retry_policy != RetryPolicy::AtMostOnce)
             }
-            Outcome::Broken { delivered } => {
+            Outcome::Broken { delivered, .. } => {
                 health.record_broken(now);
                 pending.may_have_run = true;
                 Some(match retry_policy {
--- a/core/src/fleet/effect.rs
+++ b/core/src/fleet/effect.rs
@@ -7,6 +7,8 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
+use crate::quarantine::{Crash, Part};
+
 use super::{Helper, Id, Load, PlannerMessage, RetryPolicy, Target};
 
 /// Why a request is refused.
@@ -22,6 +24,8 @@
     NoTarget,
     /// No target can serve the request in time.
     Busy,
+    /// The prompt has parts that crash targets.
+    Quarantined,
     /// This VM shuts down before the request could end.
     ShuttingDown,
     /// The attempts or the retry budget are used up, and the request did not run.
@@ -144,6 +148,10 @@
     Refuse(Id, Refusal),
     /// Sends a load report to these peers.
     ReportLoad(Arc<[Arc<str>]>, LoadReport),
+    /// Reports to all control VMs a target that ended under a prompt.
+    ReportCrash(Crash),
+    /// Reports to all control VMs suspected parts that were answered, with the time since then, ms.
+    ReportAnswered(Vec<(Part, u32)>),
     /// Sends a message about a long prompt to one peer.
     SendToPeer(Arc<str>, PlannerMessage),
     /// The planner, named here, did not answer a query in time, so this VM places the request
--- a/core/src/fleet/event.rs
+++ b/core/src/fleet/event.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::quarantine::{Part, Rule};
+
 use super::{Config, Entry, Id, LoadReport, Peer, PlannerMessage, Request};
 
 /// How an attempt at a target ended.
@@ -10,6 +12,9 @@
 pub enum Outcome {
     /// The complete answer was delivered.
     Served,
+    /// The complete answer was delivered. It had no length and ended with its connection, so its end does not
+    /// show that the target still runs.
+    ServedUnframed,
     /// No connection to the target; nothing was sent.
     Unreachable,
     /// The target reported that it had no room and did not run the request.
@@ -22,6 +27,8 @@
     Broken {
         /// Whether a part of the answer was delivered to the caller.
         delivered: bool,
+        /// Whether the target closed or reset the connection.
+        closed: bool,
     },
     /// The caller closed the connection.
     CallerGone,
@@ -75,6 +82,10 @@
         /// The message.
         message: PlannerMessage,
     },
+    /// Rules on prompts that crash targets are in force; they replace the earlier ones.
+    Quarantined(Vec<Rule>),
+    /// A control VM asks for answers to prompts with these parts.
+    Suspected(Vec<Part>),
     /// A request arrived.
     Arrived(Id, Request),
     /// The first byte of a target's answer arrived.
--- /dev/null
+++ b/core/src/fleet/guard.rs
@@ -0,0 +1,259 @@
+//! The entry VM's side of [`crate::quarantine`]: what it reports, and which prompts it does not send to targets.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::directory::Record;
+use super::pending::{Pending, Running};
+use super::{Effect, Id, Outcome, PartId, Reason, Reducer};
+use crate::quarantine::{Crash, Part, Rule};
+use crate::time::Instant;
+
+/// Time from the first event within which the end of a target may be due to the prompt. A target that crashes
+/// on a prompt does so as it begins the answer.
+const SUSPECT_TIME: Duration = Duration::from_millis(300);
+
+/// Time for which an answer must have arrived to show that the target bears the prompt. It exceeds
+/// [`SUSPECT_TIME`], since a slowed target may take longer to crash.
+const ANSWERED_TIME: Duration = Duration::from_secs(1);
+
+/// How long crashes are reported again on new links, and answered parts are remembered.
+const MEMORY: Duration = Duration::from_mins(1);
+
+/// Largest number of answered parts that are remembered.
+const MAX_ANSWERED: usize = 4 * 1024;
+
+/// How long a part stays watched after a control VM asked for it.
+const WATCH_TIME: Duration = Duration::from_mins(1);
+
+/// Shortest interval between two reports that a watched part was answered.
+const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Retry hint for a prompt that crashes targets. Rules hold for minutes.
+const QUARANTINE_RETRY: Duration = Duration::from_mins(1);
+
+/// What this VM knows of prompts that crash targets.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Guard {
+    /// Rules in force.
+    rules: Vec<Rule>,
+    /// Own reports of crashes.
+    crashes: VecDeque<(Instant, Crash)>,
+    /// When parts were last answered.
+    answered: HashMap<Part, Instant>,
+    /// Parts that control VMs asked for, with the time until which they are watched and of the last report.
+    watched: HashMap<Part, (Instant, Instant)>,
+}
+
+impl Guard {
+    fn matches(&self, service: u64, parts: &[PartId]) -> bool {
+        !parts.is_empty() && self.rules.iter().any(|rule| rule.matches(service, parts))
+    }
+
+    /// Records that a prompt was answered; returns the parts to report.
+    fn record_answered(
+        &mut self,
+        now: Instant,
+        service: u64,
+        parts: &[PartId],
+    ) -> Vec<(Part, u32)> {
+        let mut reported = Vec::new();
+        for id in parts {
+            let part = Part { service, id: *id };
+            if self.answered.len() < MAX_ANSWERED || self.answered.contains_key(&part) {
+                self.answered.insert(part, now);
+            }
+            if let Some((until, reported_at)) = self.watched.get_mut(&part)
+                && now < *until
+                && now.since(*reported_at) >= REPORT_INTERVAL
+            {
+                *reported_at = now;
+                reported.push((part, 0));
+            }
+        }
+        reported
+    }
+
+    fn expire(&mut self, now: Instant) {
+        self.answered.retain(|_, at| now.since(*at) < MEMORY);
+        self.watched.retain(|_, (until, _)| now < *until);
+        self.crashes.retain(|(at, _)| now.since(*at) < MEMORY);
+    }
+}
+
+fn hash(name: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(name.as_bytes())
+}
+
+impl Reducer {
+    /// Returns the crashes to report on a link that was just opened.
+    pub fn recent_crashes(&self, now: Instant) -> Vec<Crash> {
+        let crashes = self.guard.crashes.iter();
+        let aged = crashes.map(|(at, crash)| Crash {
+            age_ms: now.since(*at).as_millis() as u32,
+            ..crash.clone()
+        });
+        aged.collect()
+    }
+
+    /// Replaces the rules, and refuses queued requests that they match.
+    pub(super) fn set_quarantine(
+        &mut self,
+        now: Instant,
+        rules: Vec<Rule>,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.guard.rules = rules;
+        let waiting = self.pending.iter();
+        let waiting: Vec<Id> = waiting
+            .filter(|(_, pending)| pending.running.is_none() && self.is_quarantined(pending))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in waiting {
+            self.withdraw_query(id, effects);
+            self.refuse(
+                now,
+                id,
+                Reason::Quarantined,
+                Some(QUARANTINE_RETRY),
+                effects,
+            );
+        }
+    }
+
+    /// Watches parts that control VMs suspect, and reports those that were answered lately.
+    pub(super) fn watch(&mut self, now: Instant, parts: Vec<Part>, effects: &mut Vec<Effect>) {
+        let mut answered = Vec::new();
+        for part in parts {
+            let watched = self.guard.watched.entry(part);
+            let (until, _) = watched.or_insert((now, Instant::default()));
+            *until = now + WATCH_TIME;
+            if let Some(at) = self.guard.answered.get(&part) {
+                answered.push((part, now.since(*at).as_millis() as u32));
+            }
+        }
+        if !answered.is_empty() {
+            effects.push(Effect::ReportAnswered(answered));
+        }
+    }
+
+    /// Returns whether a rule matches the prompt of a request.
+    pub(super) fn is_quarantined(&self, pending: &Pending) -> bool {
+        let service = hash(&pending.service.name);
+        self.guard.matches(service, &pending.request.parts)
+    }
+
+    /// Refuses a request that a rule matches; returns whether it did.
+    pub(super) fn refuse_quarantined(
+        &mut self,
+        now: Instant,
+        id: Id,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let pending = self.pending.get(&id);
+        let matches = pending.is_some_and(|pending| self.is_quarantined(pending));
+        if matches {
+            self.withdraw_query(id, effects);
+            self.refuse(
+                now,
+                id,
+                Reason::Quarantined,
+                Some(QUARANTINE_RETRY),
+                effects,
+            );
+        }
+        matches
+    }
+
+    /// Records what the end of an attempt tells about the prompt.
+    pub(super) fn record_end(
+        &mut self,
+        now: Instant,
+        id: Id,
+        outcome: Outcome,
+        running: &Running,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.pending.get(&id).cloned() else {
+            return;
+        };
+        let started = running.started_at;
+        let suspected = started.is_none_or(|at| now.since(at) < SUSPECT_TIME);
+        match outcome {
+            Outcome::Broken { closed: true, .. } if suspected => {
+                self.record_crash(now, &pending, running, effects);
+            }
+            Outcome::Served => {
+                let parts = &pending.request.parts;
+                self.record_answered(now, &pending.service.name, parts, effects);
+            }
+            _ => {}
+        }
+    }
+
+    /// Records that a target closed a connection before its answer had begun, or soon afterwards.
+    fn record_crash(
+        &mut self,
+        now: Instant,
+        pending: &Pending,
+        running: &Running,
+        effects: &mut Vec<Effect>,
+    ) {
+        if pending.request.parts.is_empty() {
+            return;
+        }
+        let Some(record) = self.directory.record(running.target) else {
+            return;
+        };
+        let Record {
+            announcement,
+            name_hash,
+            ..
+        } = record;
+        let crash = Crash {
+            process: name_hash.rotate_left(1) ^ announcement.started_ms,
+            service: hash(&pending.service.name),
+            prompts: vec![pending.request.parts.clone()],
+            age_ms: 0,
+        };
+        self.guard.crashes.push_back((now, crash.clone()));
+        effects.push(Effect::ReportCrash(crash));
+    }
+
+    /// Records that a prompt was answered.
+    fn record_answered(
+        &mut self,
+        now: Instant,
+        service: &str,
+        parts: &[PartId],
+        effects: &mut Vec<Effect>,
+    ) {
+        let reported = self.guard.record_answered(now, hash(service), parts);
+        if !reported.is_empty() {
+            effects.push(Effect::ReportAnswered(reported));
+        }
+    }
+
+    /// Records the prompts whose answers have arrived for [`ANSWERED_TIME`].
+    pub(super) fn record_long_answers(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        self.guard.expire(now);
+        let mut answered = Vec::new();
+        for pending in self.pending.values_mut() {
+            let Some(running) = &mut pending.running else {
+                continue;
+            };
+            let started = running.started_at;
+            if !running.answered && started.is_some_and(|at| now.since(at) >= ANSWERED_TIME) {
+                running.answered = true;
+                answered.push((
+                    Arc::clone(&pending.service.name),
+                    pending.request.parts.clone(),
+                ));
+            }
+        }
+        for (service, parts) in answered {
+            self.record_answered(now, &service, &parts, effects);
+        }
+    }
+}
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -28,6 +28,7 @@
 mod event;
 mod fetch;
 mod freshness;
+mod guard;
 mod health;
 mod load;
 mod pending;
--- a/core/src/fleet/pending.rs
+++ b/core/src/fleet/pending.rs
@@ -24,7 +24,10 @@
     pub(super) target: Target,
     pub(super) sent_at: Instant,
     pub(super) predicted: Duration,
-    pub(super) started: bool,
+    /// When the first event arrived.
+    pub(super) started_at: Option<Instant>,
+    /// Whether its answer has been recorded as one that the target bears.
+    pub(super) answered: bool,
 }
 
 #[derive(Debug, Clone)]
--- a/core/src/fleet/reducer.rs
+++ b/core/src/fleet/reducer.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::attempts::NO_TARGET_RETRY;
+use super::guard::Guard;
 use super::load::RELAY_LEASE;
 use super::pending::{Pending, choose_service};
 use super::planner::{BEACON_INTERVAL, RELAY_INTERVAL, UnconfirmedGrant};
@@ -88,6 +89,7 @@
     /// Grants that the querying VMs have not confirmed, by the local ID of the request.
     pub(super) grants: BTreeMap<Id, UnconfirmedGrant>,
     pub(super) pending: BTreeMap<Id, Pending>,
+    pub(super) guard: Guard,
     /// Requests that wait for targets, slots or the end of a cold start.
     pub(super) queue: VecDeque<Id>,
     pub(super) queue_served_at: Instant,
@@ -130,6 +132,7 @@
             peer_request_count: 0,
             grants: BTreeMap::new(),
             pending: BTreeMap::new(),
+            guard: Guard::default(),
             queue: VecDeque::new(),
             queue_served_at: Instant::default(),
             slot_share: 0.0,
@@ -192,6 +195,7 @@
         match event {
             Event::Tick => {
                 self.tick(now);
+                self.record_long_answers(now, effects);
                 self.report_planner_change(now, effects);
                 self.repeat_queries(now, effects);
             }
@@ -228,6 +232,8 @@
             Event::PlannerMessage { peer, message } => {
                 self.receive_planner_message(now, &peer, message, effects);
             }
+            Event::Quarantined(rules) => self.set_quarantine(now, rules, effects),
+            Event::Suspected(parts) => self.watch(now, parts, effects),
             Event::Arrived(id, request) => self.arrived(now, id, request, effects),
             Event::Started(id) => self.started(now, id),
             Event::Ended(id, outcome) => self.ended(now, id, outcome, effects),
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod membership;
 pub mod message;
 pub mod organisation;
+pub mod quarantine;
 pub mod registry;
 pub mod request;
 pub mod service;
--- a/core/src/registry/mod.rs
+++ b/core/src/registry/mod.rs
@@ -17,6 +17,7 @@
 
 use crate::inventory::Inventory;
 use crate::ledger;
+use crate::quarantine::Rule;
 
 pub use history::{Change, Kind};
 pub use ledgers::MAX_RESPONSE_BYTES;
@@ -110,6 +111,11 @@
         /// Call id of the order.
         id: Arc<str>,
     },
+    /// Replaces the rules on prompts that crash targets.
+    Quarantine {
+        /// All rules in force.
+        rules: Vec<Rule>,
+    },
 }
 
 impl Command {
@@ -122,7 +128,10 @@
             | Self::SetOut { now_ms, .. }
             | Self::Ledger { now_ms, .. }
             | Self::IssueOrder { now_ms, .. } => *now_ms = at,
-            Self::Publish { .. } | Self::Evacuate { .. } | Self::CompleteOrder { .. } => {}
+            Self::Publish { .. }
+            | Self::Evacuate { .. }
+            | Self::CompleteOrder { .. }
+            | Self::Quarantine { .. } => {}
         }
         self
     }
@@ -177,4 +186,6 @@
         /// Revision of the published configuration; increases by one with each change.
         revision: u64,
     },
+    /// The rules on prompts are replaced.
+    Quarantined,
 }
--- a/core/src/registry/state.rs
+++ b/core/src/registry/state.rs
@@ -8,6 +8,7 @@
 use super::{Change, Command, Config, Kind, Outcome, Published, Subject};
 use super::{history, ledgers, orders, outcomes};
 use crate::inventory::{Inventory, Rules};
+use crate::quarantine::Rule;
 
 /// State of the replicated state machine.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -19,9 +20,19 @@
     ledger: ledgers::Table,
     orders: orders::Table,
     published: Published,
+    /// Rules on prompts that crash targets. Must stay the last field; see [`State::EARLIER_END`].
+    quarantine: Vec<Rule>,
 }
 
 impl State {
+    /// Encoding of the fields that snapshots of earlier versions lack at their end: no rules.
+    pub const EARLIER_END: [u8; 1] = [0];
+
+    /// Returns the rules on prompts that crash targets.
+    pub fn quarantine(&self) -> &[Rule] {
+        &self.quarantine
+    }
+
     /// Returns the configuration in force; none before the first change.
     pub fn config(&self) -> Option<&Arc<Config>> {
         self.config.as_ref()
@@ -124,6 +135,10 @@
             Command::Publish { version, document } => Outcome::Published {
                 revision: self.published.publish(*version, document),
             },
+            Command::Quarantine { rules } => {
+                self.quarantine.clone_from(rules);
+                Outcome::Quarantined
+            }
             Command::Evacuate { zone, out } => Outcome::Published {
                 revision: self.published.evacuate(zone, *out),
             },
--- a/core/tests/fleet/main.rs
+++ b/core/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod fetch;
 mod load;
 mod planner;
+mod quarantine;
 mod rules;
 mod scale;
 mod support;
--- a/core/tests/fleet/rules.rs
+++ b/core/tests/fleet/rules.rs
@@ -187,7 +187,14 @@
 #[test]
 fn at_most_once_requests_are_retried_only_if_they_did_not_run() {
     for (outcome, retried, not_run) in [
-        (Outcome::Broken { delivered: false }, false, false),
+        (
+            Outcome::Broken {
+                delivered: false,
+                closed: true,
+            },
+            false,
+            false,
+        ),
         (Outcome::Error, false, false),
         (Outcome::Unreachable, true, true),
     ] {
@@ -207,7 +214,14 @@
 fn a_refusal_after_a_broken_attempt_does_not_state_not_run() {
     let mut fleet = Fleet::new(1, 0);
     let id = fleet.arrive(0, request("read", 0));
-    fleet.end(0, id, Outcome::Broken { delivered: false });
+    fleet.end(
+        0,
+        id,
+        Outcome::Broken {
+            delivered: false,
+            closed: true,
+        },
+    );
     fleet.end(0, id, Outcome::Full);
     let refusal = fleet.refusal(id).unwrap();
     assert!(!refusal.not_run);
@@ -221,7 +235,14 @@
     let mut fleet = Fleet::new(1, 4);
     let id = fleet.arrive(0, request("short", 2_000));
     for _ in 0..6 {
-        fleet.end(0, id, Outcome::Broken { delivered: false });
+        fleet.end(
+            0,
+            id,
+            Outcome::Broken {
+                delivered: false,
+                closed: true,
+            },
+        );
     }
     let dispatches = fleet.decisions_of(id).len() - 1;
     assert_eq!(dispatches, 2);
@@ -238,8 +259,22 @@
         let vm = number % 9;
         let id = fleet.arrive(vm, request("read", 0));
         requests += 1;
-        fleet.end(vm, id, Outcome::Broken { delivered: false });
-        fleet.end(vm, id, Outcome::Broken { delivered: false });
+        fleet.end(
+            vm,
+            id,
+            Outcome::Broken {
+                delivered: false,
+                closed: true,
+            },
+        );
+        fleet.end(
+            vm,
+            id,
+            Outcome::Broken {
+                delivered: false,
+                closed: true,
+            },
+        );
         sent += fleet
             .decisions_of(id)
             .iter()
@@ -273,11 +308,25 @@
 fn only_resumable_streams_are_retried_after_delivered_events() {
     let mut fleet = Fleet::new(1, 4);
     let stream = fleet.arrive(0, request("short", 2_000));
-    fleet.end(0, stream, Outcome::Broken { delivered: true });
+    fleet.end(
+        0,
+        stream,
+        Outcome::Broken {
+            delivered: true,
+            closed: true,
+        },
+    );
     assert_eq!(fleet.decisions_of(stream).len(), 2);
     assert!(fleet.refusal(stream).is_none());
     let plain = fleet.arrive(0, request("read", 0));
-    fleet.end(0, plain, Outcome::Broken { delivered: true });
+    fleet.end(
+        0,
+        plain,
+        Outcome::Broken {
+            delivered: true,
+            closed: true,
+        },
+    );
     assert!(fleet.refusal(plain).is_some());
 }
 
--- a/core/tests/fleet/support.rs
+++ b/core/tests/fleet/support.rs
@@ -10,6 +10,7 @@
     Outcome, PartIds, Peer, PlannerMessage, Reducer, Refusal, Request, RetryPolicy, Route, Service,
     Settings, State, Tokens,
 };
+use primrosepin_core::quarantine::{Crash, Part};
 use primrosepin_core::time::Instant;
 use smallvec::smallvec;
 
@@ -138,6 +139,27 @@
     Refused(Refusal),
 }
 
+/// Returns the settings of an entry VM.
+pub fn settings(vm: usize) -> Settings {
+    Settings {
+        vm: format!("entry-{vm}").into(),
+        zone: format!("zone-{}", vm % 3).into(),
+        retry_ratio: 0.2,
+        retry_slack: 100.0,
+        retry_window: ms(10_000),
+        cold_factor: 1.5,
+        cold_slack: 5.0,
+        key_max_age: ms(3_750),
+    }
+}
+
+/// A report to control VMs about prompts.
+#[derive(Debug, Clone)]
+pub enum Report {
+    Crash(Crash),
+    Answered(Vec<(Part, u32)>),
+}
+
 /// Entry VMs that exchange messages with a delay.
 pub struct Fleet {
     pub now: Instant,
@@ -152,6 +174,8 @@
     pub planner_messages: Vec<(usize, usize, PlannerMessage)>,
     /// Number of load reports that were sent.
     pub reports: usize,
+    /// Reports to control VMs about prompts, with the VM that sent them.
+    pub prompt_reports: Vec<(usize, Report)>,
     messages: BTreeMap<(Instant, u64), (usize, Event)>,
     next: u64,
 }
@@ -159,16 +183,6 @@
 impl Fleet {
     /// Creates `vms` entry VMs in three zones, with `engines` engines and three plain targets.
     pub fn new(vms: usize, engines: usize) -> Self {
-        let settings = |vm: usize| Settings {
-            vm: format!("entry-{vm}").into(),
-            zone: format!("zone-{}", vm % 3).into(),
-            retry_ratio: 0.2,
-            retry_slack: 100.0,
-            retry_window: ms(10_000),
-            cold_factor: 1.5,
-            cold_slack: 5.0,
-            key_max_age: ms(3_750),
-        };
         let mut fleet = Self {
             now: START,
             vms: (0..vms).map(|vm| Reducer::new(settings(vm))).collect(),
@@ -177,6 +191,7 @@
             partitioned: Vec::new(),
             planner_messages: Vec::new(),
             reports: 0,
+            prompt_reports: Vec::new(),
             messages: BTreeMap::new(),
             next: 0,
         };
@@ -198,6 +213,17 @@
         fleet
     }
 
+    /// Gives a VM that has just started the configuration and its peers.
+    pub fn teach(&mut self, vm: usize) {
+        let configured = Event::Configured {
+            revision: 1,
+            config: Arc::new(config(1)),
+            zones_out: Vec::new(),
+        };
+        self.apply(vm, configured);
+        self.apply(vm, Event::Peers(self.peers(vm)));
+    }
+
     /// Returns the peers of a VM.
     pub fn peers(&self, vm: usize) -> Vec<Peer> {
         let peers = (0..self.vms.len()).filter(|peer| *peer != vm);
@@ -248,6 +274,10 @@
                 | Effect::PlannerTimedOut(..)
                 | Effect::PlannerDecision(_)
                 | Effect::PlannerChanged(_) => {}
+                Effect::ReportCrash(crash) => self.prompt_reports.push((vm, Report::Crash(crash))),
+                Effect::ReportAnswered(parts) => {
+                    self.prompt_reports.push((vm, Report::Answered(parts)));
+                }
                 Effect::SendToPeer(peer, message) => {
                     let number = |name: &str| name.strip_prefix("entry-")?.parse::<usize>().ok();
                     let peer = number(&peer).expect("message to an unknown VM");
--- a/core/tests/registry.rs
+++ b/core/tests/registry.rs
@@ -2,8 +2,10 @@
 
 use std::sync::Arc;
 
+use primrosepin_core::fleet::PartId;
 use primrosepin_core::inventory::{Inventory, Rules, Zone};
 use primrosepin_core::ledger::{Answer, Call, Key, Response};
+use primrosepin_core::quarantine::Rule;
 use primrosepin_core::registry::{
     Command, MAX_CLOCK_SKEW_MS, MAX_OUTCOMES, MAX_RESPONSE_BYTES, MAX_TRANSIT_MS, Outcome, State,
     Subject,
@@ -418,3 +420,30 @@
     assert_eq!(state.apply(&zone_out("b", "zone-a", false)), outcome);
     assert_eq!(state.version(), 2);
 }
+
+/// Guards against snapshots of an earlier version that cannot be read after an upgrade, and against rules on
+/// prompts that are lost with a snapshot.
+#[test]
+fn snapshots_with_and_without_rules_are_read() {
+    let mut state = State::default();
+    state.apply(&Command::Publish {
+        version: 7,
+        document: Arc::new([1, 2]),
+    });
+    let mut earlier = postcard::to_allocvec(&state).unwrap();
+    assert_eq!(earlier.pop(), Some(State::EARLIER_END[0]));
+    assert!(postcard::from_bytes::<State>(&earlier).is_err());
+    earlier.extend_from_slice(&State::EARLIER_END);
+    assert_eq!(postcard::from_bytes::<State>(&earlier).unwrap(), state);
+    let rules = vec![Rule {
+        service: 3,
+        parts: [PartId(4)].into_iter().collect(),
+    }];
+    let outcome = state.apply(&Command::Quarantine {
+        rules: rules.clone(),
+    });
+    assert_eq!(outcome, Outcome::Quarantined);
+    let bytes = postcard::to_allocvec(&state).unwrap();
+    let read: State = postcard::from_bytes(&bytes).unwrap();
+    assert_eq!(read.quarantine(), rules);
+}
--- a/gateway/src/control/hub.rs
+++ b/gateway/src/control/hub.rs
@@ -14,6 +14,7 @@
 use tokio::sync::mpsc;
 
 use super::peers::Peers;
+use super::quarantine::Quarantine;
 use crate::message::{EntryVm, Message};
 use crate::{link, metrics};
 
@@ -41,6 +42,7 @@
     /// Unchanged announcements, with their arrival times, that await the next batch.
     renewals: RefCell<Vec<(Announcement, Instant)>>,
     roster_outdated: Cell<bool>,
+    pub(super) quarantine: RefCell<Quarantine>,
 }
 
 impl Hub {
@@ -60,6 +62,7 @@
             next_link: Cell::new(0),
             renewals: RefCell::default(),
             roster_outdated: Cell::new(false),
+            quarantine: RefCell::default(),
         }
     }
 
@@ -168,7 +171,7 @@
         }
     }
 
-    fn broadcast(&self, message: &Message) {
+    pub(super) fn broadcast(&self, message: &Message) {
         for link in self.links.borrow().values() {
             self.send(&link.outgoing, message.clone());
         }
@@ -233,6 +236,8 @@
                 self.send(outgoing, self.roster());
                 self.send_targets(outgoing);
                 self.send(outgoing, self.revision(None));
+                self.send(outgoing, self.quarantine.borrow().rules_message());
+                self.send(outgoing, self.quarantine.borrow().suspects_message());
                 self.mark_roster_outdated();
             }
             Message::RevisionRequest { request_sent_us } => {
@@ -250,6 +255,14 @@
                 };
                 self.send(outgoing, config);
             }
+            Message::Crashes(crashes) => {
+                let now = primrosepin_process::now();
+                self.quarantine.borrow_mut().record_crashes(now, crashes);
+            }
+            Message::Answered(parts) => {
+                let now = primrosepin_process::now();
+                self.quarantine.borrow_mut().record_answered(now, &parts);
+            }
             Message::Consensus(message) => self.replica.receive(message),
             Message::Relay { number, entry } => {
                 if entry.announcement.state == State::Gone {
@@ -259,6 +272,8 @@
                 self.send(outgoing, Message::RelayAck { number });
             }
             Message::Heartbeat
+            | Message::Suspects(_)
+            | Message::Quarantine(_)
             | Message::Revision { .. }
             | Message::Config { .. }
             | Message::Targets(_)
--- /dev/null
+++ b/gateway/src/control/quarantine.rs
@@ -0,0 +1,136 @@
+//! Rules on prompts that crash targets: derived from the reports of entry VMs, and stored in the replicated log.
+//!
+//! Every control VM derives rules from the reports that it has heard and sends them to its entry VMs, so that a
+//! zone that is cut off does so too. The leader stores its rules in the log, so that they outlive restarts.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use primrosepin_control::replica::Decision;
+use primrosepin_core::quarantine::{Crash, Evidence, Part, Rule};
+use primrosepin_core::registry::Command;
+use primrosepin_core::time::Instant;
+use tokio::time::interval;
+
+use super::hub::Hub;
+use crate::message::Message;
+
+/// Interval at which rules are derived.
+const DERIVE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time limit for storing rules, after which they are derived and stored again. Deriving must not wait for a slow
+/// disk.
+const STORE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Evidence on prompts, and what entry VMs were told.
+#[derive(Debug, Default)]
+pub(super) struct Quarantine {
+    evidence: Evidence,
+    rules: Vec<Rule>,
+    suspects: BTreeSet<Part>,
+    /// Rules that the log held when it was last looked at.
+    stored: Vec<Rule>,
+}
+
+impl Quarantine {
+    pub(super) fn record_crashes(&mut self, now: Instant, crashes: Vec<Crash>) {
+        for crash in crashes {
+            self.evidence.record_crash(now, crash);
+        }
+    }
+
+    pub(super) fn record_answered(&mut self, now: Instant, parts: &[(Part, u32)]) {
+        for (part, age_ms) in parts {
+            let age = Duration::from_millis(u64::from(*age_ms));
+            self.evidence.record_answered(now, *part, age);
+        }
+    }
+
+    /// Returns the message with the rules in force.
+    pub(super) fn rules_message(&self) -> Message {
+        Message::Quarantine(self.rules.clone())
+    }
+
+    /// Returns the message that asks for answers to suspected parts.
+    pub(super) fn suspects_message(&self) -> Message {
+        Message::Suspects(self.suspects.iter().copied().collect())
+    }
+
+    /// Takes over the rules that the log holds.
+    fn take_stored(&mut self, now: Instant, stored: Vec<Rule>) {
+        if stored == self.stored {
+            return;
+        }
+        for rule in self.stored.iter().filter(|rule| !stored.contains(rule)) {
+            self.evidence.remove(rule);
+        }
+        self.evidence.restore(now, &stored);
+        self.stored = stored;
+    }
+
+    /// Derives the rules and suspects; returns whether each of them has changed.
+    fn update(&mut self, now: Instant) -> (bool, bool) {
+        let rules = self.evidence.rules(now);
+        let suspects = self.evidence.suspects();
+        let changed = (rules != self.rules, suspects != self.suspects);
+        (self.rules, self.suspects) = (rules, suspects);
+        changed
+    }
+}
+
+/// Derives rules, tells them to entry VMs and, on the leader, stores them; never returns.
+pub(super) async fn run(hub: Rc<Hub>) {
+    let mut ticks = interval(DERIVE_INTERVAL);
+    loop {
+        ticks.tick().await;
+        let Some(rules) = derive(&hub) else {
+            continue;
+        };
+        if !hub.replica.is_leader() {
+            continue;
+        }
+        let command = Command::Quarantine { rules };
+        match hub.replica.propose(command, STORE_TIMEOUT).await {
+            Decision::Committed(_) => log::info!("rules on prompts stored"),
+            Decision::NotAccepted | Decision::Unknown => {
+                log::warn!("rules on prompts are not stored yet; trying again");
+            }
+        }
+    }
+}
+
+/// Derives rules and tells entry VMs what has changed. Returns the rules if the log does not hold them.
+fn derive(hub: &Hub) -> Option<Vec<Rule>> {
+    let now = primrosepin_process::now();
+    let stored = hub.replica.quarantine();
+    let mut quarantine = hub.quarantine.borrow_mut();
+    quarantine.take_stored(now, stored);
+    let (rules_changed, suspects_changed) = quarantine.update(now);
+    let is_stored = quarantine.rules == quarantine.stored;
+    let rules = quarantine.rules.clone();
+    let messages = [
+        rules_changed.then(|| quarantine.rules_message()),
+        suspects_changed.then(|| quarantine.suspects_message()),
+    ];
+    drop(quarantine);
+    for message in messages.into_iter().flatten() {
+        hub.broadcast(&message);
+    }
+    if rules_changed {
+        log::warn!(
+            rules = rules.len(), parts = format_parts(&rules), stored = is_stored;
+            "rules on prompts that crash targets changed"
+        );
+    }
+    (!is_stored).then_some(rules)
+}
+
+/// Formats the parts of rules for logs.
+fn format_parts(rules: &[Rule]) -> String {
+    let rule = |rule: &Rule| {
+        let parts: Vec<String> = rule.parts.iter().map(ToString::to_string).collect();
+        parts.join("+")
+    };
+    rules.iter().map(rule).collect::<Vec<_>>().join(",")
+}
--- a/gateway/src/control/server.rs
+++ b/gateway/src/control/server.rs
@@ -16,6 +16,7 @@
 use super::calls::{self, Context};
 use super::hub::Hub;
 use super::peers::{self, Peers};
+use super::quarantine;
 use crate::protocol::Protocol;
 use crate::settings::Core;
 use crate::{metrics, net};
@@ -92,6 +93,7 @@
     actix_rt::spawn(accept_calls(context, call_listener));
     actix_rt::spawn(flush_periodically(Rc::clone(&hub)));
     actix_rt::spawn(broadcast_changes(Rc::clone(&hub)));
+    actix_rt::spawn(quarantine::run(Rc::clone(&hub)));
     actix_rt::spawn(async move {
         loop {
             hangup.wait().await;
--- a/gateway/src/entry/attempt.rs
+++ b/gateway/src/entry/attempt.rs
@@ -12,7 +12,7 @@
 use super::events::Events;
 use super::node::Node;
 use super::reservation::Reservation;
-use crate::http::{Body, Connection, Request, Response};
+use crate::http::{Body, Connection, Error, Request, Response};
 use crate::net;
 use crate::protocol::Verdict;
 
@@ -41,8 +41,10 @@
 
 /// Why no response head was received from the target.
 enum ResponseError {
-    /// The connection failed or the response is malformed.
-    Broken,
+    /// The target closed the connection, or it failed.
+    Closed,
+    /// The response is malformed or exceeds a limit.
+    Invalid,
     /// The response did not start in time, and another target can take the request.
     Stalled,
     /// The caller closed its connection.
@@ -106,8 +108,9 @@
     }
 
     async fn exchange(&self, caller: &mut Connection, delivery: &mut Delivery) -> Outcome {
-        let broken = |delivery: &Delivery| Outcome::Broken {
+        let broken = |delivery: &Delivery, closed| Outcome::Broken {
             delivered: delivery.head_sent,
+            closed,
         };
         let needs_reservation = self
             .dispatch
@@ -134,22 +137,26 @@
                 self.node.pool.borrow_mut().take(&self.dispatch.name)
             }
         };
+        let mut was_closed = false;
         loop {
             let reused = pooled.is_some();
             let mut target = match pooled.take() {
                 Some(target) => target,
                 None => match self.connect(caller).await {
                     Ok(target) => target,
+                    // The target may have ended because of the request on the earlier connection.
+                    Err(Outcome::Unreachable) if was_closed => return broken(delivery, true),
                     Err(outcome) => return outcome,
                 },
             };
             let bytes = self.encode_request(delivery);
             if target.write(&bytes).await.is_err() {
                 if reused {
+                    was_closed = true;
                     self.node.pool.borrow_mut().clear(&self.dispatch.name);
                     continue;
                 }
-                return broken(delivery);
+                return broken(delivery, true);
             }
             match self.read_response_head(&mut target, caller).await {
                 Ok(head) => {
@@ -158,13 +165,14 @@
                         .await;
                 }
                 Err(ResponseError::CallerGone) => return Outcome::CallerGone,
-                Err(ResponseError::Broken) if reused && target.input.is_empty() => {
+                Err(ResponseError::Closed) if reused && target.input.is_empty() => {
                     // The target closed the idle connection without a response.
+                    was_closed = true;
                     self.node.pool.borrow_mut().clear(&self.dispatch.name);
                 }
-                Err(ResponseError::Broken | ResponseError::Stalled) => {
+                Err(error) => {
                     self.node.pool.borrow_mut().clear(&self.dispatch.name);
-                    return broken(delivery);
+                    return broken(delivery, matches!(error, ResponseError::Closed));
                 }
             }
         }
@@ -236,7 +244,10 @@
         };
         head.map_err(|error| {
             self.log_broken(&format!("{error:?}"));
-            ResponseError::Broken
+            match error {
+                Error::Io(_) => ResponseError::Closed,
+                _ => ResponseError::Invalid,
+            }
         })
     }
 
@@ -260,6 +271,7 @@
     ) -> Outcome {
         let broken = Outcome::Broken {
             delivered: delivery.head_sent,
+            closed: false,
         };
         let limits = self.node.settings.messages;
         let verdict = self
@@ -285,13 +297,16 @@
                     Ok(body) => body,
                     Err(error) => {
                         self.log_broken(&format!("incomplete body: {error:?}"));
-                        return broken;
+                        return Outcome::Broken {
+                            delivered: delivery.head_sent,
+                            closed: matches!(error, Error::Io(_)),
+                        };
                     }
                 };
                 self.node.apply(Event::Started(self.id));
                 self.return_to_pool(target, head);
                 match delivery.send_response(caller, head, &body).await {
-                    Ok(()) => Outcome::Served,
+                    Ok(()) => served(head),
                     Err(_) => Outcome::CallerGone,
                 }
             }
@@ -367,6 +382,7 @@
         let mut events = Events::new();
         let mut share = self.node.response_memory.share();
         let mut started = false;
+        let mut closed = false;
         let mut stall = Stall::new(self, self.first_progress_limit());
         loop {
             if let Err(error) = body.decode(&mut target.input, events.undelivered()) {
@@ -417,13 +433,16 @@
                 () = caller.closed() => return Outcome::CallerGone,
             };
             match read {
-                Ok(0) if body == Body::UntilClose => body = Body::Done,
+                // An answer without an event has not begun, however its connection ends.
+                Ok(0) if body == Body::UntilClose && started => body = Body::Done,
                 Ok(0) => {
+                    closed = true;
                     self.log_broken("the target closed the connection before the end of the body");
                     break;
                 }
                 Ok(_) => {}
                 Err(error) => {
+                    closed = true;
                     self.log_broken(&error.to_string());
                     break;
                 }
@@ -431,6 +450,7 @@
         }
         Outcome::Broken {
             delivered: delivery.head_sent,
+            closed,
         }
     }
 
@@ -447,12 +467,22 @@
             self.log_broken("the stream ended inside an event");
             return Outcome::Broken {
                 delivered: delivery.head_sent,
+                closed: head.body == Body::UntilClose,
             };
         }
         self.return_to_pool(target, head);
         match delivery.finish_stream(caller, head).await {
-            Ok(()) => Outcome::Served,
+            Ok(()) => served(head),
             Err(_) => Outcome::CallerGone,
         }
     }
 }
+
+/// Returns the outcome of an answer that was delivered whole.
+fn served(head: &Response) -> Outcome {
+    if head.body == Body::UntilClose {
+        Outcome::ServedUnframed
+    } else {
+        Outcome::Served
+    }
+}
--- a/gateway/src/entry/caller.rs
+++ b/gateway/src/entry/caller.rs
@@ -184,7 +184,7 @@
                 continue;
             }
             Some(Decision::Refuse(refusal)) => {
-                break refuse(node, caller, &mut delivery, &request_id, refusal).await;
+                break refuse(node, caller, &mut delivery, &request_id, &parts, refusal).await;
             }
             None => break ("abandoned", false),
         };
@@ -221,7 +221,7 @@
         );
         node.apply(Event::Ended(id, outcome));
         match outcome {
-            Outcome::Served => break ("served", true),
+            Outcome::Served | Outcome::ServedUnframed => break ("served", true),
             Outcome::CallerGone => break ("abandoned", false),
             Outcome::TimedOut => {
                 break time_out(node, caller, &mut delivery, &request_id).await;
@@ -269,7 +269,7 @@
 
 fn outcome_name(outcome: Outcome) -> &'static str {
     match outcome {
-        Outcome::Served => "served",
+        Outcome::Served | Outcome::ServedUnframed => "served",
         Outcome::Unreachable => "unreachable",
         Outcome::Full => "full",
         Outcome::WrongTarget => "moved",
@@ -286,11 +286,12 @@
     caller: &mut Connection,
     delivery: &mut Delivery,
     request_id: &str,
+    parts: &str,
     refusal: Refusal,
 ) -> (&'static str, bool) {
     log::info!(
         request = request_id, reason = reason_name(refusal.reason), not_run = refusal.not_run,
-        retry_after_ms = refusal.retry_after.map_or(0, |time| time.as_millis() as u64),
+        retry_after_ms = refusal.retry_after.map_or(0, |time| time.as_millis() as u64), parts = parts,
         revision = node.revision(), config_age_ms = node.config_age_ms();
         "refused"
     );
@@ -308,6 +309,7 @@
         Reason::StaleConfig
         | Reason::NoTarget
         | Reason::Busy
+        | Reason::Quarantined
         | Reason::ShuttingDown
         | Reason::NotRun => 503,
         Reason::DeadlineExceeded if refusal.not_run => 503,
@@ -358,6 +360,7 @@
         Reason::StaleConfig => "uncertain",
         Reason::NoTarget => "no_target",
         Reason::Busy => "busy",
+        Reason::Quarantined => "quarantined",
         Reason::ShuttingDown => "leaving",
         Reason::NotRun => "not_run",
         Reason::Failed => "failed",
--- a/gateway/src/entry/node.rs
+++ b/gateway/src/entry/node.rs
@@ -1,15 +1,16 @@
 //! State of an entry process: the reducer, and the channels and sockets that connect it to its environment.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
 
 use primrosepin_core::fleet::{
-    Dispatch, Effect, Event, Fetch, Id, Limits, LoadReport, Peer, PlannerDecision, PlannerMessage,
-    Reducer, Refusal, Renewal,
+    Dispatch, Effect, Event, Fetch, Id, Limits, LoadReport, PartId, Peer, PlannerDecision,
+    PlannerMessage, Reducer, Refusal, Renewal,
 };
+use primrosepin_core::quarantine::{Crash, Rule};
 use primrosepin_core::time::Instant;
 use primrosepin_telemetry::metrics::Metrics;
 use tokio::net::UdpSocket;
@@ -75,6 +76,9 @@
     reducer: RefCell<Reducer>,
     requests: RefCell<HashMap<Id, mpsc::UnboundedSender<Decision>>>,
     next_request: Cell<u64>,
+    /// Rules on prompts, by the control VM that sent them last. They outlive the link, since control may be out of
+    /// reach just when targets crash.
+    quarantine: RefCell<BTreeMap<IpAddr, Vec<Rule>>>,
     /// Fetches of new configurations from control VMs.
     pub(super) fetch: RefCell<Fetch<IpAddr>>,
     /// When all announcements were last requested from a control VM.
@@ -156,6 +160,7 @@
             links: RefCell::default(),
             requests: RefCell::default(),
             next_request: Cell::new(0),
+            quarantine: RefCell::default(),
             fetch: RefCell::default(),
             targets_requested_at: Cell::default(),
             active: Cell::new(0),
@@ -190,6 +195,21 @@
                 Effect::Refuse(id, refusal) => self.send_decision(id, Decision::Refuse(refusal)),
                 Effect::Queue(id, length) => self.send_decision(id, Decision::Queue(length)),
                 Effect::ReportLoad(recipients, report) => self.report_load(&recipients, report),
+                Effect::ReportCrash(crash) => {
+                    let parts: Vec<String> = crash
+                        .prompts
+                        .iter()
+                        .flatten()
+                        .map(PartId::to_string)
+                        .collect();
+                    log::info!(
+                        process = format!("{:x}", crash.process), parts = parts.join(",");
+                        "reporting a target that ended before it answered"
+                    );
+                    self.instruments.crashes.add(1, &[]);
+                    self.send_to_control(&Message::Crashes(vec![crash]));
+                }
+                Effect::ReportAnswered(parts) => self.send_to_control(&Message::Answered(parts)),
                 Effect::SendToPeer(peer, message) => self.send_to_peer(&peer, message),
                 Effect::PlannerTimedOut(id, planner) => {
                     self.send_decision(id, Decision::PlannerTimedOut(planner));
@@ -203,6 +223,51 @@
         }
     }
 
+    /// Returns the crashes to report on a link that was just opened.
+    pub(super) fn recent_crashes(&self) -> Vec<Crash> {
+        let now = primrosepin_process::now();
+        self.reducer.borrow().recent_crashes(now)
+    }
+
+    fn send_to_control(&self, message: &Message) {
+        for link in self.links.borrow().values() {
+            if link.outgoing.try_send(message.clone()).is_err() {
+                log::warn!("a report to a control VM is dropped: its link is stalled");
+            }
+        }
+    }
+
+    /// Replaces the rules on prompts that a control VM sent; the rules of all control VMs are in force.
+    pub(super) fn set_quarantine(&self, control: IpAddr, rules: Vec<Rule>) {
+        let mut by_control = self.quarantine.borrow_mut();
+        let before: BTreeSet<Rule> = by_control.values().flatten().cloned().collect();
+        by_control.insert(control, rules);
+        let links = self.links.borrow();
+        if links.len() > 1 {
+            by_control.retain(|ip, _| links.contains_key(ip));
+        }
+        drop(links);
+        let rules: BTreeSet<Rule> = by_control.values().flatten().cloned().collect();
+        drop(by_control);
+        if rules == before {
+            return;
+        }
+        for rule in &rules {
+            let parts: Vec<String> = rule.parts.iter().map(PartId::to_string).collect();
+            log::warn!(
+                control = control.to_string(), parts = parts.join(",");
+                "prompts with all of these parts crash targets and are refused"
+            );
+        }
+        if rules.is_empty() {
+            log::info!(control = control.to_string(); "no prompts are refused as crashing any more");
+        }
+        self.instruments
+            .quarantine_rules
+            .record(rules.len() as u64, &[]);
+        self.apply(Event::Quarantined(rules.into_iter().collect()));
+    }
+
     /// Records repeated announcements; returns false if the full announcement of a target is needed.
     pub(super) fn renew(&self, renewals: &[Renewal]) -> bool {
         let now = primrosepin_process::now();
--- a/gateway/src/entry/uplink.rs
+++ b/gateway/src/entry/uplink.rs
@@ -77,6 +77,11 @@
     });
     // Cannot fail: the queue is empty and its receiver exists.
     drop(outgoing.try_send(hello));
+    let crashes = node.recent_crashes();
+    if !crashes.is_empty() {
+        // Cannot fail: the queue has room for two messages.
+        drop(outgoing.try_send(Message::Crashes(crashes)));
+    }
     let entry = Link {
         outgoing: outgoing.clone(),
         zone: None,
@@ -212,7 +217,11 @@
             }
             node.update_peers();
         }
+        Message::Quarantine(rules) => node.set_quarantine(ip, rules),
+        Message::Suspects(parts) => node.apply(Event::Suspected(parts)),
         Message::Heartbeat
+        | Message::Crashes(_)
+        | Message::Answered(_)
         | Message::Hello(_)
         | Message::RevisionRequest { .. }
         | Message::ConfigRequest
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -6,10 +6,11 @@
 use eyre::{bail, ensure};
 use primrosepin_core::consensus;
 use primrosepin_core::fleet::{Entry, LoadReport, PlannerMessage, Renewal};
+use primrosepin_core::quarantine::{Crash, Part, Rule};
 use serde::{Deserialize, Serialize};
 
 /// Version of the message format. Messages with another version are rejected.
-pub const VERSION: u8 = 3;
+pub const VERSION: u8 = 4;
 
 /// Maximum size of an encoded message, bytes. Configurations and snapshots are the largest messages.
 pub const MAX_BYTES: usize = 16 * 1024 * 1024;
@@ -100,6 +101,14 @@
         /// Query, response or withdrawal.
         message: PlannerMessage,
     },
+    /// Targets that ended under prompts; sent by an entry VM.
+    Crashes(Vec<Crash>),
+    /// Parts of prompts of which a control VM asks whether they were answered.
+    Suspects(Vec<Part>),
+    /// Suspected parts that were answered, with the time since then, ms; sent by an entry VM.
+    Answered(Vec<(Part, u32)>),
+    /// All rules on prompts that are in force at a control VM.
+    Quarantine(Vec<Rule>),
 }
 
 impl Message {
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -76,6 +76,10 @@
     pub targets: Gauge<u64>,
     /// Open links to control VMs.
     pub links: Gauge<u64>,
+    /// Targets that ended under requests of this VM whose answers had not begun.
+    pub crashes: Counter<u64>,
+    /// Rules on prompts that crash targets.
+    pub quarantine_rules: Gauge<u64>,
     /// Datagrams that could not be sent.
     pub unsent_datagrams: Counter<u64>,
 }
@@ -95,6 +99,12 @@
             revision: metrics.gauge("revision", "Revision of the configuration in force"),
             targets: metrics.gauge("targets", "Targets that take work"),
             links: metrics.gauge("links", "Links to control VMs"),
+            crashes: metrics.counter(
+                "crashes",
+                "Attempts that ended with their target, unanswered",
+            ),
+            quarantine_rules: metrics
+                .gauge("quarantine_rules", "Rules on prompts that crash targets"),
             unsent_datagrams: metrics
                 .counter("lost_shares", "Datagrams to peers that were not sent"),
         }
--- a/gateway/tests/message.rs
+++ b/gateway/tests/message.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 
 use primrosepin_core::fleet::{
-    Announcement, Entry, Grant, Load, LoadReport, PlannerMessage, Query, Relayed, Renewal, State,
-    Tokens,
+    Announcement, Entry, Grant, Load, LoadReport, PartId, PlannerMessage, Query, Relayed, Renewal,
+    State, Tokens,
 };
+use primrosepin_core::quarantine::{Crash, Part, Rule};
 use primrosepin_gateway::document;
 use primrosepin_gateway::message::{EntryVm, Message};
 use rand::rngs::SmallRng;
@@ -27,6 +28,10 @@
         },
         age_ms: 12,
     };
+    let part = Part {
+        service: 9,
+        id: PartId(2),
+    };
     vec![
         Message::Heartbeat,
         Message::Hello(EntryVm {
@@ -53,6 +58,18 @@
             age_ms: 12,
         }]),
         Message::TargetsRequest,
+        Message::Crashes(vec![Crash {
+            process: 8,
+            service: 9,
+            prompts: vec![smallvec![PartId(1), PartId(2)]],
+            age_ms: 3,
+        }]),
+        Message::Suspects(vec![part]),
+        Message::Answered(vec![(part, 120)]),
+        Message::Quarantine(vec![Rule {
+            service: 9,
+            parts: smallvec![PartId(2)],
+        }]),
         Message::Relay { number: 3, entry },
         Message::LoadReport {
             vm: "entry-1".into(),
