fleet: Keep to the limits that targets name, over all VMs

Cause: Server-Limit was passed on and read by nothing. Class of fault: a signal of a target that each VM could see, with no state shared by the VMs that together make its load. Evidence: the test with three entry VMs: 34 requests in 4 s before. Ruled out: a limit with a lease (VMs would all send at its end, and the rule counts those that had been told); gossip ordered by age (it drifts forward with each hop). Change: core::fleet::limit. An answer's limit, or its absence once one is known, becomes a statement with a version, passed on in load reports and by relays; each VM uses its share of it, with the turns that targets in cold start have; the planner leaves limited targets to the VMs that ask it. Only an answer to a request sent after the limit was heard of ends it. Message format 5. Shares are equal slices: with 295 VMs a limit of 1 a second is used to 40%.

--- a/core/src/fleet/attempts.rs
+++ b/core/src/fleet/attempts.rs
@@ -52,11 +52,21 @@
             + self.settings.cold_slack)
             * BUDGET_FRACTION
             / self.topology.vm_count() as f64;
+        let limit_fraction = BUDGET_FRACTION / self.topology.vm_count() as f64;
         let mut candidates = Vec::new();
         for (target, record) in self.directory.records() {
             if !self.may_run(now, pending, target, record) {
                 continue;
             }
+            // The planner does not know the shares of the VMs that ask it, so it leaves limited targets to them.
+            if pending.origin.is_some() && self.named_limits.rate(record.name_hash).is_some() {
+                continue;
+            }
+            let offset = self.vm_hash ^ record.name_hash;
+            let limits = &mut self.named_limits;
+            if !limits.has_room(now, record.name_hash, limit_fraction, offset) {
+                continue;
+            }
             let announcement = &record.announcement;
             let cold = now < record.cold_until;
             if cold {
@@ -286,6 +296,7 @@
             let window = window.or_insert_with(|| SlidingWindow::new(Duration::from_secs(1)));
             window.add(now);
         }
+        self.named_limits.record_sent(now, name_hash);
         let Some(pending) = self.pending.get_mut(&id) else {
             return;
         };
@@ -506,7 +517,7 @@
 /// Returns whether one more request stays within this VM's share of a limit on requests per second.
 /// With a share below one, the VM may send one request in one second of each period of several
 /// seconds; `offset` makes this second differ between VMs.
-fn within_share(share: f64, sent: usize, now: Instant, offset: u64) -> bool {
+pub(super) fn within_share(share: f64, sent: usize, now: Instant, offset: u64) -> bool {
     if share >= 1.0 {
         return (sent as f64) < share.floor();
     }
--- a/core/src/fleet/effect.rs
+++ b/core/src/fleet/effect.rs
@@ -9,7 +9,7 @@
 
 use crate::quarantine::{Crash, Part};
 
-use super::{Helper, Id, Load, PlannerMessage, RetryPolicy, Target};
+use super::{Helper, Id, LimitStatement, Load, PlannerMessage, RetryPolicy, Target};
 
 /// Why a request is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -103,6 +103,8 @@
     pub can_plan: bool,
     /// IDs, at the reporting VM, of requests that run on targets granted by the planner.
     pub used_grants: Vec<u64>,
+    /// Limits that targets named, as far as the reporting VM has heard.
+    pub limits: Vec<LimitStatement>,
     /// What the VMs of other zones reported, if the reporting VM passes it on. None says nothing new.
     pub relayed: Option<Relayed>,
 }
--- a/core/src/fleet/event.rs
+++ b/core/src/fleet/event.rs
@@ -90,6 +90,8 @@
     Arrived(Id, Request),
     /// The first byte of a target's answer arrived.
     Started(Id),
+    /// The answer of a target named a limit on its requests a second, or, if the target had named one, none.
+    LimitNamed(Id, Option<f64>),
     /// An attempt ended at its target.
     Ended(Id, Outcome),
 }
--- a/core/src/fleet/reducer.rs
+++ b/core/src/fleet/reducer.rs
@@ -6,6 +6,7 @@
 
 use super::attempts::NO_TARGET_RETRY;
 use super::guard::Guard;
+use super::limit::NamedLimits;
 use super::load::RELAY_LEASE;
 use super::pending::{Pending, choose_service};
 use super::planner::{BEACON_INTERVAL, RELAY_INTERVAL, UnconfirmedGrant};
@@ -90,6 +91,8 @@
     pub(super) grants: BTreeMap<Id, UnconfirmedGrant>,
     pub(super) pending: BTreeMap<Id, Pending>,
     pub(super) guard: Guard,
+    /// Limits that targets named.
+    pub(super) named_limits: NamedLimits,
     /// Requests that wait for targets, slots or the end of a cold start.
     pub(super) queue: VecDeque<Id>,
     pub(super) queue_served_at: Instant,
@@ -133,6 +136,7 @@
             grants: BTreeMap::new(),
             pending: BTreeMap::new(),
             guard: Guard::default(),
+            named_limits: NamedLimits::default(),
             queue: VecDeque::new(),
             queue_served_at: Instant::default(),
             slot_share: 0.0,
@@ -227,6 +231,7 @@
             Event::Peers(peers) => self.set_peers(&peers),
             Event::LoadReported { peer, report } => {
                 self.confirm_grants(&peer, &report.used_grants);
+                self.merge_limits(now, &report.limits);
                 self.loads.update_peer(now, peer, report);
             }
             Event::PlannerMessage { peer, message } => {
@@ -235,6 +240,7 @@
             Event::Quarantined(rules) => self.set_quarantine(now, rules, effects),
             Event::Suspected(parts) => self.watch(now, parts, effects),
             Event::Arrived(id, request) => self.arrived(now, id, request, effects),
+            Event::LimitNamed(id, rate) => self.record_named_limit(now, id, rate),
             Event::Started(id) => self.started(now, id),
             Event::Ended(id, outcome) => self.ended(now, id, outcome, effects),
         }
@@ -255,6 +261,7 @@
             self.loads.expire(now);
             self.unresponsive.retain(|_, until| now < *until);
             self.directory.expire(now);
+            self.expire_limits(now);
         }
     }
 
@@ -408,6 +415,7 @@
         LoadReport {
             sequence: self.report_sequence,
             loads: self.loads.own_loads(now),
+            limits: self.named_limits.statements(),
             waiting: self.own_waiting(None) as u16,
             can_plan: self.can_plan(),
             used_grants: self.used_grants(),
--- a/core/tests/fleet/main.rs
+++ b/core/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Decisions of entry VMs whose targets serve the whole region.
 
 mod fetch;
+mod limits;
 mod load;
 mod planner;
 mod quarantine;
--- a/gateway/src/entry/attempt.rs
+++ b/gateway/src/entry/attempt.rs
@@ -278,6 +278,12 @@
             .node
             .protocol
             .classify_response(head, self.request_id, reused);
+        if verdict != Verdict::Invalid {
+            let limit = self.node.protocol.named_limit(head);
+            if limit.is_some() || self.node.is_limited(self.id) {
+                self.node.apply(Event::LimitNamed(self.id, limit));
+            }
+        }
         match verdict {
             Verdict::Served if self.dispatch.stream => {
                 self.forward_stream(target, head, caller, delivery).await
--- a/gateway/src/entry/node.rs
+++ b/gateway/src/entry/node.rs
@@ -280,6 +280,11 @@
         self.reducer.borrow_mut().can_relocate(now, id)
     }
 
+    /// Returns whether the target of a running request has named a limit.
+    pub(super) fn is_limited(&self, id: Id) -> bool {
+        self.reducer.borrow().is_limited(id)
+    }
+
     /// Returns a connection to the pool after a complete response, if it can be reused.
     pub(super) fn return_to_pool(
         &self,
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Version of the message format. Messages with another version are rejected.
-pub const VERSION: u8 = 4;
+pub const VERSION: u8 = 5;
 
 /// Maximum size of an encoded message, bytes. Configurations and snapshots are the largest messages.
 pub const MAX_BYTES: usize = 16 * 1024 * 1024;
--- a/gateway/src/protocol.rs
+++ b/gateway/src/protocol.rs
@@ -100,6 +100,9 @@
     /// that one.
     fn classify_response(&self, head: &http::Response, request_id: &str, reused: bool) -> Verdict;
 
+    /// Returns the limit that a target's response names: requests a second that it takes from all VMs together.
+    fn named_limit(&self, head: &http::Response) -> Option<f64>;
+
     /// Returns whether a header of a target's response is forwarded to the caller.
     fn returns_header(&self, name: &str) -> bool;
 
--- a/gateway/tests/message.rs
+++ b/gateway/tests/message.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use primrosepin_core::fleet::{
-    Announcement, Entry, Grant, Load, LoadReport, PartId, PlannerMessage, Query, Relayed, Renewal,
-    State, Tokens,
+    Announcement, Entry, Grant, LimitStatement, Load, LoadReport, PartId, PlannerMessage, Query,
+    Relayed, Renewal, State, Tokens,
 };
 use primrosepin_core::quarantine::{Crash, Part, Rule};
 use primrosepin_gateway::document;
@@ -80,6 +80,11 @@
                 waiting: 3,
                 can_plan: true,
                 used_grants: vec![4],
+                limits: vec![LimitStatement {
+                    target: 77,
+                    version: 2,
+                    rate: Some(1.5),
+                }],
                 relayed: Some(Relayed {
                     loads: vec![(78, Load::default())],
                     planners: vec![(79, 120)],
