--- a/core/tests/fleet/limits.rs
+++ b/core/tests/fleet/limits.rs
@@ -212,8 +212,8 @@
 #[test]
 fn limits_hold_with_295_vms() {
     let plan = Plan {
-        requests_per_s: 150.0,
-        ..Plan::new(295, 135, 5_000)
+        requests_per_s: 250.0,
+        ..Plan::new(295, 30, 5_000)
     };
     check(&plan);
 }
--- /dev/null
+++ b/core/tests/quarantine.rs
@@ -0,0 +1,108 @@
+//! Rules that follow from reports of crashes and answers.
+
+use std::time::Duration;
+
+use primrosepin_core::fleet::{PartId, PartIds};
+use primrosepin_core::quarantine::{Crash, Evidence, Part, Rule};
+use primrosepin_core::time::Instant;
+
+const SERVICE: u64 = 9;
+const START: Instant = Instant::from_micros(1_000_000_000);
+
+/// Time after the last report after which rules are derived.
+const SETTLED: Duration = Duration::from_secs(1);
+
+fn parts(ids: &[u64]) -> PartIds {
+    ids.iter().map(|id| PartId(*id)).collect()
+}
+
+fn rule(ids: &[u64]) -> Rule {
+    Rule {
+        service: SERVICE,
+        parts: parts(ids),
+    }
+}
+
+/// Reports that a target ended under prompts with these parts.
+fn crash(evidence: &mut Evidence, now: Instant, process: u64, prompts: &[&[u64]]) {
+    let crash = Crash {
+        process,
+        service: SERVICE,
+        prompts: prompts.iter().map(|ids| parts(ids)).collect(),
+        age_ms: 0,
+    };
+    evidence.record_crash(now, crash);
+}
+
+fn answered(evidence: &mut Evidence, now: Instant, id: u64) {
+    let part = Part {
+        service: SERVICE,
+        id: PartId(id),
+    };
+    evidence.record_answered(now, part, Duration::ZERO);
+}
+
+/// Guards against a rule on a sound part that was in all prompts with the bad one: only prompts with both are
+/// refused, until an answer or a crash tells them apart.
+#[test]
+fn parts_that_always_come_together_are_told_apart_later() {
+    let mut evidence = Evidence::new();
+    for process in 0..4 {
+        crash(&mut evidence, START, process, &[&[1, 2, 10 + process]]);
+    }
+    assert_eq!(evidence.rules(START), [], "before other VMs could object");
+    let now = START + SETTLED;
+    assert_eq!(evidence.rules(now), [rule(&[1, 2])]);
+    let mut by_answer = evidence.clone();
+    answered(&mut by_answer, now, 1);
+    assert_eq!(by_answer.rules(now), [rule(&[2])]);
+    crash(&mut evidence, now, 4, &[&[2, 30]]);
+    assert_eq!(evidence.rules(now + SETTLED), [rule(&[2])]);
+}
+
+/// Guards against a bad part that another one hides, and against rules on parts of prompts that only shared a target
+/// with a bad one.
+#[test]
+fn each_crash_counts_for_one_rule() {
+    let mut evidence = Evidence::new();
+    for process in 0..6 {
+        crash(&mut evidence, START, process, &[&[1, 20 + process], &[7]]);
+    }
+    for process in 6..10 {
+        crash(&mut evidence, START, process, &[&[2, 20 + process]]);
+    }
+    answered(&mut evidence, START, 7);
+    let now = START + SETTLED;
+    assert_eq!(evidence.rules(now), [rule(&[1]), rule(&[2])]);
+    // A part in some crashes of the first bad one only has no rule of its own.
+    for process in 10..14 {
+        crash(&mut evidence, now, process, &[&[1, 50 + process], &[8]]);
+    }
+    assert_eq!(evidence.rules(now + SETTLED), [rule(&[1]), rule(&[2])]);
+}
+
+/// Guards against one crash that several VMs report, or report again on a new link, and that counts more than once.
+#[test]
+fn reports_of_one_crash_count_once() {
+    let mut evidence = Evidence::new();
+    for _ in 0..9 {
+        for process in 1..4 {
+            crash(&mut evidence, START, process, &[&[1]]);
+        }
+    }
+    assert_eq!(evidence.rules(START + SETTLED), []);
+}
+
+/// Guards against rules that hold for ever: a new version of a model may bear the part.
+#[test]
+fn rules_and_reports_end() {
+    let mut evidence = Evidence::new();
+    for process in 0..4 {
+        crash(&mut evidence, START, process, &[&[1]]);
+    }
+    evidence.restore(START, &[rule(&[3])]);
+    assert_eq!(evidence.rules(START + SETTLED), [rule(&[1]), rule(&[3])]);
+    let later = START + Duration::from_mins(11);
+    assert_eq!(evidence.rules(later), []);
+    assert!(evidence.suspects().is_empty());
+}
--- a/core/tests/serving_policy.rs
+++ b/core/tests/serving_policy.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use common::*;
-use primrosepin_core::request::{Id, Outcome, Reason};
+use primrosepin_core::request::{End, Id, Outcome, Reason};
 use primrosepin_core::serving::Policy;
 use primrosepin_core::serving::effect::Effect;
 use primrosepin_core::serving::event::Event;
@@ -361,3 +361,43 @@
     };
     assert_eq!(run(), run());
 }
+
+/// Guards against a prompt that crashes one target after the other: once five have ended under requests with a
+/// prefix in common, requests with it must not be sent to more.
+#[test]
+fn a_prefix_that_crashes_targets_is_no_longer_sent_to_them() {
+    let mut host = Host::single_vm();
+    announce_engines(&mut host, 12);
+    let mut reached = 0;
+    for id in 1..=16 {
+        // Targets that ended have started again.
+        for number in 0..12 {
+            let mut started = engine(&format!("t{number:02}"), 101 + number);
+            started.incarnation = 1 + id as u64;
+            started.seq = 1 + id as u64;
+            host.announce(started);
+        }
+        // A sound request that shares an earlier block is answered in between.
+        let mut sound = prompt(100 + id, 1_000);
+        sound.prefix = smallvec::smallvec![7];
+        for sent in dispatches(&host.arrive(sound)) {
+            host.end(sent.attempt, COMPLETE_ANSWER);
+        }
+        let mut bad = prompt(id, 1_000);
+        bad.prefix = smallvec::smallvec![7, 13];
+        let mut sent = dispatches(&host.arrive(bad));
+        while let Some(dispatch) = sent.pop() {
+            reached += 1;
+            host.end(dispatch.attempt, End::NoAnswer);
+            host.advance(100);
+            sent = dispatches(&host.log);
+            sent.retain(|next| next.attempt.request == dispatch.attempt.request);
+            sent.retain(|next| next.attempt.number > dispatch.attempt.number);
+        }
+        host.advance(1_000);
+    }
+    assert!(
+        reached <= 5 + 3,
+        "{reached} requests with the prefix reached targets"
+    );
+}
