--- a/gateway/src/entry/attempt.rs
+++ b/gateway/src/entry/attempt.rs
@@ -280,9 +280,21 @@
             .classify_response(head, self.request_id, reused);
         if verdict != Verdict::Invalid {
             let limit = self.node.protocol.named_limit(head);
-            if limit.is_some() || self.node.is_limited(self.id) {
+            let was_limited = self.node.is_limited(self.id);
+            if limit.is_some() || was_limited {
                 self.node.apply(Event::LimitNamed(self.id, limit));
             }
+            if limit.is_some() && !was_limited {
+                log::info!(
+                    request = self.request_id, target_name = &*self.dispatch.name, per_s = limit;
+                    "target names a limit on its requests"
+                );
+            } else if was_limited && !self.node.is_limited(self.id) {
+                log::info!(
+                    request = self.request_id, target_name = &*self.dispatch.name;
+                    "target names no limit any more"
+                );
+            }
         }
         match verdict {
             Verdict::Served if self.dispatch.stream => {
