core, gateway: Ask entry VMs again for answers with suspected parts

Cause: read of the change: entry VMs watch a part for a minute, and control VMs asked only when the suspects changed. A sound part with two crashes that is answered later than that would keep them, and two more would make a rule. Ruled out: watching for ever (suspects of control VMs that are gone would stay).

--- a/core/src/fleet/guard.rs
+++ b/core/src/fleet/guard.rs
@@ -24,7 +24,7 @@
 /// Largest number of answered parts that are remembered.
 const MAX_ANSWERED: usize = 4 * 1024;
 
-/// How long a part stays watched after a control VM asked for it.
+/// How long a part stays watched after a control VM asked for it. Control VMs ask again in less time.
 const WATCH_TIME: Duration = Duration::from_mins(1);
 
 /// Shortest interval between two reports that a watched part was answered.
@@ -108,18 +108,11 @@
         self.guard.rules = rules;
         let waiting = self.pending.iter();
         let waiting: Vec<Id> = waiting
-            .filter(|(_, pending)| pending.running.is_none() && self.is_quarantined(pending))
+            .filter(|(_, pending)| pending.running.is_none())
             .map(|(id, _)| *id)
             .collect();
         for id in waiting {
-            self.withdraw_query(id, effects);
-            self.refuse(
-                now,
-                id,
-                Reason::Quarantined,
-                Some(QUARANTINE_RETRY),
-                effects,
-            );
+            self.refuse_quarantined(now, id, effects);
         }
     }
 
@@ -140,7 +133,7 @@
     }
 
     /// Returns whether a rule matches the prompt of a request.
-    pub(super) fn is_quarantined(&self, pending: &Pending) -> bool {
+    fn is_quarantined(&self, pending: &Pending) -> bool {
         let service = hash(&pending.service.name);
         self.guard.matches(service, &pending.request.parts)
     }
--- a/gateway/src/control/quarantine.rs
+++ b/gateway/src/control/quarantine.rs
@@ -26,6 +26,9 @@
 /// Interval at which rules are derived without reports, so that old ones end.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Interval at which entry VMs are asked again for answers with suspected parts. They watch a part for a minute.
+const ASK_INTERVAL: Duration = Duration::from_secs(20);
+
 /// Time limit for storing rules, after which they are derived and stored again. Deriving must not wait for a slow
 /// disk.
 const STORE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -42,6 +45,8 @@
     reported_at: Instant,
     /// When rules were last derived.
     derived_at: Instant,
+    /// When entry VMs were last asked for answers.
+    asked_at: Instant,
 }
 
 impl Quarantine {
@@ -83,7 +88,7 @@
         self.stored = stored;
     }
 
-    /// Derives the rules and suspects if they may have changed; returns whether each of them has.
+    /// Derives the rules and suspects if they may have changed; returns whether to send each of them.
     fn update(&mut self, now: Instant) -> (bool, bool) {
         let is_settled = now.since(self.reported_at) >= SETTLE_TIME;
         if is_settled && now.since(self.derived_at) < EXPIRE_INTERVAL {
@@ -92,9 +97,14 @@
         self.derived_at = now;
         let rules = self.evidence.rules(now);
         let suspects = self.evidence.suspects();
-        let changed = (rules != self.rules, suspects != self.suspects);
+        let asks_again = !suspects.is_empty() && now.since(self.asked_at) >= ASK_INTERVAL;
+        let asks = suspects != self.suspects || asks_again;
+        if asks {
+            self.asked_at = now;
+        }
+        let rules_changed = rules != self.rules;
         (self.rules, self.suspects) = (rules, suspects);
-        changed
+        (rules_changed, asks)
     }
 }
 
@@ -119,18 +129,18 @@
     }
 }
 
-/// Derives rules and tells entry VMs what has changed. Returns the rules if the log does not hold them.
+/// Derives rules, tells entry VMs what has changed and asks them for answers. Returns the rules if the log does not hold them.
 fn derive(hub: &Hub) -> Option<Vec<Rule>> {
     let now = primrosepin_process::now();
     let stored = hub.replica.quarantine();
     let mut quarantine = hub.quarantine.borrow_mut();
     quarantine.take_stored(now, stored);
-    let (rules_changed, suspects_changed) = quarantine.update(now);
+    let (rules_changed, asks) = quarantine.update(now);
     let is_stored = quarantine.rules == quarantine.stored;
     let rules = quarantine.rules.clone();
     let messages = [
         rules_changed.then(|| quarantine.rules_message()),
-        suspects_changed.then(|| quarantine.suspects_message()),
+        asks.then(|| quarantine.suspects_message()),
     ];
     drop(quarantine);
     for message in messages.into_iter().flatten() {
