core, gateway: Name what a request asks for in the log lines of attempts

The lines of dispatches, ends of attempts and refusals carry a fingerprint: a hash of method, host, path and body.

Decides nothing yet. Ruled out: logging the path, which would need the body as well and can be 16 KB.

--- a/bench/src/region/world/caller.rs
+++ b/bench/src/region/world/caller.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use primrosepin_core::fingerprint::Fingerprint;
 use primrosepin_core::fleet::{Event, Id, Outcome as End, PartIds, Request, Tokens};
 use rand::RngExt;
 
@@ -63,6 +64,7 @@
                 answer: arrival.answer,
             }),
             parts: PartIds::new(),
+            fingerprint: Fingerprint::default(),
             timeout: Some(deadline.since(now)),
         };
         let limit = self.event_timeout(call);
--- a/core/src/fleet/planner.rs
+++ b/core/src/fleet/planner.rs
@@ -28,6 +28,7 @@
     Choice, Effect, Helper, Id, PartIds, Peer, PlannerDecision, Reason, Reducer, Request, Target,
     Tokens,
 };
+use crate::fingerprint::Fingerprint;
 use crate::time::Instant;
 
 /// Interval at which VMs that may be the planner report to their peers.
@@ -451,8 +452,9 @@
             path: Arc::clone(&route.prefix),
             key: None,
             tokens: Some(query.tokens),
-            // The VM that took the request checks its parts.
+            // The VM that took the request checks its parts and its fingerprint.
             parts: PartIds::new(),
+            fingerprint: Fingerprint::default(),
             timeout: Some(left),
         };
         let pending = Pending {
--- a/core/src/fleet/request.rs
+++ b/core/src/fleet/request.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::PartIds;
+use crate::fingerprint::Fingerprint;
 
 /// Process-local ID of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -42,6 +43,8 @@
     pub tokens: Option<Tokens>,
     /// Parts of the prompt that other requests may share.
     pub parts: PartIds,
+    /// What the request asks for.
+    pub fingerprint: Fingerprint,
     /// How long the caller waits; none if it does not say.
     pub timeout: Option<Duration>,
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -7,6 +7,7 @@
 //! and a seed.
 
 pub mod consensus;
+pub mod fingerprint;
 pub mod fleet;
 pub mod inventory;
 pub mod ledger;
--- a/core/tests/fleet/support.rs
+++ b/core/tests/fleet/support.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use primrosepin_core::fingerprint::Fingerprint;
 use primrosepin_core::fleet::{
     Announcement, Config, Dispatch, Effect, Engine, Entry, Event, Id, Limits, Organisation,
     Outcome, PartIds, Peer, PlannerMessage, Reducer, Refusal, Request, RetryPolicy, Route, Service,
@@ -128,6 +129,7 @@
             answer: 1_300,
         }),
         parts: PartIds::new(),
+        fingerprint: Fingerprint::default(),
         timeout: Some(ms(10_000)),
     }
 }
--- a/gateway/src/entry/caller.rs
+++ b/gateway/src/entry/caller.rs
@@ -119,7 +119,7 @@
     log::info!(status = status, cause = message; "request rejected");
     let labels = [label("outcome", "rejected"), label("class", "unread")];
     node.instruments.requests.add(1, &labels);
-    let parsed = head.and_then(|head| node.protocol.parse_request(head).ok());
+    let parsed = head.and_then(|head| node.protocol.parse_request(head, b"").ok());
     let request_id = parsed.as_ref().map(|parsed| &*parsed.request.request_id);
     let headers = node.protocol.local_response_headers(request_id, None);
     let response = http::encode_response(status, &headers, message.as_bytes(), true);
@@ -137,7 +137,7 @@
     body: &Bytes,
     close: bool,
 ) -> bool {
-    let parsed = match node.protocol.parse_request(head) {
+    let parsed = match node.protocol.parse_request(head, body) {
         Ok(parsed) => parsed,
         Err(message) => {
             log::info!(status = 400, cause = message; "request rejected");
@@ -152,7 +152,10 @@
     let prompt_length = request.tokens.map(|tokens| tokens.prompt);
     let (class, prompt_tokens) = (Class::new(prompt_length), prompt_length.unwrap_or(0));
     let caller_timeout = request.timeout;
-    let parts = join(&request.parts);
+    let asks = Asks {
+        parts: join(&request.parts),
+        fingerprint: request.fingerprint.to_string(),
+    };
     let mut delivery = Delivery::new(Arc::clone(&node.protocol), close, parsed.resumed_after);
     let mut registration = node.register();
     let id = registration.id;
@@ -184,7 +187,7 @@
                 continue;
             }
             Some(Decision::Refuse(refusal)) => {
-                break refuse(node, caller, &mut delivery, &request_id, &parts, refusal).await;
+                break refuse(node, caller, &mut delivery, &request_id, &asks, refusal).await;
             }
             None => break ("abandoned", false),
         };
@@ -194,7 +197,8 @@
         log::info!(
             request = &*request_id, target_name = &*dispatch.name, route = &*dispatch.route,
             attempt = dispatch.attempt, helpers = dispatch.helpers.len(),
-            prompt_tokens = prompt_tokens, parts = &*parts, at_target = dispatch.load.running,
+            prompt_tokens = prompt_tokens, parts = &*asks.parts, fingerprint = &*asks.fingerprint,
+            at_target = dispatch.load.running,
             exclusive = dispatch.load.exclusive, reading = dispatch.load.prefilling, read_ms = dispatch.load.prefill_ms,
             predicted_ms = dispatch.predicted.as_millis() as u64,
             placed_by = dispatch.planner.as_deref().unwrap_or(&node.settings.common.vm),
@@ -216,7 +220,8 @@
         node.instruments.attempts.add(1, &[label("outcome", ended)]);
         log::info!(
             request = &*request_id, target_name = &*dispatch.name, attempt = dispatch.attempt,
-            took_ms = arrived.elapsed().as_millis() as u64, begun = delivery.head_sent, parts = &*parts;
+            took_ms = arrived.elapsed().as_millis() as u64, begun = delivery.head_sent, parts = &*asks.parts,
+            fingerprint = &*asks.fingerprint;
             "attempt ended: {ended}"
         );
         node.apply(Event::Ended(id, outcome));
@@ -261,6 +266,13 @@
     reusable
 }
 
+/// What a request asks for, for logs.
+struct Asks {
+    /// Shared parts of the prompt.
+    parts: String,
+    fingerprint: String,
+}
+
 /// Joins the parts of a prompt for logs.
 fn join(parts: &[PartId]) -> String {
     let parts: Vec<String> = parts.iter().map(PartId::to_string).collect();
@@ -286,12 +298,13 @@
     caller: &mut Connection,
     delivery: &mut Delivery,
     request_id: &str,
-    parts: &str,
+    asks: &Asks,
     refusal: Refusal,
 ) -> (&'static str, bool) {
     log::info!(
         request = request_id, reason = reason_name(refusal.reason), not_run = refusal.not_run,
-        retry_after_ms = refusal.retry_after.map_or(0, |time| time.as_millis() as u64), parts = parts,
+        retry_after_ms = refusal.retry_after.map_or(0, |time| time.as_millis() as u64),
+        parts = &*asks.parts, fingerprint = &*asks.fingerprint,
         revision = node.revision(), config_age_ms = node.config_age_ms();
         "refused"
     );
--- a/gateway/src/protocol.rs
+++ b/gateway/src/protocol.rs
@@ -7,7 +7,7 @@
 
 use crate::http;
 
-/// A caller's request as decoded from its head.
+/// A caller's request, decoded.
 #[derive(Debug, Clone)]
 pub struct ParsedRequest {
     /// Input of the scheduling decisions.
@@ -76,9 +76,12 @@
 /// Translates the formats of callers, targets and operators. Implementations hold no state and decide
 /// nothing.
 pub trait Protocol: Send + Sync + 'static {
-    /// Decodes the head of a caller's request. An error is sent to the caller as the body of a 400
-    /// response.
-    fn parse_request(&self, head: &http::Request) -> Result<ParsedRequest, &'static str>;
+    /// Decodes a caller's request. An error is sent to the caller as the body of a 400 response.
+    fn parse_request(
+        &self,
+        head: &http::Request,
+        body: &[u8],
+    ) -> Result<ParsedRequest, &'static str>;
 
     /// Appends the header lines of the request to a target, except those that frame the body.
     fn write_target_headers(
