fleet: Stop sending requests that crash targets

Cause: core::quarantine knew parts of prompts only. A request to a plain service names none, and one whose path, caller and body crash a target shares no part with others, so each copy under another ID was a new request. Class: a request that is fatal for its target, sent afresh and retried until all targets have failed on it; the same class as parts that crash targets, so the same mechanism serves both.

Change: each request has two more parts, at any service: what it asks for with the caller's key, and with the caller's organisation. Three crashes make a rule on a whole request, four on a part; more where many targets end for other reasons. A connection that is lost looks like a crash, so a VM withdraws its report once the target announces itself again. Messages between processes have version 6.

Ruled out: rules by path (other bodies and callers stay in service), by service (a route may name two), counting in each VM (each sees at most one crash), two crashes for a rule.

--- a/bench/src/region/world/vm.rs
+++ b/bench/src/region/world/vm.rs
@@ -41,7 +41,8 @@
                 Effect::Queue(..)
                 | Effect::PlannerTimedOut(..)
                 | Effect::PlannerDecision(_)
-                | Effect::ReportCrash(_)
+                | Effect::ReportCrashes(_)
+                | Effect::WithdrawCrashes(_)
                 | Effect::ReportAnswered(_)
                 | Effect::PlannerChanged(_) => {}
                 Effect::SendToPeer(peer, message) => {
--- a/core/src/fleet/effect.rs
+++ b/core/src/fleet/effect.rs
@@ -24,7 +24,7 @@
     NoTarget,
     /// No target can serve the request in time.
     Busy,
-    /// The prompt has parts that crash targets.
+    /// The request, or a part of its prompt, crashes targets.
     Quarantined,
     /// This VM shuts down before the request could end.
     ShuttingDown,
@@ -150,8 +150,10 @@
     Refuse(Id, Refusal),
     /// Sends a load report to these peers.
     ReportLoad(Arc<[Arc<str>]>, LoadReport),
-    /// Reports to all control VMs a target that ended under a prompt.
-    ReportCrash(Crash),
+    /// Reports to all control VMs a target that ended under a request.
+    ReportCrashes(Vec<Crash>),
+    /// Tells all control VMs of processes of targets that were reported as ended and still run.
+    WithdrawCrashes(Vec<u64>),
     /// Reports to all control VMs suspected parts that were answered, with the time since then, ms.
     ReportAnswered(Vec<(Part, u32)>),
     /// Sends a message about a long prompt to one peer.
--- a/core/src/fleet/guard.rs
+++ b/core/src/fleet/guard.rs
@@ -1,13 +1,15 @@
-//! The entry VM's side of [`crate::quarantine`]: what it reports, and which prompts it does not send to targets.
+//! The entry VM's side of [`crate::quarantine`]: what it reports, and which requests it does not send to targets.
 
-use std::collections::{HashMap, VecDeque};
-use std::sync::Arc;
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
-use super::directory::Record;
+use smallvec::SmallVec;
+
 use super::pending::{Pending, Running};
-use super::{Effect, Id, Outcome, PartId, Reason, Reducer};
-use crate::quarantine::{Crash, Part, Rule};
+use super::{
+    Effect, Id, Organisation, Outcome, PartId, PartIds, Reason, Reducer, Request, State, Target,
+};
+use crate::quarantine::{ANY_SERVICE, Crash, Part, Rule, process};
 use crate::time::Instant;
 
 /// Time from the first event within which the end of a target may be due to the prompt. A target that crashes
@@ -18,11 +20,15 @@
 /// [`SUSPECT_TIME`], since a slowed target may take longer to crash.
 const ANSWERED_TIME: Duration = Duration::from_secs(1);
 
+/// Time from a reported crash after which an announcement shows that the process has not ended. Announcements may
+/// arrive late, after their sender has crashed.
+const ALIVE_TIME: Duration = Duration::from_secs(2);
+
 /// How long crashes are reported again on new links, and answered parts are remembered.
 const MEMORY: Duration = Duration::from_mins(1);
 
 /// Largest number of answered parts that are remembered.
-const MAX_ANSWERED: usize = 4 * 1024;
+const MAX_ANSWERED: usize = 16 * 1024;
 
 /// How long a part stays watched after a control VM asked for it. Control VMs ask again in less time.
 const WATCH_TIME: Duration = Duration::from_mins(1);
@@ -30,16 +36,16 @@
 /// Shortest interval between two reports that a watched part was answered.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Retry hint for a prompt that crashes targets. Rules hold for minutes.
+/// Retry hint for a request that crashes targets. Rules hold for minutes.
 const QUARANTINE_RETRY: Duration = Duration::from_mins(1);
 
-/// What this VM knows of prompts that crash targets.
+/// What this VM knows of requests that crash targets.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Guard {
     /// Rules in force.
     rules: Vec<Rule>,
-    /// Own reports of crashes.
-    crashes: VecDeque<(Instant, Crash)>,
+    /// Own reports of crashes, with the targets that they are about.
+    crashes: VecDeque<(Instant, Target, Crash)>,
     /// When parts were last answered.
     answered: HashMap<Part, Instant>,
     /// Parts that control VMs asked for, with the time until which they are watched and of the last report.
@@ -48,7 +54,7 @@
 
 impl Guard {
     fn matches(&self, service: u64, parts: &[PartId]) -> bool {
-        !parts.is_empty() && self.rules.iter().any(|rule| rule.matches(service, parts))
+        self.rules.iter().any(|rule| rule.matches(service, parts))
     }
 
     /// Records that a prompt was answered; returns the parts to report.
@@ -79,10 +85,29 @@
     pub(super) fn expire(&mut self, now: Instant) {
         self.answered.retain(|_, at| now.since(*at) < MEMORY);
         self.watched.retain(|_, (until, _)| now < *until);
-        self.crashes.retain(|(at, _)| now.since(*at) < MEMORY);
+        self.crashes.retain(|(at, ..)| now.since(*at) < MEMORY);
     }
 }
 
+/// Returns the parts that stand for a request as a whole: what it asks for, with the caller's key and organisation.
+pub(super) fn request_parts(request: &Request, organisation: Option<&Organisation>) -> PartIds {
+    let key = format!("key {}", request.key.as_deref().unwrap_or_default());
+    let organisation =
+        organisation.map(|organisation| format!("organisation {}", organisation.name));
+    let callers = [Some(key), organisation].into_iter().flatten();
+    callers
+        .map(|caller| PartId(request.fingerprint.with_caller(&caller)))
+        .collect()
+}
+
+/// Returns the parts by which a request is known, with their services.
+fn marks(pending: &Pending) -> SmallVec<[(u64, &PartIds); 2]> {
+    let prompt = (hash(&pending.service.name), &pending.request.parts);
+    let whole = (ANY_SERVICE, &pending.whole_request);
+    let marks = [prompt, whole].into_iter();
+    marks.filter(|(_, parts)| !parts.is_empty()).collect()
+}
+
 fn hash(name: &str) -> u64 {
     xxhash_rust::xxh3::xxh3_64(name.as_bytes())
 }
@@ -91,7 +116,7 @@
     /// Returns the crashes to report on a link that was just opened.
     pub fn recent_crashes(&self, now: Instant) -> Vec<Crash> {
         let crashes = self.guard.crashes.iter();
-        let aged = crashes.map(|(at, crash)| Crash {
+        let aged = crashes.map(|(at, _, crash)| Crash {
             age_ms: now.since(*at).as_millis() as u32,
             ..crash.clone()
         });
@@ -132,10 +157,10 @@
         }
     }
 
-    /// Returns whether a rule matches the prompt of a request.
+    /// Returns whether a rule matches a request.
     fn is_quarantined(&self, pending: &Pending) -> bool {
-        let service = hash(&pending.service.name);
-        self.guard.matches(service, &pending.request.parts)
+        let mut parts = marks(pending).into_iter();
+        parts.any(|(service, parts)| self.guard.matches(service, parts))
     }
 
     /// Refuses a request that a rule matches; returns whether it did.
@@ -160,7 +185,7 @@
         matches
     }
 
-    /// Records what the end of an attempt tells about the prompt.
+    /// Records what the end of an attempt tells about the request.
     pub(super) fn record_end(
         &mut self,
         now: Instant,
@@ -178,10 +203,7 @@
             Outcome::Broken { closed: true, .. } if suspected => {
                 self.record_crash(now, &pending, running, effects);
             }
-            Outcome::Served => {
-                let parts = &pending.request.parts;
-                self.record_answered(now, &pending.service.name, parts, effects);
-            }
+            Outcome::Served => self.record_answered(now, &pending, effects),
             _ => {}
         }
     }
@@ -194,42 +216,58 @@
         running: &Running,
         effects: &mut Vec<Effect>,
     ) {
-        if pending.request.parts.is_empty() {
-            return;
-        }
         let Some(record) = self.directory.record(running.target) else {
             return;
         };
-        let Record {
-            announcement,
-            name_hash,
-            ..
-        } = record;
-        let crash = Crash {
-            process: name_hash.rotate_left(1) ^ announcement.started_ms,
-            service: hash(&pending.service.name),
-            prompts: vec![pending.request.parts.clone()],
+        let process = process(record.name_hash, record.announcement.started_ms);
+        let crashes = marks(pending).into_iter().map(|(service, parts)| Crash {
+            process,
+            service,
+            prompts: vec![parts.clone()],
             age_ms: 0,
+        });
+        let crashes: Vec<Crash> = crashes.collect();
+        for crash in &crashes {
+            let own = (now, running.target, crash.clone());
+            self.guard.crashes.push_back(own);
+        }
+        effects.push(Effect::ReportCrashes(crashes));
+    }
+
+    /// Withdraws the reports on processes that have announced themselves since: their connections were lost, but they
+    /// have not ended.
+    pub(super) fn withdraw_reports(&mut self, effects: &mut Vec<Effect>) {
+        let directory = &self.directory;
+        let is_alive = |at: Instant, target: Target, crash: &Crash| {
+            directory.record(target).is_some_and(|record| {
+                let running = process(record.name_hash, record.announcement.started_ms);
+                running == crash.process
+                    && record.announcement.state != State::Gone
+                    && record.heard >= at + ALIVE_TIME
+            })
         };
-        self.guard.crashes.push_back((now, crash.clone()));
-        effects.push(Effect::ReportCrash(crash));
+        let (alive, kept): (VecDeque<_>, VecDeque<_>) = std::mem::take(&mut self.guard.crashes)
+            .into_iter()
+            .partition(|(at, target, crash)| is_alive(*at, *target, crash));
+        self.guard.crashes = kept;
+        let processes: BTreeSet<u64> = alive.iter().map(|(.., crash)| crash.process).collect();
+        if !processes.is_empty() {
+            effects.push(Effect::WithdrawCrashes(processes.into_iter().collect()));
+        }
     }
 
-    /// Records that a prompt was answered.
-    fn record_answered(
-        &mut self,
-        now: Instant,
-        service: &str,
-        parts: &[PartId],
-        effects: &mut Vec<Effect>,
-    ) {
-        let reported = self.guard.record_answered(now, hash(service), parts);
+    /// Records that a request was answered.
+    fn record_answered(&mut self, now: Instant, pending: &Pending, effects: &mut Vec<Effect>) {
+        let mut reported = Vec::new();
+        for (service, parts) in marks(pending) {
+            reported.extend(self.guard.record_answered(now, service, parts));
+        }
         if !reported.is_empty() {
             effects.push(Effect::ReportAnswered(reported));
         }
     }
 
-    /// Records the prompts whose answers have arrived for [`ANSWERED_TIME`].
+    /// Records the requests whose answers have arrived for [`ANSWERED_TIME`].
     pub(super) fn record_long_answers(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         let mut answered = Vec::new();
         for pending in self.pending.values_mut() {
@@ -239,14 +277,11 @@
             let started = running.started_at;
             if !running.answered && started.is_some_and(|at| now.since(at) >= ANSWERED_TIME) {
                 running.answered = true;
-                answered.push((
-                    Arc::clone(&pending.service.name),
-                    pending.request.parts.clone(),
-                ));
+                answered.push(pending.clone());
             }
         }
-        for (service, parts) in answered {
-            self.record_answered(now, &service, &parts, effects);
+        for pending in answered {
+            self.record_answered(now, &pending, effects);
         }
     }
 }
--- a/core/src/fleet/pending.rs
+++ b/core/src/fleet/pending.rs
@@ -7,7 +7,7 @@
 
 use super::engine::predicted_duration;
 use super::planner::{Origin, PendingQuery};
-use super::{Choice, Organisation, Placement, Request, Route, Service, Target, Tokens};
+use super::{Choice, Organisation, PartIds, Placement, Request, Route, Service, Target, Tokens};
 use crate::time::Instant;
 
 /// Assumed size of a generation that does not state its size.
@@ -36,6 +36,8 @@
     pub(super) route: Arc<Route>,
     pub(super) service: Arc<Service>,
     pub(super) organisation: Option<Arc<Organisation>>,
+    /// Parts that stand for the request as a whole in reports of crashes; empty for a peer's request.
+    pub(super) whole_request: PartIds,
     pub(super) arrived: Instant,
     pub(super) deadline: Instant,
     pub(super) attempts: u32,
@@ -78,6 +80,7 @@
             route,
             service,
             organisation: None,
+            whole_request: PartIds::new(),
             arrived,
             deadline,
             attempts: 0,
--- a/core/src/fleet/reducer.rs
+++ b/core/src/fleet/reducer.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::attempts::NO_TARGET_RETRY;
-use super::guard::Guard;
+use super::guard::{Guard, request_parts};
 use super::limit::NamedLimits;
 use super::load::RELAY_LEASE;
 use super::pending::{Pending, choose_service};
@@ -200,6 +200,7 @@
             Event::Tick => {
                 self.tick(now);
                 self.record_long_answers(now, effects);
+                self.withdraw_reports(effects);
                 self.report_planner_change(now, effects);
                 self.repeat_queries(now, effects);
             }
@@ -346,6 +347,7 @@
             .ok_or(no_target)?;
         let timeout = request.timeout.unwrap_or(route.timeout).min(route.timeout);
         Ok(Pending {
+            whole_request: request_parts(&request, organisation.as_deref()),
             organisation,
             ..Pending::new(
                 request,
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -1,18 +1,25 @@
-//! Parts of prompts that crash targets.
+//! Requests, and parts of prompts, that crash targets.
 //!
-//! Entry VMs report each target that ended under prompts whose answers had not begun, as a [`Crash`], and the
-//! parts of prompts that were answered. A control VM collects these reports in an [`Evidence`] and derives
-//! [`Rule`]s: prompts that a rule matches are not sent to targets.
+//! Entry VMs report each target that ended under requests whose answers had not begun, as a [`Crash`], and what was
+//! answered. A control VM collects these reports in an [`Evidence`] and derives [`Rule`]s: requests that a rule
+//! matches are not sent to targets.
 //!
-//! A prompt that shares a target with the one that ends it, or shares other parts with it, is as much in the
+//! A request is known by the parts of its prompt that others may share, at one service, and by two parts that
+//! stand for the request as a whole ([`ANY_SERVICE`]): what it asks for together with the caller's key, and with the
+//! caller's organisation. Copies of a request have these in common, whatever their IDs.
+//!
+//! A request that shares a target with the one that ends it, or shares other parts with it, is as much in the
 //! reports. Two things tell them apart: a part that was answered at about the time of a crash, or later, did
-//! not cause it, and a crash that a rule explains counts against no other part.
+//! not cause it, and a crash that a rule explains counts against no other part. A connection that is lost looks like a
+//! crash too: a VM withdraws its report once the target announces itself again.
 //!
 //! # Invariants
 //!
-//! - A rule rests on [`MIN_CRASHES`] different processes of targets, and on no report that an answer refutes.
-//! - The parts of a rule were all in each of the prompts that count for it, so requests that share only some
+//! - A rule rests on [`MIN_CRASHES`], or [`MIN_REQUEST_CRASHES`], different processes of targets, and on no report that
+//!   an answer refutes.
+//! - The parts of a rule were all in each of the requests that count for it, so requests that share only some
 //!   of them are not affected.
+//! - Rules on whole requests do not delay those on parts of prompts.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
@@ -22,10 +29,18 @@
 use crate::fleet::{PartId, PartIds};
 use crate::time::Instant;
 
-/// Number of targets that must have ended under a part. With fewer, a sound part is taken for a bad one where
-/// many targets end for another reason.
+/// Number of targets that must have ended under a part of a prompt. With fewer, a sound part is taken for a bad one
+/// where many targets end for another reason.
 pub const MIN_CRASHES: usize = 4;
 
+/// Number of targets that must have ended under a whole request. Copies of one request are rarer than requests that
+/// share a part, so fewer crashes tell as much.
+pub const MIN_REQUEST_CRASHES: usize = 3;
+
+/// Takes the place of a service's hash for parts that stand for whole requests: what crashes the targets of one service
+/// is not tried at another one.
+pub const ANY_SERVICE: u64 = 0;
+
 /// Time from the last report that is needed until a rule is derived. Other VMs tell within it which of the
 /// parts they have seen answered.
 const CONFIRM_TIME: Duration = Duration::from_millis(400);
@@ -37,8 +52,14 @@
 /// may bear it.
 const RETENTION: Duration = Duration::from_mins(10);
 
+/// A sound request may meet targets that end for other reasons. One crash more is needed for a rule where more than
+/// this many times as many targets ended without it within [`COINCIDENCE_TIME`], and another one for twice as many.
+const COINCIDENCE_RATIO: usize = 3;
+const COINCIDENCE_TIME: Duration = Duration::from_secs(10);
+const MAX_COINCIDENCES: usize = 2;
+
 /// Largest number of crashes that are kept.
-const MAX_CRASHES: usize = 512;
+const MAX_CRASHES: usize = 1_024;
 
 /// Largest number of prompts that are kept of one crash.
 const MAX_PROMPTS: usize = 64;
@@ -46,44 +67,49 @@
 /// Largest number of answered parts that are kept.
 const MAX_ANSWERED: usize = 16 * 1024;
 
-/// A part of a prompt at one service.
+/// A part of a prompt at one service, or of any request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Part {
-    /// Hash of the service's name.
+    /// Hash of the service's name, or [`ANY_SERVICE`].
     pub service: u64,
     /// ID of the part.
     pub id: PartId,
 }
 
-/// A target that ended under prompts whose answers had not begun, as one VM saw it.
+/// Returns the identity of a target's process. A target that starts again has another one.
+pub fn process(name_hash: u64, started_ms: u64) -> u64 {
+    name_hash.rotate_left(1) ^ started_ms
+}
+
+/// A target that ended under requests whose answers had not begun, as one VM saw it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
-    /// Identifies the process of the target; a restarted target has another one.
+    /// Identifies the process of the target; see [`process`].
     pub process: u64,
-    /// Hash of the service's name.
+    /// Hash of the service's name, or [`ANY_SERVICE`].
     pub service: u64,
-    /// Shared parts of the prompts.
+    /// Parts of each request.
     pub prompts: Vec<PartIds>,
     /// Time since the target ended, ms.
     pub age_ms: u32,
 }
 
-/// Prompts with all of these parts are not sent to targets of the service.
+/// Requests with all of these parts are not sent to targets of the service.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Rule {
-    /// Hash of the service's name.
+    /// Hash of the service's name, or [`ANY_SERVICE`].
     pub service: u64,
     /// The parts, sorted.
     pub parts: PartIds,
 }
 
 impl Rule {
-    /// Returns whether a prompt for a service has all parts of the rule.
+    /// Returns whether a request with these parts has all parts of the rule.
     pub fn matches(&self, service: u64, prompt: &[PartId]) -> bool {
         self.service == service && self.parts.iter().all(|part| prompt.contains(part))
     }
 
-    /// Returns whether each prompt that `other` matches is matched by this rule too.
+    /// Returns whether each request that `other` matches is matched by this rule too.
     fn covers(&self, other: &Self) -> bool {
         self.matches(other.service, &other.parts)
     }
@@ -98,6 +124,14 @@
     reported_at: Instant,
 }
 
+impl Record {
+    /// Returns whether a rule explains the crash.
+    fn is_explained_by(&self, rule: &Rule) -> bool {
+        let mut prompts = self.prompts.iter();
+        prompts.any(|prompt| rule.matches(self.service, prompt))
+    }
+}
+
 /// Reports of crashes and answers, and the rules that follow from them.
 #[derive(Debug, Clone, Default)]
 pub struct Evidence {
@@ -120,7 +154,7 @@
         let known = self
             .crashes
             .iter_mut()
-            .find(|record| record.process == crash.process);
+            .find(|record| record.process == crash.process && record.service == crash.service);
         if let Some(record) = known {
             record.at = record.at.min(at);
             for prompt in crash.prompts {
@@ -144,6 +178,21 @@
         });
     }
 
+    /// Withdraws the reports about a process that has not ended, and rules that rest on too few crashes without it.
+    pub fn withdraw(&mut self, process: u64) {
+        let (withdrawn, kept): (VecDeque<Record>, VecDeque<Record>) =
+            std::mem::take(&mut self.crashes)
+                .into_iter()
+                .partition(|record| record.process == process);
+        self.crashes = kept;
+        let crashes = &self.crashes;
+        self.rules.retain(|rule, _| {
+            let rested_on_it = withdrawn.iter().any(|record| record.is_explained_by(rule));
+            let left = crashes.iter().filter(|record| record.is_explained_by(rule));
+            !rested_on_it || left.count() >= min_crashes(rule.service)
+        });
+    }
+
     /// Records that a part was answered `age` ago. Rules lose the part.
     pub fn record_answered(&mut self, now: Instant, part: Part, age: Duration) {
         let at = now - age;
@@ -234,17 +283,34 @@
         prompt.iter().filter(|id| !refuted(id)).copied().collect()
     }
 
-    /// Derives rules: repeatedly takes the parts under which most targets ended, and leaves out the crashes
-    /// that they explain.
     fn derive(&self, now: Instant) -> BTreeSet<Rule> {
-        let mut rules = BTreeSet::new();
-        let mut unexplained: Vec<(&Record, Vec<PartIds>)> = self
+        let (requests, prompts): (Vec<&Record>, Vec<&Record>) = self
             .crashes
+            .iter()
+            .partition(|record| record.service == ANY_SERVICE);
+        let mut rules = self.derive_from(now, &prompts, MIN_CRASHES);
+        let explained = prompts
+            .iter()
+            .filter(|record| rules.iter().any(|rule| record.is_explained_by(rule)));
+        let explained: BTreeSet<u64> = explained.map(|record| record.process).collect();
+        let requests: Vec<&Record> = requests
+            .into_iter()
+            .filter(|record| !explained.contains(&record.process))
+            .collect();
+        rules.extend(self.derive_from(now, &requests, MIN_REQUEST_CRASHES));
+        rules
+    }
+
+    /// Derives rules from some crashes: repeatedly takes the parts under which most targets ended, and leaves out the
+    /// crashes that they explain.
+    fn derive_from(&self, now: Instant, crashes: &[&Record], min_crashes: usize) -> BTreeSet<Rule> {
+        let mut rules = BTreeSet::new();
+        let mut unexplained: Vec<(&Record, Vec<PartIds>)> = crashes
             .iter()
             .map(|record| {
                 let prompts = record.prompts.iter();
                 let prompts = prompts.map(|prompt| self.unrefuted(record, prompt));
-                (record, prompts.collect())
+                (*record, prompts.collect())
             })
             .collect();
         loop {
@@ -262,7 +328,12 @@
                 }
             }
             let most = by_part.values().map(Vec::len).max().unwrap_or(0);
-            if most < MIN_CRASHES {
+            let recent = unexplained
+                .iter()
+                .filter(|(record, _)| now.since(record.at) < COINCIDENCE_TIME);
+            let others = recent.count().saturating_sub(most);
+            let needed = min_crashes + coincidences(others, most);
+            if most < needed {
                 return rules;
             }
             let top = by_part
@@ -270,7 +341,7 @@
                 .filter(|(_, crashes)| crashes.len() == most);
             let found: BTreeSet<Rule> = top
                 .filter(|(_, crashes)| {
-                    let last = unexplained[crashes[MIN_CRASHES - 1]].0;
+                    let last = unexplained[crashes[needed - 1]].0;
                     now.since(last.reported_at) >= CONFIRM_TIME
                 })
                 .map(|(part, crashes)| {
@@ -282,18 +353,28 @@
             if found.is_empty() {
                 return rules;
             }
-            unexplained.retain(|(record, _)| {
-                let mut prompts = record.prompts.iter();
-                !prompts.any(|prompt| {
-                    let mut found = found.iter();
-                    found.any(|rule| rule.matches(record.service, prompt))
-                })
-            });
+            unexplained
+                .retain(|(record, _)| !found.iter().any(|rule| record.is_explained_by(rule)));
             rules.extend(found);
         }
     }
 }
 
+/// Returns how many of the crashes under a part may be due to chance, where `others` targets ended without it.
+fn coincidences(others: usize, crashes: usize) -> usize {
+    let ratio = others.saturating_sub(1) / (COINCIDENCE_RATIO * crashes).max(1);
+    ratio.min(MAX_COINCIDENCES)
+}
+
+/// Returns the number of targets that must have ended for a rule, chance apart.
+fn min_crashes(service: u64) -> usize {
+    if service == ANY_SERVICE {
+        MIN_REQUEST_CRASHES
+    } else {
+        MIN_CRASHES
+    }
+}
+
 /// Returns the rule of the parts that all prompts with `part` have.
 fn common_parts<'p, I>(part: Part, prompts: I) -> Rule
 where
--- a/core/tests/fleet/quarantine.rs
+++ b/core/tests/fleet/quarantine.rs
@@ -1,15 +1,17 @@
-//! Prompts that crash targets, at the shapes of the deployments: simulated entry VMs, control VMs that collect
-//! their reports, and targets that crash when they begin an answer to a bad part.
+//! Requests and prompts that crash targets, at the shapes of the deployments: simulated entry VMs, control VMs that collect
+//! their reports, and targets that crash when they begin an answer to a bad part or a fatal request.
 //!
 //! The counts are those of the platform's rules, from what targets and callers see: after five targets have ended under
-//! a part, and the VMs had `contact` to hear of it, at most [`MAX_LATE`] requests with it reach targets; from
+//! a part, or three under a request, and the VMs had `contact` to hear of it, at most [`MAX_LATE`] such requests reach
+//! targets; from
 //! twice that time on, sound requests begin at their first attempt at least half as often as before.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use primrosepin_core::fingerprint::Fingerprint;
 use primrosepin_core::fleet::{Event, Id, Outcome, PartId, Reducer};
-use primrosepin_core::quarantine::{Evidence, Part, Rule};
+use primrosepin_core::quarantine::{ANY_SERVICE, Evidence, Part, Rule};
 use primrosepin_core::time::Instant;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -24,6 +26,8 @@
 const HOT: PartId = PartId(0xa0);
 const BAD: PartId = PartId(0xbad);
 const OTHER_BAD: PartId = PartId(0xbad2);
+/// Stands for the first fatal request in the counts; the others follow.
+const FATAL: PartId = PartId(0xfa7a_0000);
 
 /// What happens to an entry VM in the middle of a run.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -46,6 +50,11 @@
     contact: Duration,
     bad: Vec<PartId>,
     bad_per_s: f64,
+    /// Number of requests that crash targets by what they ask for, and how often each is sent.
+    fatal: u64,
+    fatal_per_s: f64,
+    /// Whether all fatal requests are sent at the same moment to one VM.
+    fatal_together: bool,
     sound_per_s: f64,
     /// Share of the sound requests, and of the bad ones, whose first part is [`HOT`].
     hot_share: f64,
@@ -67,6 +76,9 @@
             contact: ms(contact),
             bad: vec![BAD],
             bad_per_s: 4.0,
+            fatal: 0,
+            fatal_per_s: 1.5,
+            fatal_together: false,
             sound_per_s: 40.0,
             hot_share: 0.3,
             crashes_per_s: 0.0,
@@ -82,6 +94,8 @@
 struct Call {
     vm: usize,
     parts: Vec<PartId>,
+    /// What crashes targets in it: bad parts, or itself.
+    causes: Vec<PartId>,
     sent_at: Instant,
     repeats: u32,
     /// Whether its answer began at the first attempt.
@@ -115,6 +129,11 @@
     rules: Vec<Rule>,
 }
 
+/// Returns what a request with these parts asks for.
+fn asks(parts: &[PartId]) -> Fingerprint {
+    Fingerprint::new("POST", "host", &format!("{parts:?}"), b"prompt")
+}
+
 struct World {
     plan: Plan,
     fleet: Fleet,
@@ -150,11 +169,34 @@
 
     fn send(&mut self, parts: Vec<PartId>, repeats: u32) {
         let vm = self.rng.random_range(0..self.plan.vms);
+        let causes = parts.iter().filter(|part| self.plan.bad.contains(part));
+        let causes = causes.copied().collect();
+        let asks = asks(&parts);
+        self.send_to(vm, parts, causes, asks, repeats);
+    }
+
+    /// Sends a fatal request, which names no parts.
+    fn send_fatal(&mut self, vm: usize, number: u64) {
+        let asks = Fingerprint::new("POST", "host", "/fatal", &number.to_le_bytes());
+        let causes = vec![PartId(FATAL.0 + number)];
+        self.send_to(vm, Vec::new(), causes, asks, 0);
+    }
+
+    fn send_to(
+        &mut self,
+        vm: usize,
+        parts: Vec<PartId>,
+        causes: Vec<PartId>,
+        asks: Fingerprint,
+        repeats: u32,
+    ) {
         let mut request = request("short", 2_000);
         request.parts = parts.iter().copied().collect();
+        request.fingerprint = asks;
         let call = Call {
             vm,
             parts,
+            causes,
             sent_at: self.fleet.now,
             repeats,
             begun_first: false,
@@ -166,7 +208,7 @@
 
     fn is_bad(&self, id: Id) -> bool {
         let call = self.calls.get(&id);
-        call.is_some_and(|call| call.parts.iter().any(|part| self.plan.bad.contains(part)))
+        call.is_some_and(|call| !call.causes.is_empty())
     }
 
     fn read_decisions(&mut self) {
@@ -196,11 +238,9 @@
                         continue;
                     };
                     call.begun_first = dispatch.attempt == 1;
-                    for part in call.parts.clone() {
-                        if self.plan.bad.contains(&part) {
-                            let reached = self.seen.reached.entry(part).or_default();
-                            reached.push((self.fleet.now, vm));
-                        }
+                    for cause in call.causes.clone() {
+                        let reached = self.seen.reached.entry(cause).or_default();
+                        reached.push((self.fleet.now, vm));
                     }
                 }
             }
@@ -212,12 +252,10 @@
         let Some(call) = self.calls.remove(&id) else {
             return;
         };
-        if call.parts.iter().any(|part| self.plan.bad.contains(part)) {
-            if call.repeats > 0 {
-                self.send(call.parts, call.repeats - 1);
-            }
-        } else {
+        if call.causes.is_empty() {
             self.seen.sound.push((call.sent_at, false));
+        } else if call.repeats > 0 {
+            self.send(call.parts, call.repeats - 1);
         }
     }
 
@@ -255,10 +293,8 @@
             due.retain(|running| !running.started && running.starts_at <= now);
             for running in due {
                 if self.is_bad(running.id) {
-                    for part in self.calls[&running.id].parts.clone() {
-                        if self.plan.bad.contains(&part) {
-                            self.seen.crashes.entry(part).or_default().push(now);
-                        }
+                    for cause in self.calls[&running.id].causes.clone() {
+                        self.seen.crashes.entry(cause).or_default().push(now);
                     }
                     self.crash(number);
                     break;
@@ -290,7 +326,7 @@
 
     fn run_control(&mut self) {
         let now = self.fleet.now;
-        let reports = std::mem::take(&mut self.fleet.prompt_reports);
+        let reports = std::mem::take(&mut self.fleet.crash_reports);
         for (vm, report) in reports {
             // A VM reports its crashes again once it has a path; the report is lost here.
             if self.is_cut(vm) {
@@ -299,6 +335,11 @@
             for evidence in &mut self.control {
                 match report.clone() {
                     Report::Crash(crash) => evidence.record_crash(now, crash),
+                    Report::Alive(processes) => {
+                        for process in processes {
+                            evidence.withdraw(process);
+                        }
+                    }
                     Report::Answered(parts) => {
                         for (part, age) in parts {
                             evidence.record_answered(now, part, ms(age.into()));
@@ -359,6 +400,28 @@
         }
     }
 
+    fn send_due_fatal(&mut self, elapsed: Duration) {
+        if elapsed < ms(4_000) {
+            return;
+        }
+        let rate = self.plan.fatal_per_s / 1e3;
+        if self.plan.fatal_together {
+            if self.rng.random_bool(rate) {
+                let vm = self.rng.random_range(0..self.plan.vms);
+                for number in 0..self.plan.fatal {
+                    self.send_fatal(vm, number);
+                }
+            }
+            return;
+        }
+        for number in 0..self.plan.fatal {
+            if self.rng.random_bool(rate) {
+                let vm = self.rng.random_range(0..self.plan.vms);
+                self.send_fatal(vm, number);
+            }
+        }
+    }
+
     /// Plays sound requests alone for four seconds, then beside bad ones.
     fn play(mut self, time: Duration) -> Seen {
         let end = START + time;
@@ -408,6 +471,7 @@
                 };
                 self.send(vec![first, bad, own], self.plan.repeats);
             }
+            self.send_due_fatal(elapsed);
             if self.rng.random_bool(self.plan.crashes_per_s / 1e3) {
                 let number = self.rng.random_range(0..self.engines.len());
                 if self.engines[number].down_until.is_none() {
@@ -424,16 +488,22 @@
     }
 }
 
-/// Returns how many requests with each part reached targets after five had ended under it and `contact` had
+/// Returns the time at which VMs begin to have `contact` to hear of what crashes targets: the fifth crash under a part,
+/// the third under a request.
+fn counted_crash(cause: PartId, crashes: &[Instant]) -> Option<&Instant> {
+    crashes.get(if cause >= FATAL { 2 } else { 4 })
+}
+
+/// Returns how many requests with each cause reached targets after enough had ended under it and `contact` had
 /// passed, from VMs other than `excused`.
 fn late(seen: &Seen, contact: Duration, excused: &[usize]) -> BTreeMap<PartId, usize> {
     let mut late = BTreeMap::new();
     for (part, crashes) in &seen.crashes {
-        let Some(fifth) = crashes.get(4) else {
+        let Some(counted) = counted_crash(*part, crashes) else {
             continue;
         };
         let reached = seen.reached[part].iter();
-        let reached = reached.filter(|(at, vm)| *at > *fifth + contact && !excused.contains(vm));
+        let reached = reached.filter(|(at, vm)| *at > *counted + contact && !excused.contains(vm));
         late.insert(*part, reached.count());
     }
     late
@@ -454,6 +524,11 @@
         let crashes = seen.crashes.get(part).map_or(0, Vec::len);
         assert!(crashes >= 1, "{part} reached no target");
     }
+    // Of fatal requests that reach a target together, one crashes it.
+    for number in 0..plan.fatal {
+        let part = PartId(FATAL.0 + number);
+        assert!(seen.reached.contains_key(&part), "{part} reached no target");
+    }
     for (part, late) in late(&seen, plan.contact, excused) {
         assert!(
             late <= MAX_LATE,
@@ -462,8 +537,8 @@
     }
     let last = seen
         .crashes
-        .values()
-        .filter_map(|all| all.get(4).or(all.last()));
+        .iter()
+        .filter_map(|(cause, all)| counted_crash(*cause, all).or(all.last()));
     let from = *last.max().unwrap() + plan.contact * 2;
     let before = begun(&seen, START, START + ms(3_500));
     let after = begun(&seen, from, START + time - ms(2_000));
@@ -533,6 +608,14 @@
     }
 }
 
+/// Returns whether a rule is one on a whole request that the simulation sends as a sound one.
+fn is_sound_request(rule: &Rule) -> bool {
+    let own = (0..60).map(|number| PartId(0x100 + number));
+    let sound = own.flat_map(|own| [vec![own], vec![HOT, own]]);
+    let mut marks = sound.map(|parts| PartId(asks(&parts).with_caller("key key")));
+    rule.service == ANY_SERVICE && marks.any(|mark| rule.parts.contains(&mark))
+}
+
 /// Guards against rules on a part that most sound requests share with the bad ones: they would refuse nearly all
 /// work.
 #[test]
@@ -546,7 +629,12 @@
             };
             let seen = check(&plan, &[]);
             for rule in &seen.rules {
-                assert!(rule.parts.contains(&BAD), "{rule:?}");
+                // A rule on a whole request is one on copies of a request with the bad part.
+                assert!(
+                    rule.parts.contains(&BAD) || rule.service == ANY_SERVICE,
+                    "{rule:?}"
+                );
+                assert!(!is_sound_request(rule), "{rule:?}");
             }
         }
     }
@@ -609,13 +697,100 @@
             let seen = check(&plan, &excused);
             let back = START + ms(at) + ms(3_000) + plan.contact;
             for (part, crashes) in &seen.crashes {
-                let Some(fifth) = crashes.get(4) else {
+                let Some(counted) = counted_crash(*part, crashes) else {
                     continue;
                 };
                 let reached = seen.reached[part].iter();
-                let late = reached.filter(|(sent, _)| *sent > (*fifth + plan.contact).max(back));
+                let late = reached.filter(|(sent, _)| *sent > (*counted + plan.contact).max(back));
                 assert!(late.count() <= MAX_LATE, "{trouble:?} at {at} ms");
             }
         }
     }
 }
+
+impl Plan {
+    /// A run with fatal requests and no bad part.
+    fn with_fatal(self, fatal: u64) -> Self {
+        Self {
+            bad: Vec::new(),
+            bad_per_s: 0.0,
+            fatal,
+            ..self
+        }
+    }
+}
+
+/// Guards against a request that crashes one target after the other under other IDs, at the shapes of the deployments
+/// and with 295 VMs, of which each sees at most one crash.
+#[test]
+fn a_fatal_request_reaches_few_targets_at_each_deployment() {
+    for (vms, engines, contact) in SHAPES.into_iter().chain([(295, 135, 5_000)]) {
+        for seed in 1..4 {
+            let plan = Plan {
+                seed,
+                ..Plan::new(vms, engines, contact).with_fatal(1)
+            };
+            let seen = check(&plan, &[]);
+            assert!(seen.rules.iter().all(|rule| rule.service == ANY_SERVICE));
+        }
+    }
+}
+
+/// Guards against a test that passes without rules.
+#[test]
+fn without_rules_a_fatal_request_reaches_many_targets() {
+    let plan = Plan {
+        mechanism: false,
+        fatal_per_s: 3.0,
+        ..Plan::new(6, 18, 3_000).with_fatal(1)
+    };
+    let seen = World::new(plan.clone()).play(ms(17_000));
+    assert!(late(&seen, plan.contact, &[])[&FATAL] > 3 * MAX_LATE);
+}
+
+/// Guards against fatal requests that hide each other, sent on their own or all at the same moment to one VM, also
+/// beside a bad part and crashes that no request causes.
+#[test]
+fn several_fatal_requests_at_once_are_all_found() {
+    for seed in 1..9 {
+        for fatal_together in [false, true] {
+            let plan = Plan {
+                fatal_together,
+                seed,
+                ..Plan::new(6, 18, 3_000).with_fatal(4)
+            };
+            check(&plan, &[]);
+        }
+        let plan = Plan {
+            fatal: 2,
+            crashes_per_s: 0.3,
+            seed,
+            ..Plan::new(9, 16, 3_000)
+        };
+        check(&plan, &[]);
+    }
+}
+
+/// Guards against rules on fatal requests that a VM forgets or misses.
+#[test]
+fn rules_on_requests_outlive_restarts_freezes_and_cuts() {
+    for (seed, trouble) in [
+        (1, Trouble::Restart(2)),
+        (2, Trouble::Freeze(1)),
+        (3, Trouble::Cut(4)),
+        (4, Trouble::ControlRestart),
+    ] {
+        for at in [4_600, 6_000, 9_500] {
+            let plan = Plan {
+                troubles: vec![(at, trouble)],
+                seed,
+                ..Plan::new(6, 18, 3_000).with_fatal(2)
+            };
+            let excused = match trouble {
+                Trouble::Restart(vm) | Trouble::Freeze(vm) | Trouble::Cut(vm) => vec![vm],
+                Trouble::ControlRestart => vec![],
+            };
+            check(&plan, &excused);
+        }
+    }
+}
--- a/core/tests/fleet/support.rs
+++ b/core/tests/fleet/support.rs
@@ -155,11 +155,12 @@
     }
 }
 
-/// A report to control VMs about prompts.
+/// A report to control VMs about requests that crash targets.
 #[derive(Debug, Clone)]
 pub enum Report {
     Crash(Crash),
     Answered(Vec<(Part, u32)>),
+    Alive(Vec<u64>),
 }
 
 /// Entry VMs that exchange messages with a delay.
@@ -176,8 +177,8 @@
     pub planner_messages: Vec<(usize, usize, PlannerMessage)>,
     /// Number of load reports that were sent.
     pub reports: usize,
-    /// Reports to control VMs about prompts, with the VM that sent them.
-    pub prompt_reports: Vec<(usize, Report)>,
+    /// Reports to control VMs about crashes, with the VM that sent them.
+    pub crash_reports: Vec<(usize, Report)>,
     messages: BTreeMap<(Instant, u64), (usize, Event)>,
     next: u64,
 }
@@ -193,7 +194,7 @@
             partitioned: Vec::new(),
             planner_messages: Vec::new(),
             reports: 0,
-            prompt_reports: Vec::new(),
+            crash_reports: Vec::new(),
             messages: BTreeMap::new(),
             next: 0,
         };
@@ -276,9 +277,15 @@
                 | Effect::PlannerTimedOut(..)
                 | Effect::PlannerDecision(_)
                 | Effect::PlannerChanged(_) => {}
-                Effect::ReportCrash(crash) => self.prompt_reports.push((vm, Report::Crash(crash))),
+                Effect::ReportCrashes(crashes) => {
+                    let reports = crashes.into_iter().map(|crash| (vm, Report::Crash(crash)));
+                    self.crash_reports.extend(reports);
+                }
+                Effect::WithdrawCrashes(processes) => {
+                    self.crash_reports.push((vm, Report::Alive(processes)));
+                }
                 Effect::ReportAnswered(parts) => {
-                    self.prompt_reports.push((vm, Report::Answered(parts)));
+                    self.crash_reports.push((vm, Report::Answered(parts)));
                 }
                 Effect::SendToPeer(peer, message) => {
                     let number = |name: &str| name.strip_prefix("entry-")?.parse::<usize>().ok();
--- a/core/tests/quarantine.rs
+++ b/core/tests/quarantine.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use primrosepin_core::fleet::{PartId, PartIds};
-use primrosepin_core::quarantine::{Crash, Evidence, Part, Rule};
+use primrosepin_core::quarantine::{ANY_SERVICE, Crash, Evidence, Part, Rule};
 use primrosepin_core::time::Instant;
 
 const SERVICE: u64 = 9;
@@ -25,9 +25,13 @@
 
 /// Reports that a target ended under prompts with these parts.
 fn crash(evidence: &mut Evidence, now: Instant, process: u64, prompts: &[&[u64]]) {
+    crash_at(SERVICE, evidence, now, process, prompts);
+}
+
+fn crash_at(service: u64, evidence: &mut Evidence, now: Instant, process: u64, prompts: &[&[u64]]) {
     let crash = Crash {
         process,
-        service: SERVICE,
+        service,
         prompts: prompts.iter().map(|ids| parts(ids)).collect(),
         age_ms: 0,
     };
@@ -106,3 +110,47 @@
     assert_eq!(evidence.rules(later), []);
     assert!(evidence.suspects().is_empty());
 }
+
+/// Guards against a part that is tried on more targets because whole requests with it have rules already.
+#[test]
+fn rules_on_requests_do_not_delay_those_on_parts() {
+    let mut evidence = Evidence::new();
+    for process in 0..4 {
+        // Three of the crashes are due to copies of one request.
+        let asks = if process < 3 { 100 } else { 101 };
+        crash(&mut evidence, START, process, &[&[1]]);
+        crash_at(ANY_SERVICE, &mut evidence, START, process, &[&[asks]]);
+    }
+    assert_eq!(evidence.rules(START + SETTLED), [rule(&[1])]);
+    let whole = Rule {
+        service: ANY_SERVICE,
+        parts: parts(&[100]),
+    };
+    let mut early = Evidence::new();
+    for process in 0..3 {
+        crash(&mut early, START, process, &[&[1]]);
+        crash_at(ANY_SERVICE, &mut early, START, process, &[&[100]]);
+    }
+    assert_eq!(early.rules(START + SETTLED), std::slice::from_ref(&whole));
+    crash(&mut early, START + SETTLED, 3, &[&[1]]);
+    crash_at(ANY_SERVICE, &mut early, START + SETTLED, 3, &[&[101]]);
+    let rules = early.rules(START + SETTLED * 2);
+    assert_eq!(rules, [whole, rule(&[1])]);
+}
+
+/// Guards against refusing a request because connections to targets were lost: reports on processes that still run
+/// are withdrawn, and rules that rest on them end.
+#[test]
+fn a_withdrawn_report_ends_the_rule_that_rests_on_it() {
+    let mut evidence = Evidence::new();
+    for process in 0..4 {
+        crash_at(ANY_SERVICE, &mut evidence, START, process, &[&[100]]);
+    }
+    let now = START + SETTLED;
+    assert_eq!(evidence.rules(now).len(), 1);
+    evidence.withdraw(0);
+    assert_eq!(evidence.rules(now).len(), 1, "three crashes are left");
+    evidence.withdraw(1);
+    assert_eq!(evidence.rules(now), []);
+    assert_eq!(evidence.rules(now + SETTLED), []);
+}
--- a/gateway/src/control/hub.rs
+++ b/gateway/src/control/hub.rs
@@ -263,6 +263,10 @@
                 let now = primrosepin_process::now();
                 self.quarantine.borrow_mut().record_answered(now, &parts);
             }
+            Message::Alive(processes) => {
+                let now = primrosepin_process::now();
+                self.quarantine.borrow_mut().withdraw(now, &processes);
+            }
             Message::Consensus(message) => self.replica.receive(message),
             Message::Relay { number, entry } => {
                 if entry.announcement.state == State::Gone {
--- a/gateway/src/control/quarantine.rs
+++ b/gateway/src/control/quarantine.rs
@@ -1,4 +1,4 @@
-//! Rules on prompts that crash targets: derived from the reports of entry VMs, and stored in the replicated log.
+//! Rules on requests that crash targets: derived from the reports of entry VMs, and stored in the replicated log.
 //!
 //! Every control VM derives rules from the reports that it has heard and sends them to its entry VMs, so that a
 //! zone that is cut off does so too. The leader stores its rules in the log, so that they outlive restarts.
@@ -33,7 +33,7 @@
 /// disk.
 const STORE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Evidence on prompts, and what entry VMs were told.
+/// Evidence on requests, and what entry VMs were told.
 #[derive(Debug, Default)]
 pub(super) struct Quarantine {
     evidence: Evidence,
@@ -57,6 +57,13 @@
         }
     }
 
+    pub(super) fn withdraw(&mut self, now: Instant, processes: &[u64]) {
+        self.reported_at = now;
+        for process in processes {
+            self.evidence.withdraw(*process);
+        }
+    }
+
     pub(super) fn record_answered(&mut self, now: Instant, parts: &[(Part, u32)]) {
         self.reported_at = now;
         for (part, age_ms) in parts {
@@ -121,9 +128,9 @@
         }
         let command = Command::Quarantine { rules };
         match hub.replica.propose(command, STORE_TIMEOUT).await {
-            Decision::Committed(_) => log::info!("rules on prompts stored"),
+            Decision::Committed(_) => log::info!("rules on requests stored"),
             Decision::NotAccepted | Decision::Unknown => {
-                log::warn!("rules on prompts are not stored yet; trying again");
+                log::warn!("rules on requests are not stored yet; trying again");
             }
         }
     }
@@ -149,7 +156,7 @@
     if rules_changed {
         log::warn!(
             rules = rules.len(), parts = format_parts(&rules), stored = is_stored;
-            "rules on prompts that crash targets changed"
+            "rules on requests that crash targets changed"
         );
     }
     (!is_stored).then_some(rules)
--- a/gateway/src/entry/caller.rs
+++ b/gateway/src/entry/caller.rs
@@ -5,14 +5,14 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use primrosepin_core::fleet::{Event, Outcome, PartId, Reason, Refusal};
+use primrosepin_core::fleet::{Event, Outcome, Reason, Refusal};
 use primrosepin_telemetry::metrics::Label;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
 use super::attempt::Attempt;
 use super::delivery::Delivery;
-use super::node::{Decision, Node, Phase};
+use super::node::{Decision, Node, Phase, join};
 use crate::http::{self, Connection, Error, Request};
 use crate::metrics::{Class, label};
 
@@ -273,12 +273,6 @@
     fingerprint: String,
 }
 
-/// Joins the parts of a prompt for logs.
-fn join(parts: &[PartId]) -> String {
-    let parts: Vec<String> = parts.iter().map(PartId::to_string).collect();
-    parts.join(",")
-}
-
 fn outcome_name(outcome: Outcome) -> &'static str {
     match outcome {
         Outcome::Served | Outcome::ServedUnframed => "served",
--- a/gateway/src/entry/node.rs
+++ b/gateway/src/entry/node.rs
@@ -10,7 +10,7 @@
     Dispatch, Effect, Event, Fetch, Id, Limits, LoadReport, PartId, Peer, PlannerDecision,
     PlannerMessage, Reducer, Refusal, Renewal,
 };
-use primrosepin_core::quarantine::{Crash, Rule};
+use primrosepin_core::quarantine::{ANY_SERVICE, Crash, Rule};
 use primrosepin_core::time::Instant;
 use primrosepin_telemetry::metrics::Metrics;
 use tokio::net::UdpSocket;
@@ -76,7 +76,7 @@
     reducer: RefCell<Reducer>,
     requests: RefCell<HashMap<Id, mpsc::UnboundedSender<Decision>>>,
     next_request: Cell<u64>,
-    /// Rules on prompts, by the control VM that sent them last. They outlive the link, since control may be out of
+    /// Rules on requests, by the control VM that sent them last. They outlive the link, since control may be out of
     /// reach just when targets crash.
     quarantine: RefCell<BTreeMap<IpAddr, Vec<Rule>>>,
     /// Fetches of new configurations from control VMs.
@@ -90,6 +90,15 @@
     datagrams: UdpSocket,
 }
 
+/// Joins parts for logs.
+pub(super) fn join<'p, I>(parts: I) -> String
+where
+    I: IntoIterator<Item = &'p PartId>,
+{
+    let parts: Vec<String> = parts.into_iter().map(PartId::to_string).collect();
+    parts.join(",")
+}
+
 /// Logs a decision that this VM took as planner for another entry VM.
 fn log_planner_decision(decision: &PlannerDecision) {
     let outcome = if decision.target.is_some() {
@@ -195,19 +204,26 @@
                 Effect::Refuse(id, refusal) => self.send_decision(id, Decision::Refuse(refusal)),
                 Effect::Queue(id, length) => self.send_decision(id, Decision::Queue(length)),
                 Effect::ReportLoad(recipients, report) => self.report_load(&recipients, report),
-                Effect::ReportCrash(crash) => {
-                    let parts: Vec<String> = crash
-                        .prompts
-                        .iter()
-                        .flatten()
-                        .map(PartId::to_string)
-                        .collect();
-                    log::info!(
-                        process = format!("{:x}", crash.process), parts = parts.join(",");
-                        "reporting a target that ended before it answered"
-                    );
+                Effect::ReportCrashes(crashes) => {
+                    for crash in &crashes {
+                        log::info!(
+                            process = format!("{:x}", crash.process),
+                            parts = join(crash.prompts.iter().flatten()),
+                            whole_request = crash.service == ANY_SERVICE;
+                            "reporting a target that ended before it answered"
+                        );
+                    }
                     self.instruments.crashes.add(1, &[]);
-                    self.send_to_control(&Message::Crashes(vec![crash]));
+                    self.send_to_control(&Message::Crashes(crashes));
+                }
+                Effect::WithdrawCrashes(processes) => {
+                    for process in &processes {
+                        log::info!(
+                            process = format!("{process:x}");
+                            "withdrawing a report: the target announces itself and has not ended"
+                        );
+                    }
+                    self.send_to_control(&Message::Alive(processes));
                 }
                 Effect::ReportAnswered(parts) => self.send_to_control(&Message::Answered(parts)),
                 Effect::SendToPeer(peer, message) => self.send_to_peer(&peer, message),
@@ -237,7 +253,7 @@
         }
     }
 
-    /// Replaces the rules on prompts that a control VM sent; the rules of all control VMs are in force.
+    /// Replaces the rules that a control VM sent; the rules of all control VMs are in force.
     pub(super) fn set_quarantine(&self, control: IpAddr, rules: Vec<Rule>) {
         let mut by_control = self.quarantine.borrow_mut();
         let before: BTreeSet<Rule> = by_control.values().flatten().cloned().collect();
@@ -253,14 +269,14 @@
             return;
         }
         for rule in &rules {
-            let parts: Vec<String> = rule.parts.iter().map(PartId::to_string).collect();
             log::warn!(
-                control = control.to_string(), parts = parts.join(",");
-                "prompts with all of these parts crash targets and are refused"
+                control = control.to_string(), parts = join(&rule.parts),
+                whole_request = rule.service == ANY_SERVICE;
+                "requests with all of these parts crash targets and are refused"
             );
         }
         if rules.is_empty() {
-            log::info!(control = control.to_string(); "no prompts are refused as crashing any more");
+            log::info!(control = control.to_string(); "no requests are refused as crashing any more");
         }
         self.instruments
             .quarantine_rules
--- a/gateway/src/entry/uplink.rs
+++ b/gateway/src/entry/uplink.rs
@@ -222,6 +222,7 @@
         Message::Heartbeat
         | Message::Crashes(_)
         | Message::Answered(_)
+        | Message::Alive(_)
         | Message::Hello(_)
         | Message::RevisionRequest { .. }
         | Message::ConfigRequest
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Version of the message format. Messages with another version are rejected.
-pub const VERSION: u8 = 5;
+pub const VERSION: u8 = 6;
 
 /// Maximum size of an encoded message, bytes. Configurations and snapshots are the largest messages.
 pub const MAX_BYTES: usize = 16 * 1024 * 1024;
@@ -101,14 +101,16 @@
         /// Query, response or withdrawal.
         message: PlannerMessage,
     },
-    /// Targets that ended under prompts; sent by an entry VM.
+    /// Targets that ended under requests; sent by an entry VM.
     Crashes(Vec<Crash>),
     /// Parts of prompts of which a control VM asks whether they were answered.
     Suspects(Vec<Part>),
     /// Suspected parts that were answered, with the time since then, ms; sent by an entry VM.
     Answered(Vec<(Part, u32)>),
-    /// All rules on prompts that are in force at a control VM.
+    /// All rules on requests that are in force at a control VM.
     Quarantine(Vec<Rule>),
+    /// Processes of targets that were reported as ended and still run; sent by an entry VM.
+    Alive(Vec<u64>),
 }
 
 impl Message {
