serving: Stop sending requests and prompts that crash targets on the product's own path

Cause: core::serving had no part in core::quarantine. Each VM of a zone now keeps the same evidence: VMs report targets that gave no answer, and answers with suspected parts, to the zone, derive rules by themselves and withdraw reports on targets that announce themselves again. Refused requests get 503, not run, quarantined.

Ruled out: rules in the control log as on the platform path; a zone must go on alone. Remains: a VM that starts has no rules until further crashes.

--- a/bench/src/capacity.rs
+++ b/bench/src/capacity.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use eyre::WrapErr;
+use primrosepin_core::fingerprint::Fingerprint;
 use primrosepin_core::inventory::{Inventory, Kind, Organisation, Rules, Service, Zone};
 use primrosepin_core::message::Message;
 use primrosepin_core::registry::Config;
@@ -364,6 +365,7 @@
             prompt_tokens: 2_000,
             max_tokens: 50,
             prefix: smallvec::SmallVec::new(),
+            fingerprint: Fingerprint::new("POST", "lm", "/v1/completions", &number.to_le_bytes()),
             at_most_once: false,
             repeatable: true,
             key: None,
--- a/core/benches/decision.rs
+++ b/core/benches/decision.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use primrosepin_core::fingerprint::Fingerprint;
 use primrosepin_core::inventory::{Inventory, Kind, Organisation, Rules, Service, Zone};
 use primrosepin_core::registry::Config;
 use primrosepin_core::request::{Arrival, End, Id};
@@ -111,6 +112,7 @@
         prompt_tokens: tokens,
         max_tokens: 200,
         prefix: [1, 2, 3, 4].into_iter().collect(),
+        fingerprint: Fingerprint::new("POST", "lm", "/v1/completions", &id.to_le_bytes()),
         at_most_once: false,
         repeatable: true,
         key: None,
--- a/core/src/message.rs
+++ b/core/src/message.rs
@@ -9,6 +9,7 @@
 use crate::membership;
 use crate::registry;
 use crate::request;
+use crate::serving;
 use crate::target;
 use crate::zone;
 
@@ -46,6 +47,8 @@
     Propose(registry::Command),
     /// Answer to [`Message::Propose`]; none if the command could not be committed.
     Proposed(Option<registry::Outcome>),
+    /// Report on requests that crash targets, between the entry VMs of a zone.
+    Quarantine(serving::Report),
 }
 
 /// Messages between a member and its zone's coordinator about credits for attempts on cold targets.
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -212,6 +212,23 @@
         self.rules = rules.filter_map(without).collect();
     }
 
+    /// Returns the parts of a report that were answered so lately that they did not cause the crash, with the time since
+    /// then, ms.
+    pub fn answered_parts(&self, now: Instant, crashes: &[Crash]) -> Vec<(Part, u32)> {
+        let parts = crashes.iter().flat_map(|crash| {
+            let ids = crash.prompts.iter().flatten();
+            ids.map(|id| Part {
+                service: crash.service,
+                id: *id,
+            })
+        });
+        let answered = parts.filter_map(|part| {
+            let age = now.since(*self.answered.get(&part)?);
+            (age < REFUTING_TIME).then_some((part, age.as_millis() as u32))
+        });
+        answered.collect()
+    }
+
     /// Takes over rules that were derived earlier and stored.
     pub fn restore(&mut self, now: Instant, stored: &[Rule]) {
         for rule in stored {
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
+use crate::fingerprint::Fingerprint;
+
 /// Id of a request, unique in the deployment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Id(pub u128);
@@ -82,6 +84,8 @@
     TargetFailed,
     /// The caller closed the connection.
     CallerGone,
+    /// The request, or a part of its prompt, crashes targets.
+    Quarantined,
 }
 
 impl Reason {
@@ -98,6 +102,7 @@
             Self::DeadlineExceeded => "deadline_exceeded",
             Self::TargetFailed => "target_failed",
             Self::CallerGone => "caller_gone",
+            Self::Quarantined => "quarantined",
         }
     }
 }
@@ -119,6 +124,8 @@
     pub max_tokens: u64,
     /// Hashes of the prompt's prefix blocks; each covers the prompt from its start to the end of the block.
     pub prefix: SmallVec<[u64; 8]>,
+    /// What the request asks for.
+    pub fingerprint: Fingerprint,
     /// Whether a rule requires that the request runs at most once.
     pub at_most_once: bool,
     /// Whether the request may run again after a run with unknown result (generation, safe methods).
--- a/core/src/serving/attempts.rs
+++ b/core/src/serving/attempts.rs
@@ -202,6 +202,7 @@
             self.update_statistics(id, &run, cached_tokens, generated_tokens);
         }
         if let Some(request) = self.remove(id) {
+            self.record_answered(&request.arrival, effects);
             self.record_outcome(&request, Outcome::Answered, effects);
         }
         self.counters.count_outcome(Outcome::Answered);
@@ -270,7 +271,10 @@
             self.resume(id, effects);
             return;
         }
-        let target = run.target;
+        let (target, run) = (run.target, run.clone());
+        if request.delivered == 0 {
+            self.report_crash(id, &run, effects);
+        }
         self.release(id, true, effects);
         let Some(request) = self.requests.get_mut(&id) else {
             return;
@@ -300,7 +304,9 @@
         if let Some(request) = self.requests.get_mut(&id) {
             request.failed_on.push(failed_on);
         }
-        self.enqueue(id);
+        if !self.refuse_quarantined(id, effects) {
+            self.enqueue(id);
+        }
     }
 
     /// Resumes a stream on a new connection to the same engine.
--- a/core/src/serving/effect.rs
+++ b/core/src/serving/effect.rs
@@ -162,4 +162,6 @@
     CoordinatorGained(u64),
     /// This VM lost the zone lease with this epoch.
     CoordinatorLost(u64),
+    /// The rules on requests that crash targets changed; carries their number.
+    QuarantineRules(usize),
 }
--- a/core/src/serving/membership.rs
+++ b/core/src/serving/membership.rs
@@ -356,6 +356,7 @@
             Message::ConfigPull { have } => self.handle_config_pull(from, have, effects),
             Message::ConfigPush(config) => self.apply_config(config, effects),
             Message::ColdStates(states) => self.merge_cold_states(from, &states, effects),
+            Message::Quarantine(report) => self.handle_quarantine_report(report, effects),
             // These are only sent between entry processes and control VMs, or between control
             // replicas.
             Message::Ledger(_)
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -11,6 +11,7 @@
 //! - `membership` exchanges heartbeats within the zone and `coordinator` elects one VM by a lease.
 //! - `credit` limits work on cold targets and `span` divides long prompts over several targets;
 //!   only the coordinator grants the credits and memory for them.
+//! - `quarantine` keeps requests that crash targets from them.
 //! - `handover` moves requests to other zones, `availability` takes zones and VMs out of service.
 //!
 //! Invariants, checked by [`verify::Verifier`]:
@@ -39,6 +40,7 @@
 mod membership;
 mod placement;
 mod prefix;
+mod quarantine;
 mod queueing;
 mod reducer;
 mod request;
@@ -50,6 +52,7 @@
 
 pub use counters::Counters;
 pub use membership::View as MemberView;
+pub use quarantine::Report;
 pub use reducer::Reducer;
 pub use settings::{Policy, Settings};
 pub use target::View as TargetView;
--- a/core/src/serving/reducer.rs
+++ b/core/src/serving/reducer.rs
@@ -28,6 +28,7 @@
 use super::membership::Members;
 use super::placement::{self, Placement};
 use super::prefix::Hints;
+use super::quarantine::Quarantine;
 use super::request::{Request, Stage};
 use super::retry::Budget;
 use super::settings::Settings;
@@ -93,6 +94,7 @@
     pub(super) placement: Placement,
     pub(super) prefix_hints: Hints,
     pub(super) retry_budget: Budget,
+    pub(super) quarantine: Quarantine,
     deadlines: BTreeSet<(Instant, Id)>,
     /// Cancelled attempts, with the time until which they are remembered and the engine's address.
     pub(super) abandoned: BTreeMap<Attempt, (Instant, SocketAddr)>,
@@ -133,6 +135,7 @@
             placement: Placement::default(),
             prefix_hints: Hints::default(),
             retry_budget: Budget::new(),
+            quarantine: Quarantine::default(),
             deadlines: BTreeSet::new(),
             abandoned: BTreeMap::new(),
             ready: false,
@@ -267,7 +270,7 @@
             return;
         }
         let name = Arc::clone(&announcement.name);
-        let state = announcement.state;
+        let (state, incarnation) = (announcement.state, announcement.incarnation);
         let change = self.table.announce(self.now, announcement, lease_until);
         let (id, changed) = match change {
             Change::Stale => {
@@ -294,6 +297,7 @@
                 (id, true)
             }
             Change::Renewed { id, before } => {
+                self.withdraw_crash(&name, incarnation, effects);
                 if before != state {
                     match (before, state) {
                         (_, State::Cold) => self.mark_cold(id, effects),
@@ -388,6 +392,9 @@
             arrival,
         };
         self.requests.insert(id, request);
+        if self.refuse_quarantined(id, effects) {
+            return;
+        }
         // Most requests find a target at once. The prediction over all targets is computed only for
         // the others and before a claim.
         let group = self.table.group(group);
@@ -561,6 +568,7 @@
         for id in self.queue.waiting_ids() {
             self.clear_failed_targets(id);
         }
+        self.maintain_quarantine(effects);
         self.maintain_credits(effects);
         self.maintain_spans(effects);
         self.probe_stalled_attempts(effects);
--- a/core/tests/common/mod.rs
+++ b/core/tests/common/mod.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use primrosepin_core::fingerprint::Fingerprint;
 use primrosepin_core::inventory::{Inventory, Kind, Organisation, Rules, Service, Zone};
 use primrosepin_core::registry::Config;
 use primrosepin_core::request::{Arrival, Attempt, End, Id, Outcome, Reason};
@@ -137,6 +138,7 @@
         prompt_tokens: tokens,
         max_tokens: 100,
         prefix: smallvec::SmallVec::new(),
+        fingerprint: Fingerprint::new("POST", "lm", "/v1/completions", &id.to_le_bytes()),
         at_most_once: false,
         repeatable: true,
         key: None,
--- a/core/tests/serving_zone.rs
+++ b/core/tests/serving_zone.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 
 use common::*;
+use primrosepin_core::fingerprint::Fingerprint;
 use primrosepin_core::membership::Override;
 use primrosepin_core::message::{Credit, Message};
-use primrosepin_core::request::{End, Outcome, Reason};
+use primrosepin_core::request::{Arrival, End, Outcome, Reason};
 use primrosepin_core::serving::effect::{Effect, Notice};
 use primrosepin_core::serving::event::Event;
 use primrosepin_core::target::{Announcement, Budget, State};
@@ -583,3 +584,72 @@
     assert_eq!(members.len(), 1);
     assert_eq!(members[0].instance, newer);
 }
+
+/// Guards against a request that crashes one target after the other because each VM of the zone sees one crash: after
+/// three it is refused everywhere, and requests that ask for something else are not.
+#[test]
+fn a_request_that_crashes_targets_is_refused_in_the_whole_zone() {
+    let mut cluster = Cluster::new(3);
+    let mut targets: Vec<Announcement> = (0..6)
+        .map(|number| engine(&format!("t{number}"), 101 + number))
+        .collect();
+    cluster.advance_with(1_500, &mut targets);
+    let asks = |body: &[u8]| Fingerprint::new("POST", "lm", "/v1/completions", body);
+    let request = |id, body| Arrival {
+        fingerprint: asks(body),
+        repeatable: false,
+        ..prompt(id, 1_000)
+    };
+    for vm in 0..3 {
+        let sent = cluster.arrive(vm, request(1 + vm as u128, b"fatal"));
+        assert_eq!(sent.len(), 1, "refused after {vm} crashes");
+        cluster.hosts[vm].end(sent[0].attempt, End::NoAnswer);
+        // The target starts again.
+        let ended = targets
+            .iter_mut()
+            .find(|target| target.name == sent[0].target);
+        ended.unwrap().incarnation += 1;
+        cluster.advance_with(500, &mut targets);
+    }
+    cluster.advance_with(1_500, &mut targets);
+    for vm in 0..3 {
+        let from = cluster.hosts[vm].log.len();
+        let sent = cluster.arrive(vm, request(20 + vm as u128, b"fatal"));
+        assert_eq!(sent, [], "VM {vm}");
+        assert_eq!(
+            refusal(&cluster.hosts[vm].log[from..]),
+            Some((Outcome::NotRun, Reason::Quarantined))
+        );
+        let other = cluster.arrive(vm, request(30 + vm as u128, b"another"));
+        assert_eq!(other.len(), 1, "VM {vm}");
+    }
+}
+
+/// Guards against refusing a request because connections to targets were lost: targets that announce themselves again
+/// have not ended.
+#[test]
+fn lost_connections_to_running_targets_refuse_no_request() {
+    let mut cluster = Cluster::new(2);
+    let mut targets: Vec<Announcement> = (0..6)
+        .map(|number| engine(&format!("t{number}"), 101 + number))
+        .collect();
+    cluster.advance_with(1_500, &mut targets);
+    let request = |id| Arrival {
+        fingerprint: Fingerprint::new("POST", "lm", "/v1/completions", b"sound"),
+        repeatable: false,
+        ..prompt(id, 1_000)
+    };
+    for id in 1..5 {
+        for sent in cluster.arrive(0, request(id)) {
+            cluster.hosts[0].end(sent.attempt, End::NoAnswer);
+            cluster.deliver();
+        }
+    }
+    for _ in 0..8 {
+        cluster.advance_with(500, &mut targets);
+    }
+    for vm in 0..2 {
+        let sent = cluster.arrive(vm, request(20 + vm as u128));
+        assert_eq!(sent.len(), 1, "refused at VM {vm}");
+    }
+}
--- a/entry/src/callers.rs
+++ b/entry/src/callers.rs
@@ -14,6 +14,7 @@
 use awc::http::header::{HeaderMap, HeaderName, HeaderValue};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
+use primrosepin_core::fingerprint::Fingerprint;
 use primrosepin_core::request::{Arrival, Id, Outcome};
 use primrosepin_core::serving::event::Event;
 use smallvec::SmallVec;
@@ -185,8 +186,16 @@
     let repeatable = kind != CallKind::Plain || method.is_safe();
     let prompt_tokens = scan.as_ref().map_or(0, |scan| scan.prompt_tokens);
     let labels = node.metrics.labels(&organisation, prompt_tokens);
+    let asked_path = request.uri().path_and_query();
+    let fingerprint = Fingerprint::new(
+        method.as_str(),
+        &service,
+        asked_path.map_or(&*path, |path| path.as_str()),
+        &body.bytes,
+    );
     let arrival = Arrival {
         id,
+        fingerprint,
         organisation,
         service,
         model,
--- a/entry/src/driver.rs
+++ b/entry/src/driver.rs
@@ -269,6 +269,9 @@
         Notice::CoordinatorGained(epoch) => {
             log::info!("became coordinator of the zone in epoch {epoch}");
         }
+        Notice::QuarantineRules(rules) => {
+            log::warn!(rules = rules; "rules on requests that crash targets changed");
+        }
         Notice::CoordinatorLost(epoch) => {
             log::warn!("no longer coordinator of the zone in epoch {epoch}");
         }
--- a/entry/src/reply.rs
+++ b/entry/src/reply.rs
@@ -166,7 +166,11 @@
 
 fn status(refusal: &Refusal) -> u16 {
     match refusal.reason {
-        Reason::FleetBusy | Reason::ZoneOut | Reason::LedgerUnavailable | Reason::NoTarget => 503,
+        Reason::FleetBusy
+        | Reason::ZoneOut
+        | Reason::LedgerUnavailable
+        | Reason::NoTarget
+        | Reason::Quarantined => 503,
         Reason::FleetTooSmall => 413,
         Reason::OrganisationLimit => 429,
         Reason::Duplicate => 409,
@@ -188,5 +192,6 @@
         Reason::DeadlineExceeded => "the deadline passed",
         Reason::TargetFailed => "the target failed and the request cannot be repeated",
         Reason::CallerGone => "the caller closed the connection",
+        Reason::Quarantined => "targets end when they run this request, so it is not run",
     }
 }
--- a/tests/src/world/mod.rs
+++ b/tests/src/world/mod.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use primrosepin_core::fingerprint::Fingerprint;
 use primrosepin_core::inventory::{Inventory, Kind, Organisation, Rules, Service, Zone};
 use primrosepin_core::ledger;
 use primrosepin_core::registry::Config;
@@ -632,6 +633,7 @@
             prompt_tokens: u64::from(kilotokens.max(1)) * 1_000,
             max_tokens: u64::from(ANSWER_TOKENS),
             prefix: SmallVec::new(),
+            fingerprint: Fingerprint::new("POST", "lm", "/v1/completions", &id.0.to_le_bytes()),
             at_most_once: key.is_some(),
             repeatable: key.is_none(),
             key: key.map(|key| format!("key-{key}").into()),
