gateway: Open connections to targets from the address of the VM

Targets and tests can tell by it which entry VM sends a request; on loopback all VMs otherwise share one address, and a test cannot cut one of them off.

--- a/gateway/src/entry/attempt.rs
+++ b/gateway/src/entry/attempt.rs
@@ -181,7 +181,7 @@
     async fn connect(&self, caller: &mut Connection) -> Result<Connection, Outcome> {
         self.node.instruments.connections.add(1, &[]);
         tokio::select! {
-            stream = net::connect(self.dispatch.address, CONNECT_TIMEOUT) => match stream {
+            stream = net::connect_from(self.node.settings.common.ip, self.dispatch.address, CONNECT_TIMEOUT) => match stream {
                 Ok(stream) => Ok(Connection::new(stream)),
                 Err(error) => {
                     log::info!(
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -1,7 +1,7 @@
 //! TCP sockets with the options that all processes use.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
@@ -53,11 +53,25 @@
 
 /// Opens a connection. Fails with [`io::ErrorKind::TimedOut`] if it is not established within `limit`.
 pub async fn connect(to: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
-    let socket = if to.is_ipv4() {
-        TcpSocket::new_v4()?
+    establish(new_socket(to)?, to, limit).await
+}
+
+/// Opens a connection like [`connect`], from a local address, by which the peer knows the VM.
+pub async fn connect_from(from: IpAddr, to: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
+    let socket = new_socket(to)?;
+    socket.bind(SocketAddr::new(from, 0))?;
+    establish(socket, to, limit).await
+}
+
+fn new_socket(to: SocketAddr) -> io::Result<TcpSocket> {
+    if to.is_ipv4() {
+        TcpSocket::new_v4()
     } else {
-        TcpSocket::new_v6()?
-    };
+        TcpSocket::new_v6()
+    }
+}
+
+async fn establish(socket: TcpSocket, to: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
     let connected = timeout(limit, socket.connect(to)).await;
     let stream = connected.map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
     set_options(&stream);
