fleet, gateway: Reach targets through another entry VM where the own path is lost

Cause: a VM had one way to a target, its own connection. Each request found out by itself, 400 ms at a time, that none could be made, up to five times; streams on connections that hung waited for 1.7 s and more. Class: a process that is ready by what control tells it, without what its work needs.

Change: entry VMs connect each other to announced targets (gateway::entry::tunnel): the VM that took the request keeps all decisions on it, and the other one forwards bytes. A connection that another VM can make and this one cannot shows that the path is lost (core::fleet::reach); from then on connections go through others, chosen in turn, until one of the VM's own is established; it tries four times a second. While no target sends anything, paths are checked, and requests on connections that hang move on. Nothing of a request is sent before the tunnel is open, tunnels do not chain, and a tunnel's end is never taken for the end of an answer without length.

Ruled out: to say not ready (open connections stay, and a zone with most VMs cut is used all the same); to hand the whole request to another VM (two VMs would decide on limits, retries and keys, and what ran is harder to tell); redirects (callers have none).

--- a/core/src/fleet/attempts.rs
+++ b/core/src/fleet/attempts.rs
@@ -430,8 +430,10 @@
                 pending.may_have_run = true;
                 Some(retry_policy != RetryPolicy::AtMostOnce)
             }
-            Outcome::Broken { delivered, .. } => {
-                health.record_broken(now);
+            Outcome::Broken { delivered, .. } | Outcome::Disconnected { delivered } => {
+                if !matches!(outcome, Outcome::Disconnected { .. }) {
+                    health.record_broken(now);
+                }
                 pending.may_have_run = true;
                 Some(match retry_policy {
                     RetryPolicy::Idempotent => !delivered,
--- a/core/src/fleet/directory.rs
+++ b/core/src/fleet/directory.rs
@@ -263,6 +263,20 @@
             .collect()
     }
 
+    /// Returns whether a target that has not left has this address.
+    pub fn has_address(&self, address: SocketAddr) -> bool {
+        self.records().any(|(_, record)| {
+            let announcement = &record.announcement;
+            announcement.address == address && announcement.state != State::Gone
+        })
+    }
+
+    /// Returns the addresses of the targets that take new work.
+    pub fn usable_addresses(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
+        let usable = self.records().filter(move |(_, record)| record.usable(now));
+        usable.map(|(_, record)| record.announcement.address)
+    }
+
     /// Returns the number of targets that take new work.
     pub fn usable(&self, now: Instant) -> usize {
         self.records()
--- a/core/src/fleet/event.rs
+++ b/core/src/fleet/event.rs
@@ -30,6 +30,11 @@
         /// Whether the target closed or reset the connection.
         closed: bool,
     },
+    /// This VM lost its path to the target, which may go on; the request may have run.
+    Disconnected {
+        /// Whether a part of the answer was delivered to the caller.
+        delivered: bool,
+    },
     /// The caller closed the connection.
     CallerGone,
     /// The deadline passed.
--- a/gateway/src/control/hub.rs
+++ b/gateway/src/control/hub.rs
@@ -285,6 +285,8 @@
             | Message::Roster { .. }
             | Message::RelayAck { .. }
             | Message::LoadReport { .. }
+            | Message::TunnelRequest { .. }
+            | Message::TunnelAnswer(_)
             | Message::Planner { .. } => {}
         }
     }
--- a/gateway/src/entry/attempt.rs
+++ b/gateway/src/entry/attempt.rs
@@ -5,21 +5,17 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use primrosepin_core::fleet::{Dispatch, Event, Id, Outcome, RetryPolicy};
+use primrosepin_core::fleet::{Dispatch, Event, Id, Outcome, Path, RetryPolicy};
 use tokio::time::{sleep, sleep_until};
 
 use super::delivery::Delivery;
 use super::events::Events;
 use super::node::Node;
+use super::path;
 use super::reservation::Reservation;
 use crate::http::{Body, Connection, Error, Request, Response};
-use crate::net;
 use crate::protocol::Verdict;
 
-/// Time limit for opening a connection to a target. Connecting takes a few ms; a lost SYN is
-/// retransmitted only after a second, and trying another target is faster.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Fraction of the remaining time that a plain service may take to start its response before another
 /// target is tried.
 const PLAIN_FIRST_BYTE_FRACTION: f64 = 0.4;
@@ -27,6 +23,13 @@
 /// Interval at which it is checked whether a request at a silent target can start elsewhere.
 const RELOCATION_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Interval at which the path to a silent target is looked at.
+const PATH_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time without progress after which a target is left if the path to it is lost. Open connections may live on where
+/// new ones cannot be made.
+const LOST_SILENCE: Duration = Duration::from_millis(600);
+
 /// An attempt, with the parts of its request that it needs.
 pub(super) struct Attempt<'a> {
     pub(super) node: &'a Rc<Node>,
@@ -46,25 +49,49 @@
     /// The response is malformed or exceeds a limit.
     Invalid,
     /// The response did not start in time, and another target can take the request.
-    Stalled,
+    Stalled(Stalled),
     /// The caller closed its connection.
     CallerGone,
 }
 
+/// Why a target that makes no progress is left.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stalled {
+    /// It has made no progress in time.
+    Silent,
+    /// This VM has lost its path to it.
+    Disconnected,
+}
+
+impl Stalled {
+    fn outcome(self, delivered: bool) -> Outcome {
+        match self {
+            Self::Silent => Outcome::Broken {
+                delivered,
+                closed: false,
+            },
+            Self::Disconnected => Outcome::Disconnected { delivered },
+        }
+    }
+}
+
 /// Watches for progress at a target. A target that makes none is left only if the request can start at
 /// another one at once: silence alone does not tell a lost target from a slow one.
 struct Stall<'a> {
     attempt: &'a Attempt<'a>,
+    /// Whether this VM itself is connected to the target.
+    is_direct: bool,
     progress_at: Instant,
     /// When it is next checked whether the request can start elsewhere; `None` if it never can.
     check_at: Option<Instant>,
 }
 
 impl<'a> Stall<'a> {
-    fn new(attempt: &'a Attempt<'a>, limit: Option<Duration>) -> Self {
+    fn new(attempt: &'a Attempt<'a>, target: &Connection, limit: Option<Duration>) -> Self {
         let progress_at = Instant::now();
         Self {
             attempt,
+            is_direct: !target.is_tunnel(),
             progress_at,
             check_at: limit.map(|limit| progress_at + limit),
         }
@@ -72,27 +99,42 @@
 
     /// Records progress; the next is expected within `limit`.
     fn record_progress(&mut self, limit: Option<Duration>) {
-        *self = Self::new(self.attempt, limit);
+        self.progress_at = Instant::now();
+        self.check_at = limit.map(|limit| self.progress_at + limit);
     }
 
-    /// Waits until the target has made no progress in time and the request can start elsewhere.
-    async fn wait(&mut self) {
+    /// Waits until the target has made no progress in time, or the path to it is lost, and the request can start
+    /// elsewhere.
+    async fn wait(&mut self) -> Stalled {
+        let attempt = self.attempt;
         loop {
-            let Some(check_at) = self.check_at else {
+            let path_check_at = self.is_direct.then(|| Instant::now() + PATH_CHECK_INTERVAL);
+            let Some(until) = [self.check_at, path_check_at].into_iter().flatten().min() else {
                 return std::future::pending().await;
             };
-            sleep_until(check_at.into()).await;
-            let attempt = self.attempt;
-            if attempt.node.can_relocate(attempt.id) {
-                let silent_ms = self.progress_at.elapsed().as_millis() as u64;
+            sleep_until(until.into()).await;
+            let silent = self.progress_at.elapsed();
+            let is_lost = self.is_direct && attempt.check_path() && silent >= LOST_SILENCE;
+            let is_due = self.check_at.is_some_and(|at| at <= Instant::now());
+            if !is_lost && !is_due {
+                continue;
+            }
+            if attempt.dispatch.retryable && attempt.node.can_relocate(attempt.id) {
                 log::info!(
                     request = attempt.request_id, target_name = &*attempt.dispatch.name,
-                    attempt = attempt.dispatch.attempt, silent_ms = silent_ms;
+                    attempt = attempt.dispatch.attempt, silent_ms = silent.as_millis() as u64,
+                    path_lost = is_lost;
                     "target makes no progress, and another one can take the request"
                 );
-                return;
+                return if is_lost {
+                    Stalled::Disconnected
+                } else {
+                    Stalled::Silent
+                };
+            }
+            if is_due {
+                self.check_at = Some(Instant::now() + RELOCATION_CHECK_INTERVAL);
             }
-            self.check_at = Some(Instant::now() + RELOCATION_CHECK_INTERVAL);
         }
     }
 }
@@ -133,6 +175,8 @@
         // ran is then unknown, so a request that must run at most once is sent on a new connection.
         let mut pooled = match self.dispatch.retry_policy {
             RetryPolicy::AtMostOnce => None,
+            // Open connections may hang where new ones cannot be made.
+            _ if self.has_lost_path() => None,
             RetryPolicy::Idempotent | RetryPolicy::Resumable => {
                 self.node.pool.borrow_mut().take(&self.dispatch.name)
             }
@@ -170,6 +214,10 @@
                     was_closed = true;
                     self.node.pool.borrow_mut().clear(&self.dispatch.name);
                 }
+                Err(ResponseError::Stalled(stalled)) => {
+                    self.node.pool.borrow_mut().clear(&self.dispatch.name);
+                    return stalled.outcome(delivery.head_sent);
+                }
                 Err(error) => {
                     self.node.pool.borrow_mut().clear(&self.dispatch.name);
                     return broken(delivery, matches!(error, ResponseError::Closed));
@@ -178,19 +226,45 @@
         }
     }
 
+    /// Records that bytes arrived on a connection.
+    fn record_heard(&self, target: &Connection) {
+        if !target.is_tunnel() {
+            let now = primrosepin_process::now();
+            self.node.reach.borrow_mut().record_heard(now);
+        }
+    }
+
+    /// Checks the path to the target if no target has sent anything for a while. Returns whether it is lost.
+    fn check_path(&self) -> bool {
+        let now = primrosepin_process::now();
+        let mut reach = self.node.reach.borrow_mut();
+        if !reach.is_silent(now) {
+            return false;
+        }
+        let due = reach.take_check(now);
+        drop(reach);
+        if due {
+            path::check(self.node, self.dispatch.address);
+        }
+        self.has_lost_path()
+    }
+
+    /// Returns whether this VM has no path of its own to the target.
+    fn has_lost_path(&self) -> bool {
+        let now = primrosepin_process::now();
+        self.node.reach.borrow().path(now, self.dispatch.address) == Path::Tunnel
+    }
+
     async fn connect(&self, caller: &mut Connection) -> Result<Connection, Outcome> {
         self.node.instruments.connections.add(1, &[]);
         tokio::select! {
-            stream = net::connect_from(self.node.settings.common.ip, self.dispatch.address, CONNECT_TIMEOUT) => match stream {
-                Ok(stream) => Ok(Connection::new(stream)),
-                Err(error) => {
-                    log::info!(
-                        request = self.request_id, target_name = &*self.dispatch.name;
-                        "cannot connect to the target: {error}"
-                    );
-                    Err(Outcome::Unreachable)
-                }
-            },
+            connected = path::connect(self.node, self.request_id, self.dispatch.address) => connected.map_err(|error| {
+                log::info!(
+                    request = self.request_id, target_name = &*self.dispatch.name;
+                    "cannot connect to the target: {error}"
+                );
+                Outcome::Unreachable
+            }),
             () = caller.closed() => Err(Outcome::CallerGone),
         }
     }
@@ -233,15 +307,18 @@
         target: &mut Connection,
         caller: &mut Connection,
     ) -> Result<Response, ResponseError> {
-        let mut stall = Stall::new(self, self.first_progress_limit());
+        let mut stall = Stall::new(self, target, self.first_progress_limit());
         let head = tokio::select! {
             head = target.read_response(&self.head.method) => head,
-            () = stall.wait() => {
+            stalled = stall.wait() => {
                 self.log_broken("no response head in time");
-                return Err(ResponseError::Stalled);
+                return Err(ResponseError::Stalled(stalled));
             }
             () = caller.closed() => return Err(ResponseError::CallerGone),
         };
+        if head.is_ok() {
+            self.record_heard(target);
+        }
         head.map_err(|error| {
             self.log_broken(&format!("{error:?}"));
             match error {
@@ -302,12 +379,12 @@
             }
             Verdict::Served => {
                 let mut share = self.node.response_memory.share();
-                let mut stall = Stall::new(self, self.first_progress_limit());
+                let mut stall = Stall::new(self, &target, self.first_progress_limit());
                 let body = tokio::select! {
                     body = target.read_body(head.body, limits.body_bytes, self.dispatch.time_left, &mut share) => body,
-                    () = stall.wait() => {
+                    stalled = stall.wait() => {
                         self.log_broken("no complete body in time");
-                        return broken;
+                        return stalled.outcome(delivery.head_sent);
                     }
                     () = caller.closed() => return Outcome::CallerGone,
                 };
@@ -401,7 +478,7 @@
         let mut share = self.node.response_memory.share();
         let mut started = false;
         let mut closed = false;
-        let mut stall = Stall::new(self, self.first_progress_limit());
+        let mut stall = Stall::new(self, &target, self.first_progress_limit());
         loop {
             if let Err(error) = body.decode(&mut target.input, events.undelivered()) {
                 self.log_broken(&format!("malformed body: {}", error.0));
@@ -444,21 +521,23 @@
             };
             let read = tokio::select! {
                 read = read => read,
-                () = stall.wait() => {
+                stalled = stall.wait() => {
                     self.log_broken("no event in time");
-                    break;
+                    return stalled.outcome(delivery.head_sent);
                 }
                 () = caller.closed() => return Outcome::CallerGone,
             };
             match read {
                 // An answer without an event has not begun, however its connection ends.
-                Ok(0) if body == Body::UntilClose && started => body = Body::Done,
+                Ok(0) if body == Body::UntilClose && started && !target.is_tunnel() => {
+                    body = Body::Done;
+                }
                 Ok(0) => {
                     closed = true;
                     self.log_broken("the target closed the connection before the end of the body");
                     break;
                 }
-                Ok(_) => {}
+                Ok(_) => self.record_heard(&target),
                 Err(error) => {
                     closed = true;
                     self.log_broken(&error.to_string());
--- a/gateway/src/entry/caller.rs
+++ b/gateway/src/entry/caller.rs
@@ -235,7 +235,8 @@
             | Outcome::Full
             | Outcome::WrongTarget
             | Outcome::Error
-            | Outcome::Broken { .. } => {}
+            | Outcome::Broken { .. }
+            | Outcome::Disconnected { .. } => {}
         }
     };
     drop(registration);
@@ -281,6 +282,7 @@
         Outcome::WrongTarget => "moved",
         Outcome::Error => "error",
         Outcome::Broken { .. } => "broken",
+        Outcome::Disconnected { .. } => "disconnected",
         Outcome::CallerGone => "abandoned",
         Outcome::TimedOut => "timed_out",
     }
--- a/gateway/src/entry/node.rs
+++ b/gateway/src/entry/node.rs
@@ -8,11 +8,12 @@
 
 use primrosepin_core::fleet::{
     Dispatch, Effect, Event, Fetch, Id, Limits, LoadReport, PartId, Peer, PlannerDecision,
-    PlannerMessage, Reducer, Refusal, Renewal,
+    PlannerMessage, Reach, Reducer, Refusal, Renewal,
 };
 use primrosepin_core::quarantine::{ANY_SERVICE, Crash, Rule};
 use primrosepin_core::time::Instant;
 use primrosepin_telemetry::metrics::Metrics;
+use smallvec::SmallVec;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 
@@ -85,6 +86,12 @@
     pub(super) targets_requested_at: Cell<Instant>,
     /// Requests whose first byte was received and whose connection task has not finished serving them.
     active: Cell<usize>,
+    /// Paths of this VM to targets.
+    pub(super) reach: RefCell<Reach<SocketAddr>>,
+    /// Number of tunnels that this VM forwards for others.
+    pub(super) tunnels: Cell<usize>,
+    /// Number of targets chosen for path checks so far.
+    checked_targets: Cell<usize>,
     /// Other entry VMs, by name.
     peers: RefCell<BTreeMap<Arc<str>, EntryVm>>,
     datagrams: UdpSocket,
@@ -173,6 +180,9 @@
             fetch: RefCell::default(),
             targets_requested_at: Cell::default(),
             active: Cell::new(0),
+            reach: RefCell::default(),
+            tunnels: Cell::new(0),
+            checked_targets: Cell::new(0),
             peers: RefCell::default(),
             datagrams,
         }
@@ -301,6 +311,62 @@
         self.reducer.borrow().is_limited(id)
     }
 
+    /// Records that this VM connected to a target.
+    pub(super) fn record_connection(&self, target: SocketAddr) {
+        let now = primrosepin_process::now();
+        if self.reach.borrow_mut().record_connected(now, target) {
+            log::info!(target_address = target.to_string(); "path to targets is back");
+        }
+    }
+
+    /// Records that a connection to a target failed, or is not established in time.
+    pub(super) fn record_failed_connection(&self, target: SocketAddr) {
+        let now = primrosepin_process::now();
+        self.reach.borrow_mut().record_failed(now, target);
+    }
+
+    /// Records that another entry VM connected this one to a target.
+    pub(super) fn record_tunnel(&self, target: SocketAddr) {
+        let now = primrosepin_process::now();
+        if self.reach.borrow_mut().record_tunnel(now, target) {
+            log::warn!(
+                target_address = target.to_string();
+                "path to targets is lost; connecting through other entry VMs"
+            );
+            // Open connections may hang.
+            self.pool.borrow_mut().clear_all();
+        }
+    }
+
+    /// Returns other entry VMs to ask for a connection to a target, with their internal addresses.
+    pub(super) fn helpers(&self) -> SmallVec<[(Arc<str>, SocketAddr); 4]> {
+        let now = primrosepin_process::now();
+        let peers = self.peers.borrow();
+        let names: Vec<Arc<str>> = peers.keys().cloned().collect();
+        let helpers = self.reach.borrow_mut().helpers(now, &names);
+        let addressed = helpers.into_iter().filter_map(|vm| {
+            let address = peers.get(&vm)?.address;
+            Some((vm, address))
+        });
+        addressed.collect()
+    }
+
+    /// Returns whether a target has announced this address and not left.
+    pub(super) fn is_target(&self, address: SocketAddr) -> bool {
+        let reducer = self.reducer.borrow();
+        reducer.directory().has_address(address)
+    }
+
+    /// Returns the address of a target whose path to check next.
+    pub(super) fn next_target(&self) -> Option<SocketAddr> {
+        let now = primrosepin_process::now();
+        let number = self.checked_targets.get();
+        self.checked_targets.set(number.wrapping_add(1));
+        let reducer = self.reducer.borrow();
+        let usable: Vec<SocketAddr> = reducer.directory().usable_addresses(now).collect();
+        (!usable.is_empty()).then(|| usable[number % usable.len()])
+    }
+
     /// Returns a connection to the pool after a complete response, if it can be reused.
     pub(super) fn return_to_pool(
         &self,
--- a/gateway/src/entry/pool.rs
+++ b/gateway/src/entry/pool.rs
@@ -42,7 +42,7 @@
 
     /// Adds a connection after a complete response, if it can be reused.
     pub(super) fn put(&mut self, target: &Arc<str>, connection: Connection, head: &Response) {
-        if head.closes || !connection.input.is_empty() {
+        if head.closes || connection.is_tunnel() || !connection.input.is_empty() {
             return;
         }
         let idle_time = keep_alive(head).map_or(MAX_IDLE_TIME, |time| {
@@ -64,6 +64,11 @@
         self.idle.remove(target);
     }
 
+    /// Closes all idle connections.
+    pub(super) fn clear_all(&mut self) {
+        self.idle.clear();
+    }
+
     /// Closes connections that were idle for too long.
     pub(super) fn expire(&mut self) {
         let now = Instant::now();
--- a/gateway/src/entry/reservation.rs
+++ b/gateway/src/entry/reservation.rs
@@ -13,8 +13,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::node::Node;
-use crate::http::Connection;
-use crate::net;
+use super::path;
 use crate::protocol::Order;
 
 /// Lease of reserved memory. Memory must be free 4 s after its last use, even if this VM is lost.
@@ -87,21 +86,21 @@
 }
 
 /// Reserves all allocations or renews their leases. Returns whether every target confirmed.
-async fn reserve_all(node: &Node, name: &str, allocations: &[Allocation]) -> bool {
+async fn reserve_all(node: &Rc<Node>, name: &str, allocations: &[Allocation]) -> bool {
     let mut all = true;
     for allocation in allocations {
         let order = node.protocol.reserve(name, allocation.tokens, LEASE);
-        all &= send_order(allocation.address, &order).await == Some(200);
+        all &= send_order(node, name, allocation.address, &order).await == Some(200);
     }
     all
 }
 
 /// Releases all allocations.
-async fn release_all(node: &Node, name: &str, allocations: &[Allocation]) {
+async fn release_all(node: &Rc<Node>, name: &str, allocations: &[Allocation]) {
     for allocation in allocations {
         let order = node.protocol.release(name);
         for _ in 0..MAX_RELEASE_ATTEMPTS {
-            match send_order(allocation.address, &order).await {
+            match send_order(node, name, allocation.address, &order).await {
                 Some(_) => break,
                 None => log::warn!(
                     reservation = name;
@@ -115,9 +114,14 @@
 
 /// Sends an order on a new connection. Returns the response status, or `None` if there is no response in
 /// time.
-async fn send_order(address: SocketAddr, order: &Order) -> Option<u16> {
+async fn send_order(
+    node: &Rc<Node>,
+    name: &str,
+    address: SocketAddr,
+    order: &Order,
+) -> Option<u16> {
     let exchange = async {
-        let mut target = Connection::new(net::connect(address, ORDER_TIMEOUT).await.ok()?);
+        let mut target = path::connect(node, name, address).await.ok()?;
         let mut bytes = format!(
             "POST {} HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n\
              Content-Length: {}\r\nConnection: close\r\n\r\n",
--- a/gateway/src/entry/server.rs
+++ b/gateway/src/entry/server.rs
@@ -12,7 +12,7 @@
 use tokio::time::{interval, sleep, timeout};
 
 use super::node::{Node, Phase};
-use super::{caller, uplink};
+use super::{caller, path, tunnel, uplink};
 use crate::http::{self, Connection};
 use crate::protocol::Protocol;
 use crate::settings::{Front, Source};
@@ -54,6 +54,8 @@
     let datagrams = UdpSocket::bind(common.address())
         .await
         .wrap_err_with(|| format!("cannot bind {}", common.address()))?;
+    let tunnel_listener = net::listen(common.address())
+        .wrap_err_with(|| format!("cannot listen on {}", common.address()))?;
     let registry = Metrics::new("entry", &common.vm, &common.zone)?;
     let node = Rc::new(Node::new(settings, protocol, registry.clone(), datagrams));
     log::info!(vm = &*common.vm, zone = &*common.zone, seeds = common.seeds.len(); "entry started");
@@ -68,6 +70,7 @@
     actix_rt::spawn(reload_seeds(Rc::clone(&node), source, hangup));
     actix_rt::spawn(serve_readiness(Rc::clone(&node), readiness_listener));
     actix_rt::spawn(accept(Rc::clone(&node), caller_listener));
+    actix_rt::spawn(tunnel::accept(Rc::clone(&node), tunnel_listener));
     shutdown.wait().await;
     drain(&node, common.grace).await;
     log::info!(vm = &*common.vm, pending = node.pending(); "entry stopped");
@@ -80,6 +83,7 @@
         ticks.tick().await;
         node.apply(Event::Tick);
         uplink::fetch_config(&node);
+        path::check_lost(&node);
         node.pool.borrow_mut().expire();
     }
 }
--- a/gateway/src/entry/uplink.rs
+++ b/gateway/src/entry/uplink.rs
@@ -223,6 +223,8 @@
         | Message::Crashes(_)
         | Message::Answered(_)
         | Message::Alive(_)
+        | Message::TunnelRequest { .. }
+        | Message::TunnelAnswer(_)
         | Message::Hello(_)
         | Message::RevisionRequest { .. }
         | Message::ConfigRequest
--- a/gateway/src/http.rs
+++ b/gateway/src/http.rs
@@ -324,6 +324,7 @@
     stream: TcpStream,
     /// Bytes received but not yet parsed.
     pub input: BytesMut,
+    is_tunnel: bool,
 }
 
 impl Connection {
@@ -332,9 +333,24 @@
         Self {
             stream,
             input: BytesMut::new(),
+            is_tunnel: false,
         }
     }
 
+    /// Wraps a stream that another entry VM forwards. Its end does not show that the target has closed the
+    /// connection, since that VM may have ended.
+    pub fn through_tunnel(stream: TcpStream) -> Self {
+        Self {
+            is_tunnel: true,
+            ..Self::new(stream)
+        }
+    }
+
+    /// Returns whether another entry VM forwards the stream.
+    pub fn is_tunnel(&self) -> bool {
+        self.is_tunnel
+    }
+
     /// Reads more bytes into the buffer; returns zero at the end of the stream.
     pub async fn fill(&mut self) -> io::Result<usize> {
         self.input.reserve(READ_BYTES);
@@ -451,7 +467,9 @@
             share.resize(output.len()).await;
             match timeout(read_timeout, self.fill()).await {
                 Err(_) => return Err(Error::Slow),
-                Ok(Ok(0)) if body == Body::UntilClose => return Ok(output.freeze()),
+                Ok(Ok(0)) if body == Body::UntilClose && !self.is_tunnel => {
+                    return Ok(output.freeze());
+                }
                 Ok(Ok(0)) => return Err(Error::Io(io::ErrorKind::UnexpectedEof.into())),
                 Ok(read) => drop(read?),
             }
--- a/gateway/src/link.rs
+++ b/gateway/src/link.rs
@@ -7,9 +7,8 @@
 use std::io;
 use std::time::Duration;
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -37,7 +36,7 @@
     let (mut reader, mut writer) = stream.into_split();
     let receive_loop = async {
         loop {
-            match timeout(RECEIVE_TIMEOUT, read_frame(&mut reader)).await {
+            match timeout(RECEIVE_TIMEOUT, read_frame(&mut reader, MAX_BYTES)).await {
                 Ok(Ok(Message::Heartbeat)) => {}
                 Ok(Ok(message)) => on_message(message),
                 Ok(Err(error)) => return Err(error),
@@ -67,20 +66,25 @@
     }
 }
 
-fn encode_frame(bytes: &mut Vec<u8>, message: &Message) -> eyre::Result<()> {
+/// Appends a message, preceded by its length.
+pub(crate) fn encode_frame(bytes: &mut Vec<u8>, message: &Message) -> eyre::Result<()> {
     let body = message.encode()?;
     bytes.extend_from_slice(&(body.len() as u32).to_le_bytes());
     bytes.extend_from_slice(&body);
     Ok(())
 }
 
-async fn read_frame(reader: &mut OwnedReadHalf) -> eyre::Result<Message> {
+/// Reads a message. Fails if it is larger than `max_bytes`.
+pub(crate) async fn read_frame<R>(reader: &mut R, max_bytes: usize) -> eyre::Result<Message>
+where
+    R: AsyncRead + Unpin,
+{
     let mut length = [0; 4];
     reader.read_exact(&mut length).await?;
     let length = u32::from_le_bytes(length) as usize;
     eyre::ensure!(
-        length <= MAX_BYTES,
-        "message of {length} bytes exceeds the limit of {MAX_BYTES}"
+        length <= max_bytes,
+        "message of {length} bytes exceeds the limit of {max_bytes}"
     );
     let mut bytes = vec![0; length];
     reader.read_exact(&mut bytes).await?;
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -9,6 +9,8 @@
 use primrosepin_core::quarantine::{Crash, Part, Rule};
 use serde::{Deserialize, Serialize};
 
+use crate::entry::tunnel;
+
 /// Version of the message format. Messages with another version are rejected.
 pub const VERSION: u8 = 6;
 
@@ -111,6 +113,15 @@
     Quarantine(Vec<Rule>),
     /// Processes of targets that were reported as ended and still run; sent by an entry VM.
     Alive(Vec<u64>),
+    /// Asks an entry VM for a connection to a target; the first message on a connection to it.
+    TunnelRequest {
+        /// ID of the request that needs the connection, for logs.
+        request: Arc<str>,
+        /// Address of the target.
+        target: SocketAddr,
+    },
+    /// Answer to [`Message::TunnelRequest`]. Bytes to and from the target follow, unless it is a refusal.
+    TunnelAnswer(Result<(), tunnel::Refusal>),
 }
 
 impl Message {
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -80,6 +80,8 @@
     pub crashes: Counter<u64>,
     /// Rules on prompts that crash targets.
     pub quarantine_rules: Gauge<u64>,
+    /// Connections to targets asked of other entry VMs, by outcome.
+    pub tunnels: Counter<u64>,
     /// Datagrams that could not be sent.
     pub unsent_datagrams: Counter<u64>,
 }
@@ -105,6 +107,10 @@
             ),
             quarantine_rules: metrics
                 .gauge("quarantine_rules", "Rules on prompts that crash targets"),
+            tunnels: metrics.counter(
+                "tunnels",
+                "Connections to targets asked of other entry VMs, by outcome",
+            ),
             unsent_datagrams: metrics
                 .counter("lost_shares", "Datagrams to peers that were not sent"),
         }
