--- a/core/src/fleet/reach.rs
+++ b/core/src/fleet/reach.rs
@@ -28,6 +28,9 @@
 /// How long a VM that could not help is asked only if no other one is left.
 const UNHELPFUL_TIME: Duration = Duration::from_secs(1);
 
+/// How long a VM that helped is preferred to one that was not asked lately.
+const HELPFUL_TIME: Duration = Duration::from_secs(3);
+
 /// Time from a connection within which this VM is taken to have paths.
 const RECENT_TIME: Duration = Duration::from_secs(1);
 
@@ -67,14 +70,21 @@
     heard_at: Instant,
     /// When paths were last checked.
     checked_at: Instant,
+    /// VMs that helped, with the time until which they are preferred after a failure.
+    helpful: HashMap<Arc<str>, Instant>,
     /// VMs that could not help, with the time until which others are preferred.
     unhelpful: HashMap<Arc<str>, Instant>,
-    /// Number of selections of helpers, which spreads them.
-    selections: usize,
+    /// Differs between selections of helpers, and between VMs.
+    selections: u64,
 }
 
-impl<T> Default for Reach<T> {
-    fn default() -> Self {
+impl<T> Reach<T>
+where
+    T: Copy + Eq + Hash,
+{
+    /// Creates the state of a VM that has connected to no target yet. The name makes VMs that ask for help at the same
+    /// moment ask different ones.
+    pub fn new(vm: &str) -> Self {
         Self {
             failed: HashMap::new(),
             lost: HashMap::new(),
@@ -82,16 +92,12 @@
             connected_at: None,
             heard_at: Instant::default(),
             checked_at: Instant::default(),
+            helpful: HashMap::new(),
             unhelpful: HashMap::new(),
-            selections: 0,
+            selections: xxhash_rust::xxh3::xxh3_64(vm.as_bytes()),
         }
     }
-}
 
-impl<T> Reach<T>
-where
-    T: Copy + Eq + Hash,
-{
     /// Returns whether this VM is taken to have no path to any target.
     pub fn is_cut(&self) -> bool {
         self.is_cut
@@ -118,6 +124,9 @@
         self.failed.remove(&target);
         self.lost.remove(&target);
         self.connected_at = Some(now);
+        if self.is_cut {
+            self.lost.clear();
+        }
         std::mem::take(&mut self.is_cut)
     }
 
@@ -127,7 +136,8 @@
     }
 
     /// Records that another VM connected this one to a target; returns whether this VM is cut off from now on.
-    pub fn record_tunnel(&mut self, now: Instant, target: T) -> bool {
+    pub fn record_tunnel(&mut self, now: Instant, target: T, vm: &Arc<str>) -> bool {
+        self.helpful.insert(Arc::clone(vm), now + HELPFUL_TIME);
         let Some(failed_at) = self.failed.get(&target).copied() else {
             return false;
         };
@@ -166,26 +176,33 @@
 
     /// Records that a VM could not help to reach a target.
     pub fn record_unhelpful(&mut self, now: Instant, vm: &Arc<str>) {
+        self.helpful.remove(vm);
         self.unhelpful.insert(Arc::clone(vm), now + UNHELPFUL_TIME);
     }
 
-    /// Returns the VMs to ask for a connection, in order. Those that could not help lately come last.
+    /// Returns the VMs to ask for a connection, in order. The first one differs from call to call, so that the work is
+    /// spread; those that helped lately follow, and those that could not help come last.
     pub fn helpers(
         &mut self,
         now: Instant,
         peers: &[Arc<str>],
     ) -> SmallVec<[Arc<str>; MAX_HELPERS]> {
         self.unhelpful.retain(|_, until| now < *until);
-        if peers.is_empty() {
-            return SmallVec::new();
-        }
+        self.helpful.retain(|_, until| now < *until);
         self.selections = self.selections.wrapping_add(1);
-        let start = self.selections % peers.len();
-        let (first, second) = peers.split_at(start);
-        let rotated = || second.iter().chain(first);
-        let helpful = rotated().filter(|vm| !self.unhelpful.contains_key(*vm));
-        let others = rotated().filter(|vm| self.unhelpful.contains_key(*vm));
-        helpful.chain(others).take(MAX_HELPERS).cloned().collect()
+        let mut order: Vec<&Arc<str>> = peers.iter().collect();
+        order.sort_by_key(|vm| {
+            let hash = xxhash_rust::xxh3::xxh3_64_with_seed(vm.as_bytes(), self.selections);
+            (self.unhelpful.contains_key(*vm), hash)
+        });
+        if let Some((_, others)) = order.split_first_mut() {
+            others.sort_by_key(|vm| match () {
+                () if self.unhelpful.contains_key(*vm) => 2,
+                () if self.helpful.contains_key(*vm) => 0,
+                () => 1,
+            });
+        }
+        order.into_iter().take(MAX_HELPERS).cloned().collect()
     }
 
     /// Drops what no longer matters.
--- a/core/tests/fleet/main.rs
+++ b/core/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod load;
 mod planner;
 mod quarantine;
+mod reach;
 mod rules;
 mod scale;
 mod support;
--- a/gateway/src/entry/node.rs
+++ b/gateway/src/entry/node.rs
@@ -162,6 +162,7 @@
         registry: Metrics,
         datagrams: UdpSocket,
     ) -> Self {
+        let reach = RefCell::new(Reach::new(&settings.common.vm));
         Self {
             reducer: RefCell::new(Reducer::new(settings.decisions.clone())),
             seeds: RefCell::new(settings.common.seeds.clone()),
@@ -180,7 +181,7 @@
             fetch: RefCell::default(),
             targets_requested_at: Cell::default(),
             active: Cell::new(0),
-            reach: RefCell::default(),
+            reach,
             tunnels: Cell::new(0),
             checked_targets: Cell::new(0),
             peers: RefCell::default(),
@@ -326,9 +327,9 @@
     }
 
     /// Records that another entry VM connected this one to a target.
-    pub(super) fn record_tunnel(&self, target: SocketAddr) {
+    pub(super) fn record_tunnel(&self, target: SocketAddr, helper: &Arc<str>) {
         let now = primrosepin_process::now();
-        if self.reach.borrow_mut().record_tunnel(now, target) {
+        if self.reach.borrow_mut().record_tunnel(now, target, helper) {
             log::warn!(
                 target_address = target.to_string();
                 "path to targets is lost; connecting through other entry VMs"
--- a/gateway/src/entry/path.rs
+++ b/gateway/src/entry/path.rs
@@ -112,7 +112,7 @@
                     request = request, helper = &*vm, target_address = target.to_string();
                     "connected through another entry VM"
                 );
-                node.record_tunnel(target);
+                node.record_tunnel(target, &vm);
                 return Some(Connection::through_tunnel(stream));
             }
             Ok(Err(Refusal::Unreachable)) => {
