--- a/core/src/fleet/reach.rs
+++ b/core/src/fleet/reach.rs
@@ -6,8 +6,8 @@
 //!
 //! # Invariants
 //!
-//! - Only a connection that another VM made shows that a path is lost, and any new connection of this VM's own shows that
-//!   it has paths again.
+//! - Only a connection that another VM made, or the word of several that none can, shows that a path is lost. Any new
+//!   connection of this VM's own shows that it has paths again.
 //! - A VM that connects others uses paths of its own only, so connections never go in circles.
 
 use std::collections::HashMap;
@@ -149,6 +149,13 @@
         !had_path && !std::mem::replace(&mut self.is_cut, true)
     }
 
+    /// Records that neither this VM nor those that it asked can connect to a target; returns whether this VM is cut off
+    /// from now on. It then refuses at once what it cannot serve.
+    pub fn record_no_path(&mut self, now: Instant, target: T) -> bool {
+        let has_failed = self.failed.contains_key(&target);
+        has_failed && !self.is_connected(now) && !std::mem::replace(&mut self.is_cut, true)
+    }
+
     /// Records bytes on a direct connection.
     pub fn record_heard(&mut self, now: Instant) {
         self.heard_at = now;
--- a/core/tests/fleet/reach.rs
+++ b/core/tests/fleet/reach.rs
@@ -92,6 +92,7 @@
             }
             self.vms[vm].record_unhelpful(self.now, &name);
         }
+        self.vms[vm].record_no_path(self.now, target);
         false
     }
 
@@ -100,7 +101,7 @@
         if self.vms[vm].path(self.now, target) == Path::Direct {
             return self.connect_directly(vm, target) || self.ask_others(vm, target);
         }
-        self.ask_others(vm, target) || self.connect_directly(vm, target)
+        self.ask_others(vm, target) || !self.vms[vm].is_cut() && self.connect_directly(vm, target)
     }
 
     /// Lets VMs connect to random targets for a time; returns how many attempts cut VMs made and how many were
--- a/gateway/src/entry/node.rs
+++ b/gateway/src/entry/node.rs
@@ -339,6 +339,18 @@
         }
     }
 
+    /// Records that neither this VM nor others can connect to a target.
+    pub(super) fn record_no_path(&self, target: SocketAddr) {
+        let now = primrosepin_process::now();
+        if self.reach.borrow_mut().record_no_path(now, target) {
+            log::warn!(
+                target_address = target.to_string();
+                "path to targets is lost, and the other entry VMs asked have none"
+            );
+            self.pool.borrow_mut().clear_all();
+        }
+    }
+
     /// Returns other entry VMs to ask for a connection to a target, with their internal addresses.
     pub(super) fn helpers(&self) -> SmallVec<[(Arc<str>, SocketAddr); 4]> {
         let now = primrosepin_process::now();
--- a/gateway/src/entry/path.rs
+++ b/gateway/src/entry/path.rs
@@ -45,6 +45,7 @@
         Path::Direct => connect_by_either(node, request, target).await,
         Path::Tunnel => match open_tunnel(node, request, target).await {
             Some(connection) => Ok(connection),
+            None if node.reach.borrow().is_cut() => Err(io::ErrorKind::NetworkUnreachable.into()),
             None => connect_directly(node, target).await,
         },
     }
@@ -103,7 +104,11 @@
 
 /// Connects through one of the other entry VMs; returns `None` if none of them can.
 async fn open_tunnel(node: &Rc<Node>, request: &str, target: SocketAddr) -> Option<Connection> {
-    for (vm, address) in node.helpers() {
+    let helpers = node.helpers();
+    if helpers.is_empty() {
+        return None;
+    }
+    for (vm, address) in helpers {
         let labels = |outcome| [crate::metrics::label("outcome", outcome)];
         match ask(address, request, target).await {
             Ok(Ok(stream)) => {
@@ -137,6 +142,7 @@
         let now = primrosepin_process::now();
         node.reach.borrow_mut().record_unhelpful(now, &vm);
     }
+    node.record_no_path(target);
     None
 }
 
