--- a/gateway/src/entry/tunnel.rs
+++ b/gateway/src/entry/tunnel.rs
@@ -36,7 +36,7 @@
 const LINGER_TIME: Duration = Duration::from_millis(500);
 
 /// Largest number of tunnels. Each takes two file descriptors and a share of the VM's processor.
-const MAX_TUNNELS: usize = 512;
+pub const MAX_TUNNELS: usize = 256;
 
 /// Why a tunnel is not opened.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
