--- a/core/src/fleet/guard.rs
+++ b/core/src/fleet/guard.rs
@@ -9,7 +9,7 @@
 use super::{
     Effect, Id, Organisation, Outcome, PartId, PartIds, Reason, Reducer, Request, State, Target,
 };
-use crate::quarantine::{ANY_SERVICE, Crash, Part, Rule, process};
+use crate::quarantine::{ANY_SERVICE, Crash, Part, Rule, name_hash, process};
 use crate::time::Instant;
 
 /// Time from the first event within which the end of a target may be due to the prompt. A target that crashes
@@ -101,15 +101,11 @@
 }
 
 /// Returns the parts by which a request is known, with their services.
-fn marks(pending: &Pending) -> SmallVec<[(u64, &PartIds); 2]> {
-    let prompt = (hash(&pending.service.name), &pending.request.parts);
+fn parts_by_service(pending: &Pending) -> SmallVec<[(u64, &PartIds); 2]> {
+    let prompt = (name_hash(&pending.service.name), &pending.request.parts);
     let whole = (ANY_SERVICE, &pending.whole_request);
-    let marks = [prompt, whole].into_iter();
-    marks.filter(|(_, parts)| !parts.is_empty()).collect()
-}
-
-fn hash(name: &str) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(name.as_bytes())
+    let both = [prompt, whole].into_iter();
+    both.filter(|(_, parts)| !parts.is_empty()).collect()
 }
 
 impl Reducer {
@@ -159,8 +155,8 @@
 
     /// Returns whether a rule matches a request.
     fn is_quarantined(&self, pending: &Pending) -> bool {
-        let mut parts = marks(pending).into_iter();
-        parts.any(|(service, parts)| self.guard.matches(service, parts))
+        let mut all = parts_by_service(pending).into_iter();
+        all.any(|(service, parts)| self.guard.matches(service, parts))
     }
 
     /// Refuses a request that a rule matches; returns whether it did.
@@ -220,12 +216,14 @@
             return;
         };
         let process = process(record.name_hash, record.announcement.started_ms);
-        let crashes = marks(pending).into_iter().map(|(service, parts)| Crash {
-            process,
-            service,
-            prompts: vec![parts.clone()],
-            age_ms: 0,
-        });
+        let crashes = parts_by_service(pending)
+            .into_iter()
+            .map(|(service, parts)| Crash {
+                process,
+                service,
+                prompts: vec![parts.clone()],
+                age_ms: 0,
+            });
         let crashes: Vec<Crash> = crashes.collect();
         for crash in &crashes {
             let own = (now, running.target, crash.clone());
@@ -259,7 +257,7 @@
     /// Records that a request was answered.
     fn record_answered(&mut self, now: Instant, pending: &Pending, effects: &mut Vec<Effect>) {
         let mut reported = Vec::new();
-        for (service, parts) in marks(pending) {
+        for (service, parts) in parts_by_service(pending) {
             reported.extend(self.guard.record_answered(now, service, parts));
         }
         if !reported.is_empty() {
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -76,6 +76,11 @@
     pub id: PartId,
 }
 
+/// Returns the hash that stands for a service, or for a target in [`process`].
+pub fn name_hash(name: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(name.as_bytes())
+}
+
 /// Returns the identity of a target's process. A target that starts again has another one.
 pub fn process(name_hash: u64, started_ms: u64) -> u64 {
     name_hash.rotate_left(1) ^ started_ms
--- a/core/src/serving/quarantine.rs
+++ b/core/src/serving/quarantine.rs
@@ -12,7 +12,7 @@
 
 use crate::fleet::{MAX_PARTS, PartId, PartIds};
 use crate::message::Message;
-use crate::quarantine::{ANY_SERVICE, Crash, Evidence, Part, Rule, process};
+use crate::quarantine::{ANY_SERVICE, Crash, Evidence, Part, Rule, name_hash, process};
 use crate::request::{Arrival, Id, Reason};
 use crate::time::Instant;
 
@@ -61,29 +61,25 @@
 }
 
 /// Returns the parts by which a request is known, with their services.
-fn marks(arrival: &Arrival) -> SmallVec<[(u64, PartIds); 2]> {
-    let service = hash(&arrival.service) ^ arrival.model.as_deref().map_or(0, hash).rotate_left(1);
+fn parts_by_service(arrival: &Arrival) -> SmallVec<[(u64, PartIds); 2]> {
+    let service =
+        name_hash(&arrival.service) ^ arrival.model.as_deref().map_or(0, name_hash).rotate_left(1);
     let prefix = arrival.prefix.iter().take(MAX_PARTS).map(|id| PartId(*id));
     let whole = arrival.fingerprint.with_caller(&arrival.organisation);
-    let marks = [
+    let both = [
         (service, prefix.collect()),
         (ANY_SERVICE, PartIds::from_slice(&[PartId(whole)])),
     ];
-    let marks = marks.into_iter();
-    marks
+    both.into_iter()
         .filter(|(_, parts): &(u64, PartIds)| !parts.is_empty())
         .collect()
 }
 
-fn hash(name: &str) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(name.as_bytes())
-}
-
 impl Quarantine {
     fn matches(&self, arrival: &Arrival) -> bool {
-        let mut marks = marks(arrival).into_iter();
+        let mut all = parts_by_service(arrival).into_iter();
         !self.rules.is_empty()
-            && marks.any(|(service, parts)| {
+            && all.any(|(service, parts)| {
                 let mut rules = self.rules.iter();
                 rules.any(|rule| rule.matches(service, &parts))
             })
@@ -110,8 +106,8 @@
         let Some(target) = target.filter(|target| target.generation == run.generation) else {
             return;
         };
-        let process = process(hash(&run.name), target.announcement.incarnation);
-        let crashes = marks(&request.arrival).into_iter();
+        let process = process(name_hash(&run.name), target.announcement.incarnation);
+        let crashes = parts_by_service(&request.arrival).into_iter();
         let crashes = crashes.map(|(service, parts)| Crash {
             process,
             service,
@@ -139,7 +135,7 @@
     /// Records that a request was answered, and tells the zone of its suspected parts.
     pub(super) fn record_answered(&mut self, arrival: &Arrival, effects: &mut Vec<Effect>) {
         let mut reported = Vec::new();
-        for (service, parts) in marks(arrival) {
+        for (service, parts) in parts_by_service(arrival) {
             for id in parts {
                 let part = Part { service, id };
                 let evidence = &mut self.quarantine.evidence;
@@ -186,7 +182,7 @@
         incarnation: u64,
         effects: &mut Vec<Effect>,
     ) {
-        let process = process(hash(name), incarnation);
+        let process = process(name_hash(name), incarnation);
         let now = self.now;
         let mut reported = self.quarantine.reported.iter();
         let is_alive =
--- a/core/tests/fleet/quarantine.rs
+++ b/core/tests/fleet/quarantine.rs
@@ -677,6 +677,11 @@
 /// VMs that start again together.
 #[test]
 fn rules_outlive_restarts_freezes_and_cuts() {
+    check_troubles(&Plan::new(6, 18, 3_000));
+}
+
+/// Plays each trouble of a VM at several times.
+fn check_troubles(plan: &Plan) {
     for (seed, trouble) in [
         (1, Trouble::Restart(2)),
         (2, Trouble::Freeze(1)),
@@ -687,7 +692,7 @@
             let plan = Plan {
                 troubles: vec![(at, trouble)],
                 seed,
-                ..Plan::new(6, 18, 3_000)
+                ..plan.clone()
             };
             // The rule excuses a VM for `contact` after its trouble.
             let excused = match trouble {
@@ -774,23 +779,5 @@
 /// Guards against rules on fatal requests that a VM forgets or misses.
 #[test]
 fn rules_on_requests_outlive_restarts_freezes_and_cuts() {
-    for (seed, trouble) in [
-        (1, Trouble::Restart(2)),
-        (2, Trouble::Freeze(1)),
-        (3, Trouble::Cut(4)),
-        (4, Trouble::ControlRestart),
-    ] {
-        for at in [4_600, 6_000, 9_500] {
-            let plan = Plan {
-                troubles: vec![(at, trouble)],
-                seed,
-                ..Plan::new(6, 18, 3_000).with_fatal(2)
-            };
-            let excused = match trouble {
-                Trouble::Restart(vm) | Trouble::Freeze(vm) | Trouble::Cut(vm) => vec![vm],
-                Trouble::ControlRestart => vec![],
-            };
-            check(&plan, &excused);
-        }
-    }
+    check_troubles(&Plan::new(6, 18, 3_000).with_fatal(2));
 }
--- a/gateway/src/entry/caller.rs
+++ b/gateway/src/entry/caller.rs
@@ -152,7 +152,7 @@
     let prompt_length = request.tokens.map(|tokens| tokens.prompt);
     let (class, prompt_tokens) = (Class::new(prompt_length), prompt_length.unwrap_or(0));
     let caller_timeout = request.timeout;
-    let asks = Asks {
+    let summary = Summary {
         parts: join(&request.parts),
         fingerprint: request.fingerprint.to_string(),
     };
@@ -187,7 +187,7 @@
                 continue;
             }
             Some(Decision::Refuse(refusal)) => {
-                break refuse(node, caller, &mut delivery, &request_id, &asks, refusal).await;
+                break refuse(node, caller, &mut delivery, &request_id, &summary, refusal).await;
             }
             None => break ("abandoned", false),
         };
@@ -197,7 +197,7 @@
         log::info!(
             request = &*request_id, target_name = &*dispatch.name, route = &*dispatch.route,
             attempt = dispatch.attempt, helpers = dispatch.helpers.len(),
-            prompt_tokens = prompt_tokens, parts = &*asks.parts, fingerprint = &*asks.fingerprint,
+            prompt_tokens = prompt_tokens, parts = &*summary.parts, fingerprint = &*summary.fingerprint,
             at_target = dispatch.load.running,
             exclusive = dispatch.load.exclusive, reading = dispatch.load.prefilling, read_ms = dispatch.load.prefill_ms,
             predicted_ms = dispatch.predicted.as_millis() as u64,
@@ -220,8 +220,8 @@
         node.instruments.attempts.add(1, &[label("outcome", ended)]);
         log::info!(
             request = &*request_id, target_name = &*dispatch.name, attempt = dispatch.attempt,
-            took_ms = arrived.elapsed().as_millis() as u64, begun = delivery.head_sent, parts = &*asks.parts,
-            fingerprint = &*asks.fingerprint;
+            took_ms = arrived.elapsed().as_millis() as u64, begun = delivery.head_sent, parts = &*summary.parts,
+            fingerprint = &*summary.fingerprint;
             "attempt ended: {ended}"
         );
         node.apply(Event::Ended(id, outcome));
@@ -268,7 +268,7 @@
 }
 
 /// What a request asks for, for logs.
-struct Asks {
+struct Summary {
     /// Shared parts of the prompt.
     parts: String,
     fingerprint: String,
@@ -294,13 +294,13 @@
     caller: &mut Connection,
     delivery: &mut Delivery,
     request_id: &str,
-    asks: &Asks,
+    summary: &Summary,
     refusal: Refusal,
 ) -> (&'static str, bool) {
     log::info!(
         request = request_id, reason = reason_name(refusal.reason), not_run = refusal.not_run,
         retry_after_ms = refusal.retry_after.map_or(0, |time| time.as_millis() as u64),
-        parts = &*asks.parts, fingerprint = &*asks.fingerprint,
+        parts = &*summary.parts, fingerprint = &*summary.fingerprint,
         revision = node.revision(), config_age_ms = node.config_age_ms();
         "refused"
     );
