fleet: Cut no answer that has begun because the VM stops first

A cause that gives this picture: a request whose target is silent leaves it if another target can start it at once, and is then placed like a new one; a VM that stops refuses what cannot end in time, which cuts the answer. Now it stays, and an answer that has begun is placed again whatever time is left. Test first: can_relocate said yes with 1 s left for an answer that takes two.

--- a/core/src/fleet/attempts.rs
+++ b/core/src/fleet/attempts.rs
@@ -140,14 +140,16 @@
             Some(engine) => placement.place_generation(engine, tokens, &candidates),
             None => Placement::place_plain(&candidates),
         };
-        if let (Some(_), Some(choice)) = (self.shutdown_at, &choice) {
+        // An answer that has begun is cut off if it is refused, so it neither waits nor gives way.
+        let resumes = pending.may_have_run;
+        if let (Some(_), Some(choice)) = (self.shutdown_at, &choice)
+            && !resumes
+        {
             let needed = max_duration(&pending.service, tokens, choice);
             if self.refuse_before_shutdown(now, id, needed, effects) {
                 return;
             }
         }
-        // An answer that has begun is cut off if it is refused, so it neither waits nor gives way.
-        let resumes = pending.may_have_run;
         if let (Some(engine), Some(choice)) = (&pending.service.engine, &choice)
             && choice.exclusive
             && !resumes
--- a/core/src/fleet/relocation.rs
+++ b/core/src/fleet/relocation.rs
@@ -4,7 +4,7 @@
 //! at another target at once. Leaving a silent target for a queue would give up work that may still
 //! finish.
 
-use super::pending::gap;
+use super::pending::{gap, max_duration};
 use super::queue::MAX_COST;
 use super::{Id, Placement, Reducer, RetryPolicy};
 use crate::time::Instant;
@@ -32,7 +32,9 @@
         };
         let choice = placement.place_generation(engine, pending.tokens(), &candidates);
         choice.is_some_and(|choice| {
-            let in_time = choice.predicted < pending.deadline.since(now);
+            let duration = max_duration(&pending.service, pending.tokens(), &choice);
+            let stops_first = self.shutdown_at.is_some_and(|until| now + duration > until);
+            let in_time = choice.predicted < pending.deadline.since(now) && !stops_first;
             choice.idle && in_time && (!choice.exclusive || choice.cost <= MAX_COST)
         })
     }
--- a/core/tests/fleet/rules.rs
+++ b/core/tests/fleet/rules.rs
@@ -420,3 +420,29 @@
         );
     }
 }
+
+/// Guards against answers that are cut off during a planned stop: a running request does not leave its target for one where
+/// it would be refused because the VM stops first, and an answer that has begun goes on elsewhere when its target fails.
+#[test]
+fn a_planned_stop_cuts_no_answer_that_has_begun() {
+    let mut fleet = Fleet::new(1, 4);
+    let id = fleet.arrive(0, request("short", 2_000));
+    let first = fleet.dispatch(id).expect("dispatched").target;
+    fleet.apply(0, Event::Started(id));
+    let now = fleet.now;
+    assert!(fleet.vms[0].can_relocate(now, id));
+    // Less time is left than an answer takes.
+    let until = now + ms(1_000);
+    fleet.apply(0, Event::ShuttingDown { until });
+    assert!(!fleet.vms[0].can_relocate(now, id));
+    let outcome = Outcome::Broken {
+        delivered: true,
+        closed: true,
+    };
+    fleet.end(0, id, outcome);
+    assert!(
+        fleet.refusal(id).is_none(),
+        "an answer that has begun is cut off"
+    );
+    assert_ne!(fleet.dispatch(id).expect("dispatched again").target, first);
+}
