serving: Keep no target names with own crash reports, and no hash for announcements without them

Cause: found by the last read of the change. core::serving::quarantine kept the name of each reported target and never read it, and hashed the name of every renewed announcement although a VM seldom has reports to withdraw. Ruled out: keeping the name for logs, as no line uses it.

Change: the list holds time and process; withdraw_crash returns at once while it is empty. Conclusion: less state, and nothing added to the path of announcements.

--- a/core/src/serving/quarantine.rs
+++ b/core/src/serving/quarantine.rs
@@ -4,7 +4,6 @@
 //! A VM that starts has no rules until it hears of further crashes.
 
 use std::collections::{BTreeSet, VecDeque};
-use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -54,8 +53,8 @@
     rules: Vec<Rule>,
     /// Parts that several crashes have in common.
     suspects: BTreeSet<Part>,
-    /// Own reports that may have to be withdrawn: time, target name and process.
-    reported: VecDeque<(Instant, Arc<str>, u64)>,
+    /// Processes that this VM reported as ended, with the time; the report may have to be withdrawn.
+    reported: VecDeque<(Instant, u64)>,
     heard_at: Instant,
     derived_at: Instant,
 }
@@ -115,8 +114,7 @@
             age_ms: 0,
         });
         let crashes: Vec<Crash> = crashes.collect();
-        let reported = (self.now, Arc::clone(&run.name), process);
-        self.quarantine.reported.push_back(reported);
+        self.quarantine.reported.push_back((self.now, process));
         self.record_crashes(&crashes);
         let message = Message::Quarantine(Report::Crashed(crashes));
         self.broadcast(&message, effects);
@@ -182,17 +180,20 @@
         incarnation: u64,
         effects: &mut Vec<Effect>,
     ) {
+        if self.quarantine.reported.is_empty() {
+            return;
+        }
         let process = process(name_hash(name), incarnation);
         let now = self.now;
         let mut reported = self.quarantine.reported.iter();
         let is_alive =
-            reported.any(|(at, _, reported)| *reported == process && now.since(*at) >= ALIVE_TIME);
+            reported.any(|(at, reported)| *reported == process && now.since(*at) >= ALIVE_TIME);
         if !is_alive {
             return;
         }
         self.quarantine
             .reported
-            .retain(|(_, _, reported)| *reported != process);
+            .retain(|(_, reported)| *reported != process);
         self.quarantine.heard_at = now;
         self.quarantine.evidence.withdraw(process);
         let message = Message::Quarantine(Report::Alive(process));
@@ -210,7 +211,7 @@
         quarantine.derived_at = now;
         quarantine
             .reported
-            .retain(|(at, ..)| now.since(*at) < MEMORY);
+            .retain(|(at, _)| now.since(*at) < MEMORY);
         let rules = quarantine.evidence.rules(now);
         quarantine.suspects = quarantine.evidence.suspects();
         if rules == quarantine.rules {
