review: Case 1, a leave that an unknowing control VM confirms

Cause: a control VM that has not heard of a target answers its DELETE with 200 and tells nobody, so entry VMs send it work for up to 4.5 s more. Change: a script with stand-ins of its own shows it on real processes.

--- /dev/null
+++ b/review/src/cases.rs
@@ -0,0 +1,188 @@
+//! The cases. Each returns what broke the rule, if anything did.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread::sleep;
+use std::time::Duration;
+
+use crate::deployment::{self, Deployment, HOST, KEY, ZONES};
+use crate::http;
+use crate::record::note;
+use crate::worker::{Arrival, Handling, Path, Worker};
+
+/// `drain_ms` of the settings.
+const DRAIN: Duration = Duration::from_millis(2_000);
+
+type Broken = Option<String>;
+
+/// Time without any disturbance after which all machines are in touch (`contact_ms`), with a margin.
+const CALM: Duration = Duration::from_millis(4_000);
+
+/// Sends one request as a consumer does, and records the answer.
+fn request(deployment: &Deployment, path: &str, id: &str, tokens: Option<&str>) -> u16 {
+    let to = deployment.caller_address(0);
+    let (method, deadline, body): (_, _, &[u8]) = match path {
+        "/stock-read/1" => ("GET", "1000", b""),
+        "/place-order/1" => ("POST", "1000", b"order"),
+        _ => ("POST", "10000", b"prompt"),
+    };
+    let key = format!("Bearer {KEY}");
+    let parts = format!("5c1e07a2:40,{id}:4960");
+    let mut headers = vec![
+        ("Host", HOST),
+        ("Primrosepin-Request-Id", id),
+        ("Primrosepin-Deadline-Ms", deadline),
+        ("Authorization", &key),
+    ];
+    if let Some(tokens) = tokens {
+        headers.push(("Primrosepin-Model", "m"));
+        headers.push(("Primrosepin-Token-Count", tokens));
+        headers.push(("Primrosepin-Prompt-Prefix", &parts));
+    }
+    let answer = http::call(to, method, path, &headers, body, Duration::from_secs(12));
+    let (status, text) = match answer {
+        Ok(answer) if answer.complete => (answer.status(), answer.first_line),
+        Ok(answer) => (0, format!("{} (not complete)", answer.first_line)),
+        Err(error) => (0, format!("no answer: {error}")),
+    };
+    note(&format!("caller: {method} {path} {id}: {text}"));
+    status
+}
+
+/// Returns the requests that reached a worker later than `drain_ms` after the confirmation that it leaves.
+fn late(arrivals: &[Arrival], confirmed: Duration) -> Vec<&Arrival> {
+    let late = arrivals.iter().filter(|arrival| arrival.at > confirmed + DRAIN);
+    late.collect()
+}
+
+/// A worker says that it leaves; the path to the control daemon that it uses loses one packet, so it tells the next one.
+pub fn leave(trouble: bool) -> Result<Broken, String> {
+    let deployment = Arc::new(Deployment::start(1)?);
+    deployment.order("PUT", "/config", &deployment::config(7))?;
+    let control: Vec<_> = (0..3).map(|number| deployment.control_address(number)).collect();
+    let path = Path::start(deployment.worker_ip(0), control[0])?;
+    let leaving = Worker::start(
+        "i-leaving",
+        "kolo-orders",
+        ZONES[0],
+        deployment.worker_ip(0),
+        vec![path.address, control[1], control[2]],
+    )?;
+    let staying = Worker::start(
+        "i-staying",
+        "kolo-orders",
+        ZONES[1],
+        deployment.worker_ip(1),
+        vec![control[1], control[2], control[0]],
+    )?;
+    deployment.wait_until_ready(0)?;
+    sleep(CALM);
+    let stopped = Arc::new(AtomicBool::new(false));
+    let (sent, failed) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
+    let callers: Vec<_> = (0..3)
+        .map(|caller| {
+            let (deployment, stopped) = (Arc::clone(&deployment), Arc::clone(&stopped));
+            let (sent, failed) = (Arc::clone(&sent), Arc::clone(&failed));
+            std::thread::spawn(move || {
+                while !stopped.load(Ordering::Relaxed) {
+                    let number = sent.fetch_add(1, Ordering::Relaxed);
+                    let id = format!("order-{caller}-{number}");
+                    if request(&deployment, "/place-order/1", &id, None) != 200 {
+                        failed.fetch_add(1, Ordering::Relaxed);
+                    }
+                    sleep(Duration::from_millis(100));
+                }
+            })
+        })
+        .collect();
+    sleep(CALM);
+    let before = (leaving.arrivals().len(), staying.arrivals().len());
+    note(&format!("before: {} requests at i-leaving, {} at i-staying", before.0, before.1));
+    leaving.wait_for_report();
+    if trouble {
+        path.lose_next();
+    }
+    let confirmed = leaving.leave();
+    // It serves for `drain_ms` after the confirmation and a little longer, and exits.
+    sleep(DRAIN + Duration::from_millis(400));
+    leaving.stop();
+    sleep(Duration::from_secs(3));
+    stopped.store(true, Ordering::Relaxed);
+    for caller in callers {
+        // A caller that panicked has recorded nothing more.
+        let _ = caller.join();
+    }
+    staying.stop();
+    let confirmed = confirmed.ok_or("nobody confirmed that the worker leaves")?;
+    if before.0 == 0 {
+        return Err("no request reached the worker before it left".to_owned());
+    }
+    note(&format!(
+        "{} orders sent, {} of them without a 200",
+        sent.load(Ordering::Relaxed),
+        failed.load(Ordering::Relaxed)
+    ));
+    let arrivals = leaving.arrivals();
+    let late = late(&arrivals, confirmed);
+    Ok(late.first().map(|first| {
+        format!(
+            "DRAIN: {} requests reached i-leaving later than 2,000 ms after the confirmation; the first one, {}, {} ms after it",
+            late.len(),
+            first.id,
+            (first.at - confirmed).as_millis()
+        )
+    }))
+}
+
+/// A worker that has confirmed its leave closes the channel of a request that it has begun.
+pub fn resend(trouble: bool) -> Result<Broken, String> {
+    let deployment = Deployment::start(1)?;
+    deployment.order("PUT", "/config", &deployment::config(7))?;
+    let control: Vec<_> = (0..3).map(|number| deployment.control_address(number)).collect();
+    let workers: Vec<Worker> = (0..3)
+        .map(|number| {
+            let mut control = control.clone();
+            control.rotate_left(number);
+            let ip = deployment.worker_ip(number);
+            let name = format!("i-{}", ZONES[number]);
+            Worker::start(&name, "kolo-lm", ZONES[number], ip, control)
+        })
+        .collect::<Result<_, _>>()?;
+    deployment.wait_until_ready(0)?;
+    sleep(CALM);
+    let tokens = Some("45000,700");
+    // Leaves an open channel to the worker that takes such requests.
+    if request(&deployment, "/order-history/1", "warm-up", tokens) != 200 {
+        return Err("the first request was not served".to_owned());
+    }
+    for worker in &workers {
+        let time = Duration::from_millis(3_000);
+        let handling = if trouble { Handling::Close(time) } else { Handling::Answer(time) };
+        worker.handle("r1", handling);
+    }
+    let deployment = Arc::new(deployment);
+    let calling = Arc::clone(&deployment);
+    let caller =
+        std::thread::spawn(move || request(&calling, "/order-history/1", "r1", Some("45000,700")));
+    sleep(Duration::from_millis(400));
+    let has_it = |worker: &&Worker| worker.arrivals().iter().any(|arrival| arrival.id == "r1");
+    let worker = workers.iter().find(has_it).ok_or("no worker has the request")?;
+    let confirmed = worker.drain().ok_or("nobody confirmed that the worker drains")?;
+    // A caller that panicked has no status.
+    let status = caller.join().unwrap_or(0);
+    note(&format!("the caller got {status}"));
+    sleep(Duration::from_millis(500));
+    let arrivals = worker.arrivals();
+    let name = worker.name().to_owned();
+    for worker in &workers {
+        worker.stop();
+    }
+    let late = late(&arrivals, confirmed);
+    Ok(late.first().map(|first| {
+        format!(
+            "DRAIN: request {} reached {name} {} ms after the confirmation that it drains",
+            first.id,
+            (first.at - confirmed).as_millis()
+        )
+    }))
+}
