--- a/review/src/cases.rs
+++ b/review/src/cases.rs
@@ -5,9 +5,9 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-use crate::deployment::{self, Deployment, HOST, KEY, ZONES};
+use crate::deployment::{self, Deployment, HOST, KEY, SEEDS, ZONES};
 use crate::http;
-use crate::record::note;
+use crate::record::{note, now};
 use crate::worker::{Arrival, Handling, Path, Worker};
 
 /// `drain_ms` of the settings.
@@ -57,7 +57,7 @@
 
 /// A worker says that it leaves; the path to the control daemon that it uses loses one packet, so it tells the next one.
 pub fn leave(trouble: bool) -> Result<Broken, String> {
-    let deployment = Arc::new(Deployment::start(1)?);
+    let deployment = Arc::new(Deployment::start(3, 1)?);
     deployment.order("PUT", "/config", &deployment::config(7))?;
     let control: Vec<_> = (0..3).map(|number| deployment.control_address(number)).collect();
     let path = Path::start(deployment.worker_ip(0), control[0])?;
@@ -136,7 +136,7 @@
 
 /// A worker that has confirmed its leave closes the channel of a request that it has begun.
 pub fn resend(trouble: bool) -> Result<Broken, String> {
-    let deployment = Deployment::start(1)?;
+    let deployment = Deployment::start(3, 1)?;
     deployment.order("PUT", "/config", &deployment::config(7))?;
     let control: Vec<_> = (0..3).map(|number| deployment.control_address(number)).collect();
     let workers: Vec<Worker> = (0..3)
@@ -186,3 +186,109 @@
         )
     }))
 }
+
+/// Time after its return for which a control VM still counts as lost (`catch_up_s` of the grown sites).
+const CATCH_UP: Duration = Duration::from_secs(6);
+
+/// Time for which a control VM whose disk is lost is down.
+const DOWN: Duration = Duration::from_millis(1_500);
+
+/// Two control VMs at a time lose their disks and come back, with the time to catch up in between.
+pub fn rejoin(trouble: bool) -> Result<Broken, String> {
+    const CONTROL_VMS: usize = 6;
+    let mut deployment = Deployment::start(CONTROL_VMS, 1)?;
+    deployment.order("PUT", "/config", &deployment::config(7))?;
+    sleep(CALM);
+    let mut leader = deployment.leader().ok_or("no control VM answers reads")?.0;
+    // Kills of the processes of seeds, until a control VM leads that is not a seed.
+    for _ in 0..6 {
+        note(&format!("control VM {leader} leads"));
+        if !trouble || leader >= SEEDS {
+            break;
+        }
+        let killed = [leader, (leader + 1) % SEEDS];
+        for number in killed {
+            deployment.kill_control(number);
+        }
+        sleep(Duration::from_millis(500));
+        for number in killed {
+            deployment.restart_control(number)?;
+        }
+        sleep(CATCH_UP + Duration::from_secs(1));
+        leader = deployment.leader().ok_or("no control VM answers reads after a kill")?.0;
+    }
+    if trouble && leader < SEEDS {
+        return Err("a seed still leads".to_owned());
+    }
+    deployment.order("PUT", "/config", &deployment::config(8))?;
+    let other = (SEEDS..CONTROL_VMS).find(|number| *number != leader);
+    let waves = [[0, 1], [2, other.unwrap_or(SEEDS)]];
+    for wave in waves.iter().filter(|_| trouble) {
+        for number in wave {
+            deployment.kill_control(*number);
+            deployment.wipe_control(*number)?;
+        }
+        sleep(DOWN);
+        for number in wave {
+            deployment.restart_control(*number)?;
+        }
+        sleep(CATCH_UP + Duration::from_secs(3));
+    }
+    // `recover_s` of the grown sites.
+    sleep(Duration::from_secs(15));
+    read_back(&deployment, 8)
+}
+
+/// A control VM that comes back with an empty disk freezes as it starts; later another one loses its disk.
+pub fn frozen(trouble: bool) -> Result<Broken, String> {
+    let mut deployment = Deployment::start(3, 1)?;
+    deployment.order("PUT", "/config", &deployment::config(7))?;
+    sleep(CALM);
+    let leader = deployment.leader().ok_or("no control VM answers reads")?.0;
+    note(&format!("control VM {leader} leads"));
+    let emptied = (leader + 1) % 3;
+    if trouble {
+        deployment.kill_control(emptied);
+        deployment.wipe_control(emptied)?;
+        sleep(DOWN);
+        deployment.restart_control(emptied)?;
+        if std::env::var_os("WITHOUT_FREEZE").is_none() {
+            deployment.wait_for_learner(leader)?;
+            deployment.signal_control(emptied, "STOP")?;
+            sleep(Duration::from_millis(7_000));
+            deployment.signal_control(emptied, "CONT")?;
+        }
+        sleep(CATCH_UP + Duration::from_secs(3));
+    }
+    deployment.order("PUT", "/config", &deployment::config(8))?;
+    if trouble {
+        let leader = deployment.leader().ok_or("no control VM answers reads")?.0;
+        note(&format!("control VM {leader} leads"));
+        deployment.kill_control(leader);
+        deployment.wipe_control(leader)?;
+        sleep(DOWN);
+        deployment.restart_control(leader)?;
+    }
+    sleep(Duration::from_secs(15));
+    read_back(&deployment, 8)
+}
+
+/// Reads the desired state as the operator does, for twice `contact_ms` of the grown sites.
+fn read_back(deployment: &Deployment, confirmed: u64) -> Result<Broken, String> {
+    let until = now() + Duration::from_secs(8);
+    let mut read = None;
+    while read.is_none() && now() < until {
+        read = deployment.leader();
+        sleep(Duration::from_millis(100));
+    }
+    note(&format!("read of the desired state: control VM and version {read:?}"));
+    Ok(match read {
+        Some((_, version)) if version >= confirmed => None,
+        Some((_, version)) => Some(format!(
+            "CONFIG: version {confirmed} was confirmed, {version} is read back"
+        )),
+        None => Some(format!(
+            "CONFIG: version {confirmed} was confirmed; no control VM returns a desired state, 15 s and more after all are back"
+        )),
+    })
+}
--- a/review/src/deployment.rs
+++ b/review/src/deployment.rs
@@ -19,26 +19,35 @@
 pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
 
 /// A running program. It is killed on drop.
-struct Process(Child);
+struct Process {
+    name: String,
+    child: Child,
+}
 
 impl Drop for Process {
     fn drop(&mut self) {
         // Fails if the process has ended.
-        let _ = self.0.kill();
-        let _ = self.0.wait();
+        let _ = self.child.kill();
+        let _ = self.child.wait();
     }
 }
 
-/// Three control processes and some entry processes in a loopback network of their own.
+/// Number of seeds in the settings.
+pub const SEEDS: usize = 3;
+
+/// Control processes and entry processes in a loopback network of their own. The first three control processes, one in
+/// each zone, are the seeds.
 pub struct Deployment {
     network: u8,
     folder: PathBuf,
+    program: String,
+    control_vms: usize,
     processes: Vec<Process>,
 }
 
 impl Deployment {
-    /// Starts the processes and waits until the control processes answer.
-    pub fn start(entry_vms: usize) -> Result<Self, String> {
+    /// Starts the processes.
+    pub fn start(control_vms: usize, entry_vms: usize) -> Result<Self, String> {
         let program = std::env::var("PRIMROSEPIN_PLATFORM")
             .map_err(|_| "PRIMROSEPIN_PLATFORM does not name the program".to_owned())?;
         let network = free_network().ok_or("no free loopback network")?;
@@ -47,17 +56,84 @@
         let mut deployment = Self {
             network,
             folder,
+            program,
+            control_vms,
             processes: Vec::new(),
         };
-        for number in 0..3 {
-            deployment.start_process(&program, "core", number)?;
+        for number in 0..control_vms {
+            deployment.start_process("core", number, true)?;
         }
         for number in 0..entry_vms {
-            deployment.start_process(&program, "front", number)?;
+            deployment.start_process("front", number, true)?;
         }
         Ok(deployment)
     }
 
+    fn name(kind: &str, number: usize) -> String {
+        format!("{kind}-{}-{}", ZONES[number % 3], number / 3 + 1)
+    }
+
+    /// Kills the process of a control VM.
+    pub fn kill_control(&mut self, number: usize) {
+        let name = Self::name("core", number);
+        // Dropping it kills it.
+        self.processes.retain(|process| process.name != name);
+        note(&format!("{name} killed"));
+    }
+
+    /// Waits until the log of a control VM tells that another one was admitted as a learner.
+    pub fn wait_for_learner(&self, leader: usize) -> Result<(), String> {
+        let log = self.folder.join(format!("{}.log", Self::name("core", leader)));
+        let end = Instant::now() + Duration::from_secs(5);
+        while Instant::now() < end {
+            let text = std::fs::read_to_string(&log).unwrap_or_default();
+            if text.contains("(voter: false)") {
+                return Ok(());
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        Err("the control VM was not admitted".to_owned())
+    }
+
+    /// Stops or continues the process of a control VM.
+    pub fn signal_control(&self, number: usize, signal: &str) -> Result<(), String> {
+        let name = Self::name("core", number);
+        let process = self.processes.iter().find(|process| process.name == name);
+        let id = process.ok_or("the process does not run")?.child.id();
+        note(&format!("{name} gets SIG{signal}"));
+        let sent = Command::new("kill").args([&format!("-{signal}"), &id.to_string()]).status();
+        match sent {
+            Ok(status) if status.success() => Ok(()),
+            _ => Err(format!("cannot send SIG{signal}")),
+        }
+    }
+
+    /// Empties the disk of a control VM whose process was killed.
+    pub fn wipe_control(&self, number: usize) -> Result<(), String> {
+        let name = Self::name("core", number);
+        let data = self.folder.join(format!("{name}-data"));
+        note(&format!("{name} loses its disk"));
+        std::fs::remove_dir_all(data).map_err(|error| error.to_string())
+    }
+
+    /// Starts the process of a control VM again, as the platform does: not to found a new system.
+    pub fn restart_control(&mut self, number: usize) -> Result<(), String> {
+        self.start_process("core", number, false)
+    }
+
+    /// Returns the number of the control VM that answers reads of the desired state, and the version that it holds.
+    pub fn leader(&self) -> Option<(usize, u64)> {
+        let limit = Duration::from_secs(1);
+        (0..self.control_vms).find_map(|number| {
+            let to = self.control_address(number);
+            let answer = http::call(to, "GET", "/config", &[], b"", limit).ok()?;
+            let text = String::from_utf8_lossy(&answer.body).into_owned();
+            let version = text.split("\"version\":").nth(1)?;
+            let digits: String = version.chars().take_while(char::is_ascii_digit).collect();
+            (answer.status() == 200).then_some((number, digits.parse().ok()?))
+        })
+    }
+
     fn ip(&self, kind: &str, number: usize) -> Ipv4Addr {
         let third = if kind == "core" { 1 } else { 2 };
         Ipv4Addr::new(127, self.network, third, number as u8 + 1)
@@ -68,13 +144,14 @@
         Ipv4Addr::new(127, self.network, 3, number as u8 + 1)
     }
 
-    fn start_process(&mut self, program: &str, kind: &str, number: usize) -> Result<(), String> {
+    fn start_process(&mut self, kind: &str, number: usize, bootstrap: bool) -> Result<(), String> {
         let ip = self.ip(kind, number);
         let zone = ZONES[number % 3];
-        let name = format!("{kind}-{zone}-{}", number / 3 + 1);
+        let name = Self::name(kind, number);
+        let tolerated = if self.control_vms > 3 { 2 } else { 1 };
         let data = self.folder.join(format!("{name}-data"));
         std::fs::create_dir_all(&data).map_err(|error| error.to_string())?;
-        let seeds: Vec<String> = (0..3)
+        let seeds: Vec<String> = (0..SEEDS)
             .map(|seed| format!("\"{}:{CONTROL_PORT}\"", self.ip("core", seed)))
             .collect();
         let (serves, listen, disk) = if kind == "core" {
@@ -88,14 +165,14 @@
         let text = format!(
             "node_name = \"{name}\"\nrole = \"{}\"\nmachine_class = \"{kind}\"\nserves = [\"{serves}\"]\n\
              ip = \"{ip}\"\nzone = \"{zone}\"\nregion = \"sk-west\"\n\
-             internal_ports = [{INTERNAL_PORT},{}]\nseeds = [{}]\nbootstrap = true\n\
+             internal_ports = [{INTERNAL_PORT},{}]\nseeds = [{}]\nbootstrap = {bootstrap}\n\
              counts_as_loss = {}\ndiscovery = \"registry\"\nentry = \"vip\"\nheartbeat_ms = 1200\n\
              contracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\"stream\",\"tenants\",\"places\",\"spans\"]\n\
              config_mode = \"highest\"\n{disk}\
              [zones]\ntrnava-a = \"sk-west\"\nnitra-b = \"sk-west\"\nsenec-c = \"sk-west\"\n\
              [listen]\n{listen}\n\
              [limits]\ncpu_share = 0.25\ncores = 1\nmemory_mb = 260\nmax_fds = 4100\nlink_mbps = 1000.0\ndisk_mb = 128\n\
-             [fault_tolerance]\nmachines = 1\nzones = 1\nregions = 0\n\
+             [fault_tolerance]\nmachines = {tolerated}\nzones = 1\nregions = 0\n\
              [bounds]\nseed_lag_s = 3\nreuse_after_s = 2\ncontact_ms = 3000\nack_ms = 4000\ncatch_up_s = 4\n\
              drain_ms = 2000\ngrace_s = 8\nloss_slack_ms = 200\nconfig_ms = 2000\nstale_bound_ms = 250\n\
              max_stretch_ms = 5000\nstrict_revocation = true\nrevoke_ms = 5000\nretry_ratio = 0.2\n\
@@ -109,9 +186,13 @@
         );
         let settings = self.folder.join(format!("{name}.toml"));
         std::fs::write(&settings, text).map_err(|error| error.to_string())?;
-        let log = std::fs::File::create(self.folder.join(format!("{name}.log")))
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("{name}.log")))
             .map_err(|error| error.to_string())?;
         let errors = log.try_clone().map_err(|error| error.to_string())?;
+        let program = &self.program;
         let child = Command::new(program)
             .env("PRIMROSEPIN_SETTINGS", &settings)
             .stdin(Stdio::null())
@@ -120,7 +201,7 @@
             .spawn()
             .map_err(|error| format!("cannot start {program}: {error}"))?;
         note(&format!("{name} started at {ip}"));
-        self.processes.push(Process(child));
+        self.processes.push(Process { name, child });
         Ok(())
     }
 
@@ -138,7 +219,7 @@
         let end = Instant::now() + Duration::from_secs(20);
         let mut attempt = 0;
         while Instant::now() < end {
-            let mut to = self.control_address(attempt % 3);
+            let mut to = self.control_address(attempt % self.control_vms);
             attempt += 1;
             for _ in 0..3 {
                 let headers = [("Content-Type", "application/json")];
@@ -198,7 +279,7 @@
         .find(|network| {
             let ports = [CALLER_PORT, READY_PORT, CONTROL_PORT, INTERNAL_PORT, METRICS_PORT];
             (1..=2).all(|third| {
-                (1..=3).all(|last| {
+                (1..=6).all(|last| {
                     let ip = Ipv4Addr::new(127, *network, third, last);
                     ports.iter().all(|port| TcpListener::bind((ip, *port)).is_ok())
                 })
--- a/review/src/main.rs
+++ b/review/src/main.rs
@@ -18,6 +18,8 @@
     record::note(&format!("case {case}, disruption: {trouble}"));
     let result = std::panic::catch_unwind(|| match case.as_str() {
         "leave" => cases::leave(trouble),
+        "frozen" => cases::frozen(trouble),
+        "rejoin" => cases::rejoin(trouble),
         "resend" => cases::resend(trouble),
         other => Err(format!("no such case: {other}")),
     });
