review: Case 1, frozen seeds stay outside and restarted entry VMs find nothing

Cause: a control VM that was silent is replaced, sets its data aside and asks only its seeds to join; entry VMs start from the same three seeds.

--- a/review/src/cases.rs
+++ b/review/src/cases.rs
@@ -292,3 +292,71 @@
         )),
     })
 }
+
+/// Length of a freeze; `node_freeze` on core goes up to 6.7 s in the site file.
+const FREEZE: Duration = Duration::from_millis(6_500);
+
+/// `recover_s` of the grown sites.
+const RECOVER: Duration = Duration::from_secs(15);
+
+/// Sends ten requests in turn; returns how many are served.
+fn served(deployment: &Deployment, round: &str) -> usize {
+    let served = (0..10).filter(|number| {
+        let id = format!("{round}-{number}");
+        request(deployment, "/stock-read/1", &id, None) == 200
+    });
+    served.count()
+}
+
+/// Seeds freeze for some seconds, two at a time at most; at the end all processes are killed and start again.
+pub fn thaw(trouble: bool) -> Result<Broken, String> {
+    const CONTROL_VMS: usize = 8;
+    let mut deployment = Deployment::start(CONTROL_VMS, 1)?;
+    deployment.order("PUT", "/config", &deployment::config(7))?;
+    let control: Vec<_> = (0..CONTROL_VMS).map(|number| deployment.control_address(number)).collect();
+    let workers: Vec<Worker> = (0..2)
+        .map(|number| {
+            let ip = deployment.worker_ip(number);
+            let name = format!("i-{}", ZONES[number]);
+            Worker::start(&name, "kolo-orders", ZONES[number], ip, control.clone())
+        })
+        .collect::<Result<_, _>>()?;
+    deployment.wait_until_ready(0)?;
+    sleep(CALM);
+    let before = served(&deployment, "before");
+    for _ in 0..5 {
+        let leader = deployment.leader().map(|(number, _)| number);
+        let mut inside: Vec<usize> = (0..SEEDS).filter(|seed| deployment.is_member(*seed)).collect();
+        note(&format!("control VM {leader:?} leads, seeds that know it: {inside:?}"));
+        if inside.is_empty() || !trouble {
+            break;
+        }
+        inside.sort_by_key(|seed| Some(*seed) != leader);
+        inside.truncate(2);
+        for seed in &inside {
+            deployment.signal_control(*seed, "STOP")?;
+        }
+        sleep(FREEZE);
+        for seed in &inside {
+            deployment.signal_control(*seed, "CONT")?;
+        }
+        sleep(CATCH_UP + Duration::from_millis(500));
+    }
+    let still = served(&deployment, "after-freezes");
+    deployment.kill_all(1, Duration::from_secs(1))?;
+    sleep(RECOVER);
+    let after = served(&deployment, "at-the-end");
+    let read = deployment.leader();
+    note(&format!(
+        "served of ten: {before} before, {still} after the freezes, {after} after all were killed and back; read of the desired state: {read:?}"
+    ));
+    for worker in &workers {
+        worker.stop();
+    }
+    if before * 4 < 10 || still * 4 < 10 {
+        return Err("too few requests were served before the final fault".to_owned());
+    }
+    Ok((after * 4 < 10).then(|| {
+        format!("RECOVER: {after} of 10 requests are served 15 s after all machines are back, {still} of 10 were before")
+    }))
+}
--- a/review/src/deployment.rs
+++ b/review/src/deployment.rs
@@ -121,6 +121,31 @@
         self.start_process("core", number, false)
     }
 
+    /// Returns whether a control VM knows who leads: it answers a read, or names the one that does.
+    pub fn is_member(&self, number: usize) -> bool {
+        let to = self.control_address(number);
+        let answer = http::call(to, "GET", "/config", &[], b"", Duration::from_secs(1));
+        answer.is_ok_and(|answer| matches!(answer.status(), 200 | 307))
+    }
+
+    /// Kills all processes at the same moment, and starts them again after `down`.
+    pub fn kill_all(&mut self, entry_vms: usize, down: Duration) -> Result<(), String> {
+        for process in &mut self.processes {
+            // Fails if the process has ended.
+            let _ = process.child.kill();
+        }
+        self.processes.clear();
+        note("all processes killed");
+        std::thread::sleep(down);
+        for number in 0..self.control_vms {
+            self.start_process("core", number, false)?;
+        }
+        for number in 0..entry_vms {
+            self.start_process("front", number, false)?;
+        }
+        Ok(())
+    }
+
     /// Returns the number of the control VM that answers reads of the desired state, and the version that it holds.
     pub fn leader(&self) -> Option<(usize, u64)> {
         let limit = Duration::from_secs(1);
@@ -279,7 +304,7 @@
         .find(|network| {
             let ports = [CALLER_PORT, READY_PORT, CONTROL_PORT, INTERNAL_PORT, METRICS_PORT];
             (1..=2).all(|third| {
-                (1..=6).all(|last| {
+                (1..=8).all(|last| {
                     let ip = Ipv4Addr::new(127, *network, third, last);
                     ports.iter().all(|port| TcpListener::bind((ip, *port)).is_ok())
                 })
--- a/review/src/main.rs
+++ b/review/src/main.rs
@@ -19,6 +19,7 @@
     let result = std::panic::catch_unwind(|| match case.as_str() {
         "leave" => cases::leave(trouble),
         "frozen" => cases::frozen(trouble),
+        "thaw" => cases::thaw(trouble),
         "rejoin" => cases::rejoin(trouble),
         "resend" => cases::resend(trouble),
         other => Err(format!("no such case: {other}")),
