--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 top=$(cd ../.. && pwd)
 export PRIMROSEPIN_PLATFORM="$top/target/release/primrosepin-platform"
 [ -x "$PRIMROSEPIN_PLATFORM" ] && [ -x "$top/target/review/primrosepin-review" ] || exit 2
-exec timeout -k 2 110 "$top/target/review/primrosepin-review" frozen
+exec timeout -k 2 110 "$top/target/review/primrosepin-review" rejoin
