--- a/review/src/cases.rs
+++ b/review/src/cases.rs
@@ -343,12 +343,14 @@
         sleep(CATCH_UP + Duration::from_millis(500));
     }
     let still = served(&deployment, "after-freezes");
-    deployment.kill_all(1, Duration::from_secs(1))?;
+    // ONLY_ENTRY=1 shows that a restart of the entry VM is enough.
+    let only_entry = std::env::var_os("ONLY_ENTRY").is_some();
+    deployment.kill_all(1, only_entry, Duration::from_secs(1))?;
     sleep(RECOVER);
     let after = served(&deployment, "at-the-end");
     let read = deployment.leader();
     note(&format!(
-        "served of ten: {before} before, {still} after the freezes, {after} after all were killed and back; read of the desired state: {read:?}"
+        "served of ten: {before} before, {still} after the freezes, {after} after the kill and the return; read of the desired state: {read:?}"
     ));
     for worker in &workers {
         worker.stop();
--- a/review/src/deployment.rs
+++ b/review/src/deployment.rs
@@ -128,17 +128,27 @@
         answer.is_ok_and(|answer| matches!(answer.status(), 200 | 307))
     }
 
-    /// Kills all processes at the same moment, and starts them again after `down`.
-    pub fn kill_all(&mut self, entry_vms: usize, down: Duration) -> Result<(), String> {
+    /// Kills all processes, or those of entry VMs only, at the same moment, and starts them again after `down`.
+    pub fn kill_all(
+        &mut self,
+        entry_vms: usize,
+        only_entry: bool,
+        down: Duration,
+    ) -> Result<(), String> {
+        let is_killed = |name: &str| !only_entry || name.starts_with("front");
         for process in &mut self.processes {
-            // Fails if the process has ended.
-            let _ = process.child.kill();
+            if is_killed(&process.name) {
+                // Fails if the process has ended.
+                let _ = process.child.kill();
+            }
         }
-        self.processes.clear();
-        note("all processes killed");
+        self.processes.retain(|process| !is_killed(&process.name));
+        note(if only_entry { "entry processes killed" } else { "all processes killed" });
         std::thread::sleep(down);
         for number in 0..self.control_vms {
-            self.start_process("core", number, false)?;
+            if !only_entry {
+                self.start_process("core", number, false)?;
+            }
         }
         for number in 0..entry_vms {
             self.start_process("front", number, false)?;
