consensus: Pass join requests on to the leader

Cause: a replica without data knows the seeds alone, and a seed that does not lead dropped its join requests. Ruled out: the leader refusing them (its log shows none), the link (the seed's log shows them).

Change: a follower passes the request on to the leader of its term, at most once per 200 ms for each replica. The simulation learns what it lacked: settings that list the seeds only, bootstrap in the first start only, one-way cuts; a second set of random schedules draws joins, replaced VMs, lost disks, freezes and exchanged seeds within the tolerance. The check that an entry is synced by a quorum now counts each membership from the entry on with its own quorum; it took the smaller of two quorums before, which is wrong for members that change.

--- a/core/src/consensus/mod.rs
+++ b/core/src/consensus/mod.rs
@@ -31,6 +31,7 @@
 //! - A leader that has had no contact with a quorum for one election timeout, by its own clock, steps down.
 //!   The time until then is called its lease.
 
+mod contacts;
 mod effect;
 mod event;
 mod leader;
--- a/core/src/consensus/reducer.rs
+++ b/core/src/consensus/reducer.rs
@@ -8,6 +8,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
+use super::contacts::Contacts;
 use super::leader::Leader;
 use super::log::Log;
 use super::{
@@ -144,6 +145,9 @@
 struct JoinRequest {
     vm: vm::Name,
     address: SocketAddr,
+    /// Whether the replica has no data.
+    blank: bool,
+    /// Whether the replica may bootstrap a deployment.
     bootstrap: bool,
     received_at: Instant,
 }
@@ -186,6 +190,7 @@
     held_messages: VecDeque<(u64, SocketAddr, Message)>,
     incoming_snapshot: Option<IncomingSnapshot>,
     join_requests: BTreeMap<Id, JoinRequest>,
+    contacts: Contacts,
     next_join_at: Instant,
     /// Members whose removal was requested from this leader.
     pending_removals: BTreeSet<Id>,
@@ -248,6 +253,7 @@
             held_messages: VecDeque::new(),
             incoming_snapshot: None,
             join_requests: BTreeMap::new(),
+            contacts: Contacts::default(),
             next_join_at: now,
             pending_removals: BTreeSet::new(),
             hard_state_changed: false,
@@ -836,7 +842,14 @@
             bootstrap,
         } = body
         {
-            self.on_join(from, address, vm, blank, bootstrap, effects);
+            let request = JoinRequest {
+                vm,
+                address,
+                blank,
+                bootstrap: bootstrap && blank,
+                received_at: self.now,
+            };
+            self.on_join(deployment, from, request, effects);
             return;
         }
         if to != self.own_id() {
@@ -945,21 +958,19 @@
 
     fn on_join(
         &mut self,
+        deployment: u64,
         from: Id,
-        address: SocketAddr,
-        vm: vm::Name,
-        blank: bool,
-        bootstrap: bool,
+        request: JoinRequest,
         effects: &mut Vec<Effect>,
     ) {
-        if blank
+        if request.blank
             && let Some(leader_state) = &mut self.leader_state
             && let Some(progress) = leader_state.progress.get_mut(&from)
             && progress.match_index == 0
         {
             progress.blank = true;
         }
-        if self.role == Role::Blank && !blank {
+        if self.role == Role::Blank && !request.blank {
             return;
         }
         if self.settings.open_membership
@@ -971,24 +982,47 @@
             // The replica was replaced, perhaps while it was partitioned. Its id is never admitted again,
             // so it discards its data and joins with a new id.
             let term = self.hard_state.term;
-            self.send(from, address, Body::Removed { term });
+            self.send(from, request.address, Body::Removed { term });
             return;
         }
-        let join = JoinRequest {
-            vm,
-            address,
-            bootstrap: bootstrap && blank,
-            received_at: self.now,
-        };
-        self.join_requests.insert(from, join);
+        if self.settings.open_membership {
+            self.forward_join(deployment, from, &request);
+        }
+        self.join_requests.insert(from, request);
         let now = self.now;
         self.join_requests
-            .retain(|_, join| now.since(join.received_at) <= JOIN_MAX_AGE);
+            .retain(|_, request| now.since(request.received_at) <= JOIN_MAX_AGE);
         if self.role == Role::Blank {
             self.try_bootstrap(effects);
         }
     }
 
+    /// Passes a join request on to the leader, which alone admits replicas. A replica without data knows the
+    /// seeds only, and none of them may lead. Since each step leads to a leader of a later term, a request
+    /// cannot return to a replica that passed it on in the same term.
+    fn forward_join(&mut self, deployment: u64, from: Id, request: &JoinRequest) {
+        let receiver = match self.leader() {
+            Some(leader) if leader.id != self.own_id() && leader.id != from => leader.address,
+            _ => return,
+        };
+        if !self.contacts.begin_forward(self.now, from) {
+            return;
+        }
+        let message = Message {
+            deployment,
+            from,
+            to: Id(0),
+            address: request.address,
+            body: Body::Join {
+                vm: Arc::clone(&request.vm),
+                blank: request.blank,
+                // A deployment exists.
+                bootstrap: false,
+            },
+        };
+        self.ready_messages.push((receiver, message));
+    }
+
     /// Returns whether this replica knows a live leader and so must not vote for another candidate.
     fn has_leader(&self) -> bool {
         if let Some(leader_state) = &self.leader_state {
--- a/core/tests/consensus.rs
+++ b/core/tests/consensus.rs
@@ -269,6 +269,45 @@
     }
 }
 
+/// Guards against a control VM without data that stays outside for good once no seed leads: only the leader
+/// admits replicas, and a replica without data knows the seeds alone.
+#[test]
+fn replica_without_data_joins_through_seeds_that_do_not_lead() {
+    for seed in 0..20 {
+        let mut cluster = Cluster::with_open_membership(3, seed);
+        cluster.bootstrap = false;
+        let joined = [cluster.join(), cluster.join()];
+        cluster.run_until("joined", |cluster| {
+            cluster.voters_are(&[0, 1, 2, joined[0], joined[1]])
+        });
+        while !cluster
+            .leader()
+            .is_some_and(|leader| joined.contains(&leader))
+        {
+            if let Some(leader) = cluster.leader() {
+                cluster.transfer_leadership(leader);
+            }
+            cluster.run(SECOND);
+        }
+        let number = cluster.commit();
+        for lost in [0, 1] {
+            cluster.crash(lost);
+            cluster.lose_disk(lost);
+            cluster.start(lost);
+        }
+        cluster.run_until("joined again", Cluster::running_are_members);
+        cluster.run(SECOND * 2);
+        // The next loss that is tolerated must leave a quorum.
+        for lost in [2, cluster.leader().unwrap()] {
+            cluster.crash(lost);
+            cluster.lose_disk(lost);
+        }
+        cluster.commit();
+        assert!(cluster.acknowledged.contains(&number));
+        cluster.verify();
+    }
+}
+
 /// Guards against a leader that serves a read on an expired lease: the time of the last quorum contact must
 /// not advance after a partition, when another leader may have committed entries.
 #[test]
@@ -525,6 +564,257 @@
     }
 }
 
+/// Guards against control VMs that stay outside the members for good, so that a later loss takes the quorum:
+/// under random mixes of lost disks, freezes, cuts in one or both directions, restarts, replaced VMs and
+/// changed seeds, no more at a time than the deployment tolerates, every running replica is a member again
+/// within the time to catch up, and commands are committed all the while.
+///
+/// `PRIMROSEPIN_SCHEDULES=N` runs N schedules instead of 24, from seed `PRIMROSEPIN_FIRST_SEED`.
+#[test]
+fn random_schedules_with_open_membership_leave_no_replica_outside() {
+    let variable =
+        |name, default| std::env::var(name).map_or(default, |text| text.parse().unwrap());
+    let first: u64 = variable("PRIMROSEPIN_FIRST_SEED", 0);
+    let (mut terms, mut led_by_others) = (0, 0);
+    for seed in first..first + variable("PRIMROSEPIN_SCHEDULES", 24) {
+        let mut schedule = OpenSchedule::new(seed);
+        for round in 0..8 {
+            schedule.play_round(round);
+        }
+        let cluster = schedule.finish();
+        let leader = cluster.leader().unwrap();
+        terms += cluster.reducer(leader).term();
+        led_by_others += usize::from(!cluster.listed.contains(&leader));
+    }
+    println!("{terms} terms, {led_by_others} schedules ended with a leader that is no seed");
+}
+
+/// Time after its return for which a replica still counts as lost.
+const CATCH_UP: Duration = Duration::from_secs(6);
+
+/// Longest time for which a replica is frozen or cut off.
+const MAX_LOSS_MS: u64 = 7_500;
+
+/// What happens to a replica in a round.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Loss {
+    Disk,
+    Process,
+    Freeze,
+    Cut,
+    CutInbound,
+    CutOutbound,
+    /// The VM does not return; another one takes its place.
+    Replaced,
+}
+
+/// A random schedule for a deployment with open membership.
+struct OpenSchedule {
+    seed: u64,
+    cluster: Cluster,
+    /// Replicas that may be lost at the same time.
+    tolerance: usize,
+    /// A seed that was replaced while the operator's list still names it, with its successor.
+    outdated_seed: Option<(usize, usize)>,
+}
+
+impl OpenSchedule {
+    fn new(seed: u64) -> Self {
+        let count = [3, 5, 6, 8][seed as usize % 4];
+        let mut cluster = Cluster::with_open_membership(3, seed);
+        cluster.bootstrap = false;
+        for _ in 3..count {
+            cluster.join();
+        }
+        cluster.run_until("all joined", Cluster::running_are_members);
+        cluster.faults = Faults {
+            lost: cluster.rng.random_range(0..5),
+            duplicated: cluster.rng.random_range(0..5),
+            max_delay_ms: cluster.rng.random_range(1..20),
+        };
+        cluster.run(CATCH_UP);
+        Self {
+            seed,
+            cluster,
+            tolerance: if count < 5 { 1 } else { 2 },
+            outdated_seed: None,
+        }
+    }
+
+    fn running(&self) -> Vec<usize> {
+        let replicas = &self.cluster.replicas;
+        (0..replicas.len())
+            .filter(|index| replicas[*index].reducer.is_some())
+            .collect()
+    }
+
+    /// Chooses a replica, often the leader or a seed.
+    fn choose(&mut self) -> usize {
+        let running = self.running();
+        match self.cluster.rng.random_range(0..4) {
+            0 => self.cluster.leader().unwrap_or(running[0]),
+            1 | 2 => {
+                let seeds: Vec<usize> = self.cluster.listed.clone();
+                let seeds: Vec<usize> = seeds.into_iter().filter(|s| running.contains(s)).collect();
+                let chosen = self.cluster.rng.random_range(0..seeds.len().max(1));
+                seeds.get(chosen).copied().unwrap_or(running[0])
+            }
+            _ => running[self.cluster.rng.random_range(0..running.len())],
+        }
+    }
+
+    fn play_round(&mut self, round: u32) {
+        if self.cluster.rng.random_range(0..8) == 0 {
+            self.restart_all();
+        }
+        let mut lost: Vec<(usize, Loss)> = Vec::new();
+        for _ in 0..self.cluster.rng.random_range(1..=self.tolerance) {
+            let chosen = self.choose();
+            if lost.iter().all(|(index, _)| *index != chosen) {
+                let loss = match self.cluster.rng.random_range(0..10) {
+                    0..3 => Loss::Disk,
+                    3 => Loss::Process,
+                    4..6 => Loss::Freeze,
+                    6 => Loss::Cut,
+                    7 => Loss::CutInbound,
+                    8 => Loss::CutOutbound,
+                    _ => Loss::Replaced,
+                };
+                lost.push((chosen, loss));
+            }
+        }
+        let outdated_seed = self.outdated_seed.take();
+        let mut ends = Vec::new();
+        for (index, loss) in &lost {
+            let time = self.cluster.rng.random_range(200..MAX_LOSS_MS);
+            ends.push((
+                self.cluster.now + Duration::from_millis(time),
+                *index,
+                *loss,
+            ));
+            self.begin(*index, *loss, Duration::from_millis(time));
+        }
+        ends.sort_by_key(|(at, ..)| *at);
+        self.commit();
+        for (at, index, loss) in ends {
+            while self.cluster.now < at {
+                self.cluster.step();
+            }
+            self.end(index, loss);
+        }
+        if let Some((left, joined)) = outdated_seed {
+            self.exchange_seed(left, joined);
+        }
+        self.commit();
+        self.cluster.run(CATCH_UP);
+        if !self.cluster.running_are_members() {
+            panic!(
+                "seed {}, round {round}: a replica is not a member {CATCH_UP:?} after the end of {lost:?}\n{}",
+                self.seed,
+                self.cluster.describe()
+            );
+        }
+        self.cluster.verify();
+    }
+
+    fn begin(&mut self, index: usize, loss: Loss, time: Duration) {
+        let cluster = &mut self.cluster;
+        match loss {
+            Loss::Disk => {
+                cluster.crash(index);
+                cluster.lose_disk(index);
+            }
+            Loss::Process | Loss::Replaced => cluster.crash(index),
+            Loss::Freeze => cluster.pause(index, time),
+            Loss::Cut => cluster.isolate(index, true),
+            Loss::CutInbound => cluster.block(index, false, true),
+            Loss::CutOutbound => cluster.block(index, true, false),
+        }
+    }
+
+    fn end(&mut self, index: usize, loss: Loss) {
+        let cluster = &mut self.cluster;
+        match loss {
+            Loss::Disk | Loss::Process => {
+                cluster.start(index);
+                // A replica that loses contact just as it joins.
+                if cluster.rng.random_range(0..3) == 0 {
+                    let after = cluster.rng.random_range(1..1_000);
+                    cluster.run(Duration::from_millis(after));
+                    let time = cluster.rng.random_range(200..MAX_LOSS_MS);
+                    cluster.pause(index, Duration::from_millis(time));
+                    cluster.run(Duration::from_millis(time));
+                }
+            }
+            Loss::Freeze => {}
+            Loss::Cut | Loss::CutInbound | Loss::CutOutbound => cluster.isolate(index, false),
+            Loss::Replaced => {
+                let joined = cluster.join();
+                if !cluster.listed.contains(&index) {
+                    return;
+                }
+                // The operator's list names the new VM at once, or only after the next round.
+                if cluster.rng.random_range(0..2) == 0 && self.outdated_seed.is_none() {
+                    self.outdated_seed = Some((index, joined));
+                } else {
+                    self.exchange_seed(index, joined);
+                }
+            }
+        }
+    }
+
+    fn exchange_seed(&mut self, left: usize, joined: usize) {
+        for seed in &mut self.cluster.listed {
+            if *seed == left {
+                *seed = joined;
+            }
+        }
+    }
+
+    /// Commits a command, and fails if that takes longer than the time to catch up.
+    fn commit(&mut self) {
+        let start = self.cluster.now;
+        self.cluster.commit();
+        let took = self.cluster.now.since(start);
+        assert!(
+            took < CATCH_UP,
+            "seed {}: a command took {took:?}\n{}",
+            self.seed,
+            self.cluster.describe()
+        );
+    }
+
+    /// Kills all processes at the same moment; they return within a second.
+    fn restart_all(&mut self) {
+        let running = self.running();
+        for index in &running {
+            self.cluster.crash(*index);
+        }
+        for index in &running {
+            let time = self.cluster.rng.random_range(0..200);
+            self.cluster.run(Duration::from_millis(time));
+            self.cluster.start(*index);
+        }
+        self.cluster.run(CATCH_UP);
+        self.commit();
+    }
+
+    fn finish(mut self) -> Cluster {
+        let cluster = &mut self.cluster;
+        cluster.faults = RELIABLE;
+        cluster.commit();
+        let target = cluster.reducer(cluster.leader().unwrap()).commit();
+        cluster.run_until("all applied", |cluster| {
+            let running = cluster.replicas.iter().filter_map(|r| r.reducer.as_ref());
+            running
+                .into_iter()
+                .all(|reducer| reducer.applied() >= target)
+        });
+        cluster.verify();
+        self.cluster
+    }
+}
+
 /// Guards against a replica that answers reads from an old state after a restart: it must not count as
 /// current before it has applied everything that was committed when it started again.
 #[test]
--- a/core/tests/simulation/mod.rs
+++ b/core/tests/simulation/mod.rs
@@ -7,7 +7,8 @@
 
 use primrosepin_core::consensus::verify::Verifier;
 use primrosepin_core::consensus::{
-    Effect, Entry, Event, HardState, Id, Message, Payload, Reducer, Role, Settings, Snapshot,
+    Effect, Entry, Event, HardState, Id, Members, Message, Payload, Reducer, Role, Settings,
+    Snapshot,
 };
 use primrosepin_core::time::Instant;
 use primrosepin_core::vm;
@@ -109,6 +110,8 @@
     /// Term and number of each accepted proposal by log index.
     pending_proposals: BTreeMap<u64, (u64, u64)>,
     starts: u64,
+    /// Replicas that the settings of the process listed when it started.
+    listed: Vec<usize>,
 }
 
 impl Replica {
@@ -123,6 +126,7 @@
             machine: StateMachine::default(),
             pending_proposals: BTreeMap::new(),
             starts: 0,
+            listed: Vec::new(),
         }
     }
 }
@@ -159,8 +163,10 @@
     pub snapshot_entries: u64,
     /// Whether replicas that are not listed in the settings may join.
     open_membership: bool,
-    /// Number of replicas that are listed in the settings.
-    listed: usize,
+    /// Whether replicas without data may bootstrap a deployment.
+    pub bootstrap: bool,
+    /// Replicas that the settings of a starting process list.
+    pub listed: Vec<usize>,
     network: Vec<(Instant, SocketAddr, Message)>,
     discarded_disks: Vec<Disk>,
     proposals: u64,
@@ -184,7 +190,8 @@
             refused: BTreeSet::new(),
             snapshot_entries: 30,
             open_membership: false,
-            listed: count,
+            bootstrap: true,
+            listed: (0..count).collect(),
             network: Vec::new(),
             discarded_disks: Vec::new(),
             proposals: 0,
@@ -243,7 +250,14 @@
 
     /// Starts the process of a replica with the content of its disk.
     pub fn start(&mut self, index: usize) {
-        let replicas = self.replicas.iter().take(self.listed);
+        self.replicas[index].listed = self.listed.clone();
+        self.open(index);
+    }
+
+    /// Opens the store of a replica whose process runs.
+    fn open(&mut self, index: usize) {
+        let listed = self.replicas[index].listed.clone();
+        let replicas = listed.iter().map(|listed| &self.replicas[*listed]);
         let replicas = replicas
             .map(|replica| (vm::Name::clone(&replica.vm), replica.address))
             .collect();
@@ -257,7 +271,7 @@
                 vm::Name::clone(&replica.vm),
                 replica.address,
                 replicas,
-                true,
+                self.bootstrap,
                 seed,
             )
         };
@@ -343,6 +357,18 @@
         }
     }
 
+    /// Drops the messages that a replica sends to all others, those that it receives from them, or both.
+    pub fn block(&mut self, index: usize, outbound: bool, inbound: bool) {
+        for other in 0..self.replicas.len() {
+            if outbound {
+                self.blocked.insert((index, other));
+            }
+            if inbound {
+                self.blocked.insert((other, index));
+            }
+        }
+    }
+
     /// Returns the running leader of the highest term.
     pub fn leader(&self) -> Option<usize> {
         let running = self.replicas.iter().enumerate();
@@ -369,6 +395,23 @@
             && self.replicas.iter().all(|r| is_voter(r) && initialized(r))
     }
 
+    /// Returns whether the leader's committed members are all running replicas and no other, and each of
+    /// them has its data.
+    pub fn running_are_members(&self) -> bool {
+        let Some(leader) = self.leader() else {
+            return false;
+        };
+        let members = self.reducer(leader).committed_members().unwrap();
+        let running = self.replicas.iter().filter(|r| r.reducer.is_some());
+        let mut count = 0;
+        let all_belong = running.into_iter().all(|replica| {
+            count += 1;
+            let state = replica.disk.hard_state;
+            state.initialized && members.get(state.id).is_some()
+        });
+        all_belong && members.list.len() == count
+    }
+
     /// Proposes a command on a replica and returns its number.
     pub fn propose(&mut self, index: usize) -> u64 {
         self.proposals += 1;
@@ -423,7 +466,7 @@
     }
 
     /// Describes the state of all replicas for a failed test.
-    fn describe(&self) -> String {
+    pub fn describe(&self) -> String {
         let lines = self.replicas.iter().map(|replica| match &replica.reducer {
             Some(reducer) => format!(
                 "{} {:?} {:?} term {} base {:?} commit {} applied {} members {:?}",
@@ -564,7 +607,7 @@
                 Effect::Reset => {
                     self.crash(index);
                     self.lose_disk(index);
-                    self.start(index);
+                    self.open(index);
                     return;
                 }
                 Effect::Apply(entry) => self.apply(index, id, &entry),
@@ -610,18 +653,33 @@
         }
     }
 
-    /// Checks that an entry is synced to the disks of a quorum of the current members.
+    /// Checks that an entry is synced to the disks of a quorum. The leader counted the members that were in
+    /// force at the entry or after it.
     fn check_synced(&self, index: usize, entry: &Entry) {
-        let members = self.reducer(index).members().unwrap();
+        let reducer = self.reducer(index);
+        let snapshot = self.replicas[index].disk.snapshot.as_ref();
+        let mut memberships = vec![&snapshot.unwrap().members];
+        for logged in reducer.entries() {
+            if let Payload::Members(members) = &logged.payload {
+                if logged.index <= entry.index {
+                    memberships.clear();
+                }
+                memberships.push(members);
+            }
+        }
         // Discarded disks count too, since a disk may be lost after its replica acknowledged the entry.
         let running = self.replicas.iter().map(|replica| &replica.disk);
-        let disks = running.chain(&self.discarded_disks);
-        let holding =
-            disks.filter(|disk| members.is_voter(disk.hard_state.id) && disk.holds(entry));
-        // A membership change may already be in the log, so the smaller of both quorums is required.
-        let quorum = members.quorum().min(self.replicas.len() / 2 + 1);
+        let holding: Vec<Id> = running
+            .chain(&self.discarded_disks)
+            .filter(|disk| disk.holds(entry))
+            .map(|disk| disk.hard_state.id)
+            .collect();
+        let is_quorum = |members: &&Members| {
+            let voters = members.voters();
+            voters.filter(|voter| holding.contains(&voter.id)).count() >= members.quorum()
+        };
         assert!(
-            holding.count() >= quorum,
+            memberships.iter().any(is_quorum),
             "{entry:?} is committed without a synced quorum"
         );
     }
