consensus: Give up a removed id before there is data

Cause: the leader removes a silent learner and answers its further requests with Removed, which a replica in the role Blank ignored. It asked for ever under an id that is never admitted again.

Change: Removed resets a replica without data too, so that it takes a new id. No message changes.

--- a/core/src/consensus/reducer.rs
+++ b/core/src/consensus/reducer.rs
@@ -934,10 +934,9 @@
                 }
             }
             Body::Removed { term } => {
-                if term >= self.hard_state.term
-                    && self.role != Role::Blank
-                    && self.leader_state.is_none()
-                {
+                // A replica without data was admitted and then lost contact before it received any. It asks
+                // under an id that is never admitted again, so it needs a new one too.
+                if term >= self.hard_state.term && self.leader_state.is_none() {
                     effects.push(Effect::Reset);
                 }
             }
--- a/core/tests/consensus.rs
+++ b/core/tests/consensus.rs
@@ -308,6 +308,38 @@
     }
 }
 
+/// Guards against a replica that is shut out for good because it lost contact just as it joined: its id is
+/// removed before it has any data, and must be given up like that of a replica with data.
+#[test]
+fn replica_removed_before_it_had_data_joins_with_a_new_id() {
+    for seed in 0..20 {
+        let mut cluster = Cluster::with_open_membership(3, seed);
+        cluster.bootstrap = false;
+        let lost = others(&cluster, cluster.leader().unwrap())[0];
+        cluster.crash(lost);
+        cluster.lose_disk(lost);
+        // A path that works in one direction: requests to join arrive, and the data does not.
+        if seed % 2 == 0 {
+            cluster.block(lost, false, true);
+        }
+        cluster.start(lost);
+        let id = cluster.reducer(lost).id();
+        cluster.run_until("admitted", |cluster| {
+            let members = cluster.reducer(cluster.leader().unwrap()).members();
+            members.is_some_and(|members| members.get(id).is_some())
+        });
+        cluster.pause(lost, SECOND * 7);
+        cluster.run(SECOND * 7);
+        cluster.isolate(lost, false);
+        cluster.run(CATCH_UP);
+        assert!(cluster.running_are_members(), "{}", cluster.describe());
+        let leader = cluster.leader().unwrap();
+        cluster.crash(leader);
+        cluster.commit();
+        cluster.verify();
+    }
+}
+
 /// Guards against a leader that serves a read on an expired lease: the time of the last quorum contact must
 /// not advance after a partition, when another leader may have committed entries.
 #[test]
@@ -707,13 +739,12 @@
         }
         self.commit();
         self.cluster.run(CATCH_UP);
-        if !self.cluster.running_are_members() {
-            panic!(
-                "seed {}, round {round}: a replica is not a member {CATCH_UP:?} after the end of {lost:?}\n{}",
-                self.seed,
-                self.cluster.describe()
-            );
-        }
+        assert!(
+            self.cluster.running_are_members(),
+            "seed {}, round {round}: a replica is not a member {CATCH_UP:?} after the end of {lost:?}\n{}",
+            self.seed,
+            self.cluster.describe()
+        );
         self.cluster.verify();
     }
 
