consensus, gateway: Tell listed replicas without data where the members are

Cause: a replica without data can ask its seeds only. If none of them has data, nobody answers, no member ever speaks to a VM outside, and a reset drops the members together with the data. The roster for entry VMs was empty then. Ruled out: the quorum (the other control VMs answered the operator's reads).

Change: members send a join request each second to listed replicas that are not members. Effect::Reset hands the known members to the next start of the replica. The simulation reopens a reset replica after a second, as the process does, and its check of synced quorums counts each membership ever logged from the entry on.

--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -97,6 +97,8 @@
 #[derive(Debug)]
 struct Node<'s> {
     setup: &'s Setup,
+    /// Addresses of other members that outlive a reset of the data.
+    contacts: &'s mut Vec<SocketAddr>,
     started: Instant,
     clock: Clock,
     disk: Disk,
@@ -119,8 +121,9 @@
 /// store the first time, so that a process does not start with an unreadable store.
 pub(crate) fn run(setup: &Setup, disk: Disk, inputs: &Receiver<Input>) {
     let mut opened = Ok(disk);
+    let mut contacts = Vec::new();
     loop {
-        let result = opened.and_then(|disk| Node::new(setup, disk)?.run(inputs));
+        let result = opened.and_then(|disk| Node::new(setup, disk, &mut contacts)?.run(inputs));
         let Err(error) = result else {
             return;
         };
@@ -178,10 +181,15 @@
 }
 
 impl<'s> Node<'s> {
-    fn new(setup: &'s Setup, mut disk: Disk) -> eyre::Result<Self> {
+    fn new(
+        setup: &'s Setup,
+        mut disk: Disk,
+        contacts: &'s mut Vec<SocketAddr>,
+    ) -> eyre::Result<Self> {
         let started = Instant::now();
         let settings = Settings {
             open_membership: setup.open_membership,
+            contacts: contacts.clone(),
             ..Settings::new(
                 vm::Name::clone(&setup.vm),
                 setup.address,
@@ -203,6 +211,7 @@
         );
         Ok(Self {
             setup,
+            contacts,
             started,
             clock: Clock::new(Duration::ZERO, time_since_boot()),
             disk,
@@ -334,7 +343,8 @@
                         let body = encode_snapshot(&snapshot)?;
                         self.disk.store.save_snapshot(snapshot.index, &body)?;
                     }
-                    Effect::Reset => {
+                    Effect::Reset { contacts } => {
+                        *self.contacts = contacts;
                         disk::reset(&self.setup.data)?;
                         bail!("this replica was replaced; it joins again without data");
                     }
@@ -490,6 +500,7 @@
             term: reducer.term(),
             leader: leader.map(|leader| (vm::Name::clone(&leader.vm), leader.address)),
             members: reducer.committed_members().cloned().unwrap_or_default(),
+            contacts: reducer.contacts().collect(),
             applied: reducer.applied(),
             is_current: reducer.has_caught_up(),
             failure: None,
--- a/control/src/replica.rs
+++ b/control/src/replica.rs
@@ -128,10 +128,12 @@
         (view.term, view.role)
     }
 
-    /// Returns the addresses of all replicas of the deployment.
+    /// Returns the addresses of all known replicas of the deployment. Without data these are the members that
+    /// have told this replica where they are.
     pub fn member_addresses(&self) -> Vec<SocketAddr> {
-        let members = self.shared.view().members;
-        members.list.iter().map(|member| member.address).collect()
+        let view = self.shared.view();
+        let members = view.members.list.iter().map(|member| member.address);
+        members.chain(view.contacts).collect()
     }
 
     /// Returns the last time at which a quorum was known to follow this leader; none unless leader.
--- a/control/src/shared.rs
+++ b/control/src/shared.rs
@@ -19,6 +19,8 @@
     /// Name and address of the leader, if known.
     pub(crate) leader: Option<(vm::Name, SocketAddr)>,
     pub(crate) members: Members,
+    /// Addresses at which members were heard, while this replica has no data.
+    pub(crate) contacts: Vec<SocketAddr>,
     /// Index of the last applied entry.
     pub(crate) applied: u64,
     /// Whether all entries known to be committed are applied; see
@@ -46,6 +48,7 @@
             term: 0,
             leader: None,
             members: Members::default(),
+            contacts: Vec::new(),
             applied: 0,
             is_current: false,
             failure: None,
--- a/core/src/consensus/effect.rs
+++ b/core/src/consensus/effect.rs
@@ -55,7 +55,10 @@
     /// Writes a snapshot; stored entries up to its index may then be deleted.
     SaveSnapshot(Snapshot),
     /// Sets all data aside and restarts without data, because the replica was replaced.
-    Reset,
+    Reset {
+        /// Addresses of the members that the replica knew, for [`super::Settings::contacts`].
+        contacts: Vec<SocketAddr>,
+    },
     /// Applies an entry, which is committed and synced locally, to the state machine.
     Apply(Entry),
     /// A proposed command was appended to the leader's log. It will be committed, or replaced after a
--- a/core/src/consensus/reducer.rs
+++ b/core/src/consensus/reducer.rs
@@ -7,6 +7,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
+use smallvec::SmallVec;
 
 use super::contacts::Contacts;
 use super::leader::Leader;
@@ -27,6 +28,12 @@
 /// Interval between a replica's join requests.
 const JOIN_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Interval at which a member tells listed replicas that are not members where the deployment is.
+const ADVERTISE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Maximum number of contacts to which a replica without data passes on the join request of another one.
+const MAX_FORWARD_RECEIVERS: usize = 4;
+
 /// Maximum age at which a join request is still considered.
 const JOIN_MAX_AGE: Duration = Duration::from_secs(1);
 
@@ -72,6 +79,8 @@
     pub address: SocketAddr,
     /// Initial replicas of the deployment, including this one.
     pub replicas: Vec<(vm::Name, SocketAddr)>,
+    /// Addresses of members known from an earlier membership of this replica; see [`Effect::Reset`].
+    pub contacts: Vec<SocketAddr>,
     /// Whether a replica without data may bootstrap a deployment.
     pub bootstrap: bool,
     /// Whether replicas that are not listed in `replicas` may join. The platform replaces VMs at new
@@ -99,6 +108,7 @@
             vm,
             address,
             replicas,
+            contacts: Vec::new(),
             bootstrap,
             open_membership: false,
             seed,
@@ -192,6 +202,7 @@
     join_requests: BTreeMap<Id, JoinRequest>,
     contacts: Contacts,
     next_join_at: Instant,
+    next_advertise_at: Instant,
     /// Members whose removal was requested from this leader.
     pending_removals: BTreeSet<Id>,
     // Changes collected while one event is processed, emitted by `flush`.
@@ -219,6 +230,7 @@
             log.push(entry);
         }
         let applied = log.base_index();
+        let contacts = Contacts::new(now, &settings.contacts);
         let mut reducer = Self {
             rng: SmallRng::seed_from_u64(settings.seed),
             settings,
@@ -253,8 +265,9 @@
             held_messages: VecDeque::new(),
             incoming_snapshot: None,
             join_requests: BTreeMap::new(),
-            contacts: Contacts::default(),
+            contacts,
             next_join_at: now,
+            next_advertise_at: now,
             pending_removals: BTreeSet::new(),
             hard_state_changed: false,
             unsaved_entries: Vec::new(),
@@ -305,6 +318,11 @@
         self.log.members_at(self.commit_index)
     }
 
+    /// Returns where members of the deployment were heard; empty once this replica has data.
+    pub fn contacts(&self) -> impl Iterator<Item = SocketAddr> {
+        self.contacts.addresses()
+    }
+
     /// Returns the highest committed index known.
     pub fn commit(&self) -> u64 {
         self.commit_index
@@ -534,6 +552,7 @@
                     for (id, address) in self.other_members() {
                         self.send_append(id, address, true);
                     }
+                    self.advertise();
                 }
             }
             Role::Follower | Role::PreCandidate | Role::Candidate => {
@@ -551,6 +570,7 @@
                         self.send_join_requests();
                     } else {
                         self.next_join_at = self.now + JOIN_INTERVAL;
+                        self.advertise();
                     }
                 }
             }
@@ -577,13 +597,37 @@
             .map(|(_, address)| *address)
             .collect();
         addresses.extend(self.other_members().into_iter().map(|(_, address)| address));
+        addresses.extend(self.contacts.addresses());
         for address in addresses {
-            let body = Body::Join {
-                vm: Arc::clone(&self.settings.vm),
-                blank: self.role == Role::Blank,
-                bootstrap: self.settings.bootstrap,
-            };
-            self.send_synced(Id(0), address, body);
+            self.send_join_request(address);
+        }
+    }
+
+    fn send_join_request(&mut self, address: SocketAddr) {
+        let body = Body::Join {
+            vm: Arc::clone(&self.settings.vm),
+            blank: self.role == Role::Blank,
+            bootstrap: self.settings.bootstrap,
+        };
+        self.send_synced(Id(0), address, body);
+    }
+
+    /// Sends a join request to the listed replicas that are not members, if it is time to. One that has no
+    /// data learns from it where the deployment is: perhaps all replicas in its own settings have none either.
+    fn advertise(&mut self) {
+        if !self.settings.open_membership || self.now < self.next_advertise_at {
+            return;
+        }
+        self.next_advertise_at = self.now + ADVERTISE_INTERVAL;
+        let members = self.other_members();
+        let listed = self.settings.replicas.iter();
+        let outside: Vec<SocketAddr> = listed
+            .filter(|(vm, _)| *vm != self.settings.vm)
+            .map(|(_, address)| *address)
+            .filter(|address| members.iter().all(|(_, member)| member != address))
+            .collect();
+        for address in outside {
+            self.send_join_request(address);
         }
     }
 
@@ -640,6 +684,7 @@
 
     fn install_snapshot(&mut self, snapshot: Snapshot, effects: &mut Vec<Effect>) {
         self.hard_state.initialized = true;
+        self.contacts.clear();
         self.hard_state_changed = false;
         self.unsaved_entries.clear();
         if self.role == Role::Blank {
@@ -836,6 +881,10 @@
         if (known != 0 && deployment != 0 && deployment != known) || from == self.own_id() {
             return;
         }
+        if self.role == Role::Blank && deployment != 0 && self.settings.open_membership {
+            // Perhaps meant for the id that this VM had before it lost its disk.
+            self.contacts.record(self.now, address);
+        }
         if let Body::Join {
             vm,
             blank,
@@ -937,7 +986,10 @@
                 // A replica without data was admitted and then lost contact before it received any. It asks
                 // under an id that is never admitted again, so it needs a new one too.
                 if term >= self.hard_state.term && self.leader_state.is_none() {
-                    effects.push(Effect::Reset);
+                    let members = self.other_members().into_iter();
+                    let mut contacts: Vec<_> = members.map(|(_, address)| address).collect();
+                    contacts.extend(self.contacts.addresses());
+                    effects.push(Effect::Reset { contacts });
                 }
             }
             Body::TransferLeadership { term, successor } => {
@@ -996,15 +1048,21 @@
         }
     }
 
-    /// Passes a join request on to the leader, which alone admits replicas. A replica without data knows the
-    /// seeds only, and none of them may lead. Since each step leads to a leader of a later term, a request
-    /// cannot return to a replica that passed it on in the same term.
+    /// Passes a join request on to the leader, which alone admits replicas: the sender may know only seeds, of
+    /// which none leads. A replica without data passes it on to its contacts. Each step between members leads
+    /// to a leader of a later term, and [`Contacts`] bounds the others, so a request does not circulate.
     fn forward_join(&mut self, deployment: u64, from: Id, request: &JoinRequest) {
-        let receiver = match self.leader() {
-            Some(leader) if leader.id != self.own_id() && leader.id != from => leader.address,
-            _ => return,
+        let receivers: SmallVec<[SocketAddr; MAX_FORWARD_RECEIVERS]> = match self.role {
+            Role::Leader => return,
+            Role::Blank => self.contacts.latest(MAX_FORWARD_RECEIVERS).collect(),
+            Role::Follower | Role::PreCandidate | Role::Candidate => self
+                .leader()
+                .filter(|leader| leader.id != from)
+                .map(|leader| leader.address)
+                .into_iter()
+                .collect(),
         };
-        if !self.contacts.begin_forward(self.now, from) {
+        if receivers.is_empty() || !self.contacts.begin_forward(self.now, from) {
             return;
         }
         let message = Message {
@@ -1019,7 +1077,9 @@
                 bootstrap: false,
             },
         };
-        self.ready_messages.push((receiver, message));
+        for receiver in receivers {
+            self.ready_messages.push((receiver, message.clone()));
+        }
     }
 
     /// Returns whether this replica knows a live leader and so must not vote for another candidate.
--- a/core/tests/consensus.rs
+++ b/core/tests/consensus.rs
@@ -340,6 +340,62 @@
     }
 }
 
+/// Guards against replicas without data that never find the members because none of the replicas in their
+/// settings has data: a member that lists them tells them where the deployment is.
+#[test]
+fn members_find_listed_replicas_without_data() {
+    for seed in 0..20 {
+        let mut cluster = Cluster::with_open_membership(3, seed);
+        cluster.bootstrap = false;
+        let joined = [cluster.join(), cluster.join(), cluster.join()];
+        cluster.run_until("joined", Cluster::running_are_members);
+        // The first seed leaves for good, and the two others lose their disks.
+        cluster.crash(0);
+        let rest = [&[1, 2], &joined[..]].concat();
+        cluster.run_until("replaced", |cluster| cluster.voters_are(&rest));
+        for lost in [1, 2] {
+            cluster.crash(lost);
+            cluster.lose_disk(lost);
+        }
+        if seed % 2 == 0 {
+            // Their old ids are removed before they return, so that no member addresses them any more.
+            cluster.run(SECOND * 8);
+        }
+        cluster.start(1);
+        cluster.start(2);
+        cluster.run(CATCH_UP);
+        assert!(cluster.running_are_members(), "{}", cluster.describe());
+        cluster.verify();
+    }
+}
+
+/// Guards against a replaced replica that forgets the members together with its data, when the replicas in
+/// the settings of its process have left.
+#[test]
+fn replaced_replica_remembers_the_members() {
+    for seed in 0..20 {
+        let mut cluster = Cluster::with_open_membership(3, seed);
+        cluster.bootstrap = false;
+        let joined = [cluster.join(), cluster.join(), cluster.join()];
+        cluster.run_until("joined", Cluster::running_are_members);
+        cluster.run(CATCH_UP);
+        let away = joined[0];
+        cluster.isolate(away, true);
+        cluster.run(SECOND * 8);
+        for left in 0..3 {
+            let successor = cluster.join();
+            cluster.crash(left);
+            cluster.isolate(away, true);
+            cluster.run(SECOND * 8);
+            cluster.listed[left] = successor;
+        }
+        cluster.isolate(away, false);
+        cluster.run(CATCH_UP);
+        assert!(cluster.running_are_members(), "{}", cluster.describe());
+        cluster.verify();
+    }
+}
+
 /// Guards against a leader that serves a read on an expired lease: the time of the last quorum contact must
 /// not advance after a partition, when another leader may have committed entries.
 #[test]
--- a/core/tests/simulation/mod.rs
+++ b/core/tests/simulation/mod.rs
@@ -15,6 +15,9 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
+/// Time for which a replica that was replaced is closed before it opens its empty store.
+const REOPEN_DELAY: Duration = Duration::from_secs(1);
+
 /// Simulated time of one step.
 const STEP: Duration = Duration::from_millis(1);
 
@@ -112,6 +115,8 @@
     starts: u64,
     /// Replicas that the settings of the process listed when it started.
     listed: Vec<usize>,
+    /// When the running process opens its store again after it was reset, with the contacts that it keeps.
+    reopens_at: Option<(Instant, Vec<SocketAddr>)>,
 }
 
 impl Replica {
@@ -127,6 +132,7 @@
             pending_proposals: BTreeMap::new(),
             starts: 0,
             listed: Vec::new(),
+            reopens_at: None,
         }
     }
 }
@@ -168,6 +174,8 @@
     /// Replicas that the settings of a starting process list.
     pub listed: Vec<usize>,
     network: Vec<(Instant, SocketAddr, Message)>,
+    /// All memberships that were written to a log, with their indexes.
+    memberships: Vec<(u64, Members)>,
     discarded_disks: Vec<Disk>,
     proposals: u64,
 }
@@ -193,6 +201,7 @@
             bootstrap: true,
             listed: (0..count).collect(),
             network: Vec::new(),
+            memberships: Vec::new(),
             discarded_disks: Vec::new(),
             proposals: 0,
         };
@@ -251,11 +260,12 @@
     /// Starts the process of a replica with the content of its disk.
     pub fn start(&mut self, index: usize) {
         self.replicas[index].listed = self.listed.clone();
-        self.open(index);
+        self.replicas[index].reopens_at = None;
+        self.open(index, Vec::new());
     }
 
     /// Opens the store of a replica whose process runs.
-    fn open(&mut self, index: usize) {
+    fn open(&mut self, index: usize, contacts: Vec<SocketAddr>) {
         let listed = self.replicas[index].listed.clone();
         let replicas = listed.iter().map(|listed| &self.replicas[*listed]);
         let replicas = replicas
@@ -267,6 +277,7 @@
             retained_entries: 10,
             snapshot_chunk_bytes: 64,
             open_membership: self.open_membership,
+            contacts,
             ..Settings::new(
                 vm::Name::clone(&replica.vm),
                 replica.address,
@@ -299,6 +310,7 @@
     pub fn crash(&mut self, index: usize) {
         let replica = &mut self.replicas[index];
         replica.reducer = None;
+        replica.reopens_at = None;
         replica.pending_proposals.clear();
         let kept = self.rng.random_range(0..=replica.writes.len());
         for (_, write) in replica.writes.drain(..).take(kept) {
@@ -488,6 +500,15 @@
     pub fn step(&mut self) {
         self.now = self.now + STEP;
         for index in 0..self.replicas.len() {
+            let replica = &mut self.replicas[index];
+            if replica
+                .reopens_at
+                .as_ref()
+                .is_some_and(|(at, _)| *at <= self.now)
+                && let Some((_, contacts)) = replica.reopens_at.take()
+            {
+                self.open(index, contacts);
+            }
             let replica = &mut self.replicas[index];
             if replica.paused_until.is_some_and(|until| until <= self.now) {
                 replica.paused_until = None;
@@ -593,8 +614,19 @@
                 write @ (Effect::Persist { .. }
                 | Effect::InstallSnapshot { .. }
                 | Effect::SaveSnapshot(_)) => {
+                    if let Effect::Persist { entries, .. } = &write {
+                        for entry in entries {
+                            if let Payload::Members(members) = &entry.payload {
+                                self.memberships.push((entry.index, members.clone()));
+                            }
+                        }
+                    }
                     let replica = &mut self.replicas[index];
                     if let Effect::InstallSnapshot { snapshot, .. } = &write {
+                        if snapshot.index == 0 {
+                            // The initial members are not in the log.
+                            self.memberships.push((0, snapshot.members.clone()));
+                        }
                         replica.machine = StateMachine::decode(&snapshot.state);
                         self.verifier.record_start(id, snapshot.index);
                         replica.pending_proposals.clear();
@@ -604,10 +636,10 @@
                     let last = replica.writes.back().map_or(at, |(last, _)| *last);
                     replica.writes.push_back((at.max(last), write));
                 }
-                Effect::Reset => {
+                Effect::Reset { contacts } => {
                     self.crash(index);
                     self.lose_disk(index);
-                    self.open(index);
+                    self.replicas[index].reopens_at = Some((self.now + REOPEN_DELAY, contacts));
                     return;
                 }
                 Effect::Apply(entry) => self.apply(index, id, &entry),
@@ -631,7 +663,7 @@
 
     fn apply(&mut self, index: usize, id: Id, entry: &Entry) {
         if !self.verifier.committed().contains_key(&entry.index) {
-            self.check_synced(index, entry);
+            self.check_synced(entry);
         }
         assert!(
             self.replicas[index].disk.holds(entry),
@@ -654,19 +686,14 @@
     }
 
     /// Checks that an entry is synced to the disks of a quorum. The leader counted the members that were in
-    /// force at the entry or after it.
-    fn check_synced(&self, index: usize, entry: &Entry) {
-        let reducer = self.reducer(index);
-        let snapshot = self.replicas[index].disk.snapshot.as_ref();
-        let mut memberships = vec![&snapshot.unwrap().members];
-        for logged in reducer.entries() {
-            if let Payload::Members(members) = &logged.payload {
-                if logged.index <= entry.index {
-                    memberships.clear();
-                }
-                memberships.push(members);
-            }
-        }
+    /// force in its log at the entry or after it.
+    fn check_synced(&self, entry: &Entry) {
+        let earlier = self.memberships.iter().map(|(at, _)| *at);
+        let in_force = earlier.filter(|at| *at <= entry.index).max();
+        let logged = self.memberships.iter();
+        let mut memberships = logged
+            .filter(|(at, _)| Some(*at) >= in_force)
+            .map(|(_, members)| members);
         // Discarded disks count too, since a disk may be lost after its replica acknowledged the entry.
         let running = self.replicas.iter().map(|replica| &replica.disk);
         let holding: Vec<Id> = running
@@ -674,13 +701,14 @@
             .filter(|disk| disk.holds(entry))
             .map(|disk| disk.hard_state.id)
             .collect();
-        let is_quorum = |members: &&Members| {
+        let is_quorum = |members: &Members| {
             let voters = members.voters();
             voters.filter(|voter| holding.contains(&voter.id)).count() >= members.quorum()
         };
         assert!(
-            memberships.iter().any(is_quorum),
-            "{entry:?} is committed without a synced quorum"
+            memberships.any(is_quorum),
+            "{entry:?} is committed without a synced quorum\n{}",
+            self.describe()
         );
     }
 
