control: Read the seeds again while a control VM runs

Cause: a running control VM never read its settings again, so it looked for members at seeds that had left. Ruled out: passing on of requests (nobody they could ask ran).

Change: control VMs read the seeds every 3 s and on SIGHUP with the code that entry VMs use (gateway::reload), and the replica takes them as Event::Listed. Bootstrapping is unchanged: it needs the replicas listed at the start.

Conclusion: fixed; found by the schedules, not seen by callers.

--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -56,6 +56,8 @@
     Propose(Command, oneshot::Sender<Decision>),
     /// Remove a replica from the members.
     Remove(Id),
+    /// The settings list these addresses.
+    Listed(Vec<SocketAddr>),
     /// Transfer leadership and stop.
     Stop,
 }
@@ -93,12 +95,20 @@
     reply: oneshot::Sender<Decision>,
 }
 
+/// What a replica keeps while its store is closed.
+#[derive(Debug)]
+struct Kept {
+    /// Addresses that the settings list.
+    listed: Vec<SocketAddr>,
+    /// Addresses of the members known before the data was reset.
+    contacts: Vec<SocketAddr>,
+}
+
 /// A replica from one opening of its store to the next.
 #[derive(Debug)]
 struct Node<'s> {
     setup: &'s Setup,
-    /// Addresses of other members that outlive a reset of the data.
-    contacts: &'s mut Vec<SocketAddr>,
+    kept: &'s mut Kept,
     started: Instant,
     clock: Clock,
     disk: Disk,
@@ -121,9 +131,12 @@
 /// store the first time, so that a process does not start with an unreadable store.
 pub(crate) fn run(setup: &Setup, disk: Disk, inputs: &Receiver<Input>) {
     let mut opened = Ok(disk);
-    let mut contacts = Vec::new();
+    let mut kept = Kept {
+        listed: setup.replicas.iter().map(|(_, address)| *address).collect(),
+        contacts: Vec::new(),
+    };
     loop {
-        let result = opened.and_then(|disk| Node::new(setup, disk, &mut contacts)?.run(inputs));
+        let result = opened.and_then(|disk| Node::new(setup, disk, &mut kept)?.run(inputs));
         let Err(error) = result else {
             return;
         };
@@ -138,7 +151,7 @@
             failure: Some(format!("{error:#}")),
             ..view
         });
-        if refuse_until_reopen(inputs) {
+        if refuse_until_reopen(inputs, &mut kept) {
             return;
         }
         // With open membership there are replicas that are not listed, so damaged data is set aside.
@@ -152,7 +165,7 @@
 }
 
 /// Refuses commands and drops messages for [`REOPEN_DELAY`]; returns whether the replica is told to stop.
-fn refuse_until_reopen(inputs: &Receiver<Input>) -> bool {
+fn refuse_until_reopen(inputs: &Receiver<Input>, kept: &mut Kept) -> bool {
     let until = Instant::now() + REOPEN_DELAY;
     loop {
         match inputs.recv_timeout(until.saturating_duration_since(Instant::now())) {
@@ -160,6 +173,7 @@
                 // Fails only if the caller no longer waits.
                 let _ = reply.send(Decision::NotAccepted);
             }
+            Ok(Input::Listed(listed)) => kept.listed = listed,
             Ok(Input::Received(_) | Input::Remove(_)) => {}
             Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => return true,
             Err(RecvTimeoutError::Timeout) => return false,
@@ -181,15 +195,12 @@
 }
 
 impl<'s> Node<'s> {
-    fn new(
-        setup: &'s Setup,
-        mut disk: Disk,
-        contacts: &'s mut Vec<SocketAddr>,
-    ) -> eyre::Result<Self> {
+    fn new(setup: &'s Setup, mut disk: Disk, kept: &'s mut Kept) -> eyre::Result<Self> {
         let started = Instant::now();
         let settings = Settings {
             open_membership: setup.open_membership,
-            contacts: contacts.clone(),
+            listed: kept.listed.clone(),
+            contacts: kept.contacts.clone(),
             ..Settings::new(
                 vm::Name::clone(&setup.vm),
                 setup.address,
@@ -211,7 +222,7 @@
         );
         Ok(Self {
             setup,
-            contacts,
+            kept,
             started,
             clock: Clock::new(Duration::ZERO, time_since_boot()),
             disk,
@@ -286,6 +297,10 @@
                 Input::Remove(id) => self
                     .reducer
                     .apply(now, Event::RemoveMember(id), &mut effects),
+                Input::Listed(listed) => {
+                    self.kept.listed.clone_from(&listed);
+                    self.reducer.apply(now, Event::Listed(listed), &mut effects);
+                }
                 Input::Stop => {}
             }
         }
@@ -344,7 +359,7 @@
                         self.disk.store.save_snapshot(snapshot.index, &body)?;
                     }
                     Effect::Reset { contacts } => {
-                        *self.contacts = contacts;
+                        self.kept.contacts = contacts;
                         disk::reset(&self.setup.data)?;
                         bail!("this replica was replaced; it joins again without data");
                     }
--- a/control/src/replica.rs
+++ b/control/src/replica.rs
@@ -156,6 +156,12 @@
         ChangeReceiver(self.shared.watch())
     }
 
+    /// Sets the addresses that the settings list, where a replica that lost the others looks for them.
+    pub fn set_listed(&self, listed: Vec<SocketAddr>) {
+        // Dropped if the queue is full because the replica waits for its disk; the settings are read again.
+        drop(self.node.try_send(Input::Listed(listed)));
+    }
+
     /// Hands over leadership and stops.
     pub fn stop(&self) {
         // Fails only if the node ended by itself.
--- a/core/src/consensus/event.rs
+++ b/core/src/consensus/event.rs
@@ -1,5 +1,6 @@
 //! Events of a control replica.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use super::{Id, Message};
@@ -27,6 +28,9 @@
     },
     /// An operator removes a member that will not return or is no longer wanted.
     RemoveMember(Id),
+    /// The settings list these addresses of replicas from now on. Bootstrapping still needs the replicas that
+    /// they listed at the start.
+    Listed(Vec<SocketAddr>),
     /// The replica shuts down; a leader transfers leadership to another voter.
     TransferLeadership,
 }
--- a/core/src/consensus/reducer.rs
+++ b/core/src/consensus/reducer.rs
@@ -79,6 +79,8 @@
     pub address: SocketAddr,
     /// Initial replicas of the deployment, including this one.
     pub replicas: Vec<(vm::Name, SocketAddr)>,
+    /// Addresses at which a replica that lost the others looks for them; see [`Event::Listed`].
+    pub listed: Vec<SocketAddr>,
     /// Addresses of members known from an earlier membership of this replica; see [`Effect::Reset`].
     pub contacts: Vec<SocketAddr>,
     /// Whether a replica without data may bootstrap a deployment.
@@ -107,6 +109,7 @@
         Self {
             vm,
             address,
+            listed: replicas.iter().map(|(_, address)| *address).collect(),
             replicas,
             contacts: Vec::new(),
             bootstrap,
@@ -409,6 +412,7 @@
             Event::Propose(commands) => self.propose(commands, effects),
             Event::Compact { index, state } => self.compact_log(index, state, effects),
             Event::RemoveMember(member) => self.request_removal(member),
+            Event::Listed(listed) => self.settings.listed = listed,
             Event::TransferLeadership => self.transfer_leadership(),
         }
         self.flush(effects);
@@ -589,20 +593,24 @@
 
     fn send_join_requests(&mut self) {
         self.next_join_at = self.now + JOIN_INTERVAL;
-        let mut addresses: BTreeSet<SocketAddr> = self
-            .settings
-            .replicas
-            .iter()
-            .filter(|(vm, _)| *vm != self.settings.vm)
-            .map(|(_, address)| *address)
+        let members = self.other_members();
+        let members = members.into_iter().map(|(_, address)| address);
+        let addresses: BTreeSet<SocketAddr> = self
+            .listed()
+            .chain(members)
+            .chain(self.contacts.addresses())
             .collect();
-        addresses.extend(self.other_members().into_iter().map(|(_, address)| address));
-        addresses.extend(self.contacts.addresses());
         for address in addresses {
             self.send_join_request(address);
         }
     }
 
+    /// Returns the addresses that the settings list, without this replica's own.
+    fn listed(&self) -> impl Iterator<Item = SocketAddr> {
+        let listed = self.settings.listed.iter().copied();
+        listed.filter(|address| *address != self.settings.address)
+    }
+
     fn send_join_request(&mut self, address: SocketAddr) {
         let body = Body::Join {
             vm: Arc::clone(&self.settings.vm),
@@ -620,10 +628,8 @@
         }
         self.next_advertise_at = self.now + ADVERTISE_INTERVAL;
         let members = self.other_members();
-        let listed = self.settings.replicas.iter();
-        let outside: Vec<SocketAddr> = listed
-            .filter(|(vm, _)| *vm != self.settings.vm)
-            .map(|(_, address)| *address)
+        let outside: Vec<SocketAddr> = self
+            .listed()
             .filter(|address| members.iter().all(|(_, member)| member != address))
             .collect();
         for address in outside {
--- a/core/tests/consensus.rs
+++ b/core/tests/consensus.rs
@@ -396,6 +396,32 @@
     }
 }
 
+/// Guards against replicas that run on and look for the others at seeds that have left: seeds are exchanged
+/// while processes run.
+#[test]
+fn replica_joins_through_seeds_that_were_exchanged_while_it_ran() {
+    for seed in 0..20 {
+        let mut cluster = Cluster::with_open_membership(3, seed);
+        cluster.bootstrap = false;
+        cluster.commit();
+        // All seeds leave one after the other, and the settings still name them when the last VM starts.
+        let mut successors = Vec::new();
+        for left in 0..3 {
+            successors.push(cluster.join());
+            cluster.run(CATCH_UP);
+            cluster.crash(left);
+            cluster.run(CATCH_UP);
+        }
+        let joined = cluster.join();
+        cluster.run(SECOND);
+        assert!(cluster.reducer(joined).members().is_none());
+        cluster.list(successors);
+        cluster.run(CATCH_UP);
+        assert!(cluster.running_are_members(), "{}", cluster.describe());
+        cluster.verify();
+    }
+}
+
 /// Guards against a leader that serves a read on an expired lease: the time of the last quorum contact must
 /// not advance after a partition, when another leader may have committed entries.
 #[test]
@@ -851,11 +877,11 @@
     }
 
     fn exchange_seed(&mut self, left: usize, joined: usize) {
-        for seed in &mut self.cluster.listed {
-            if *seed == left {
-                *seed = joined;
-            }
+        let mut listed = self.cluster.listed.clone();
+        for seed in listed.iter_mut().filter(|seed| **seed == left) {
+            *seed = joined;
         }
+        self.cluster.list(listed);
     }
 
     /// Commits a command, and fails if that takes longer than the time to catch up.
--- a/core/tests/simulation/mod.rs
+++ b/core/tests/simulation/mod.rs
@@ -264,6 +264,20 @@
         self.open(index, Vec::new());
     }
 
+    /// Changes the replicas that the settings list, and has the running processes read them.
+    pub fn list(&mut self, listed: Vec<usize>) {
+        self.listed = listed;
+        let addresses: Vec<_> = self
+            .listed
+            .iter()
+            .map(|seed| self.replicas[*seed].address)
+            .collect();
+        for index in 0..self.replicas.len() {
+            self.replicas[index].listed = self.listed.clone();
+            self.handle(index, Event::Listed(addresses.clone()));
+        }
+    }
+
     /// Opens the store of a replica whose process runs.
     fn open(&mut self, index: usize, contacts: Vec<SocketAddr>) {
         let listed = self.replicas[index].listed.clone();
--- a/gateway/src/control/server.rs
+++ b/gateway/src/control/server.rs
@@ -18,8 +18,8 @@
 use super::peers::{self, Peers};
 use super::quarantine;
 use crate::protocol::Protocol;
-use crate::settings::Core;
-use crate::{metrics, net};
+use crate::settings::{Core, Source};
+use crate::{metrics, net, reload};
 
 /// Interval at which unchanged announcements and roster changes are sent to entry VMs.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(300);
@@ -31,13 +31,17 @@
 /// Time limit for the replica to hand over leadership and stop.
 const STOP_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Runs a control process until a termination signal arrives. Fails if it cannot bind its addresses or
-/// open its data.
-pub async fn run(
+/// Runs a control process until a termination signal arrives. `hangup` signals that `source` may have
+/// changed. Fails if it cannot bind its addresses or open its data.
+pub async fn run<S>(
     settings: Core,
+    source: S,
     protocol: Arc<dyn Protocol>,
-    mut hangup: Hangup,
-) -> eyre::Result<()> {
+    hangup: Hangup,
+) -> eyre::Result<()>
+where
+    S: Source,
+{
     let shutdown = Shutdown::new()?;
     let common = settings.common.clone();
     let link_address = common.address();
@@ -94,18 +98,15 @@
     actix_rt::spawn(flush_periodically(Rc::clone(&hub)));
     actix_rt::spawn(broadcast_changes(Rc::clone(&hub)));
     actix_rt::spawn(quarantine::run(Rc::clone(&hub)));
-    actix_rt::spawn(async move {
-        loop {
-            hangup.wait().await;
-            // Members come from the replicated log; the seeds are used only at startup.
-            log::info!(
-                "ignoring the reload signal: a running control process does not reload its settings"
-            );
-        }
-    });
+    let port = common.port;
+    let seeds = common.seeds;
+    actix_rt::spawn(reload::run(seeds, source, hangup, move |seeds| {
+        let addresses = seeds.iter().map(|ip| SocketAddr::new(*ip, port));
+        replica.set_listed(addresses.collect());
+    }));
     shutdown.wait().await;
     log::info!(vm = &*common.vm; "control stopping");
-    replica.stop();
+    hub.replica.stop();
     // Does not wait longer for a stalled disk: the process would be killed.
     drop(timeout(STOP_TIMEOUT, ended).await);
     drop(timeout(DRAIN_TIME, all_sent).await);
--- a/gateway/src/entry/server.rs
+++ b/gateway/src/entry/server.rs
@@ -9,14 +9,14 @@
 use primrosepin_process::{Hangup, Shutdown};
 use primrosepin_telemetry::metrics::Metrics;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::time::{interval, sleep, timeout};
+use tokio::time::{interval, sleep};
 
 use super::node::{Node, Phase};
 use super::{caller, path, tunnel, uplink};
 use crate::http::{self, Connection};
 use crate::protocol::Protocol;
 use crate::settings::{Front, Source};
-use crate::{metrics, net};
+use crate::{metrics, net, reload};
 
 /// Interval at which the reducer handles timers.
 const TICK_INTERVAL: Duration = Duration::from_millis(30);
@@ -67,7 +67,10 @@
     let receiver = Rc::clone(&node);
     actix_rt::spawn(async move { receiver.receive_datagrams().await });
     actix_rt::spawn(tick(Rc::clone(&node)));
-    actix_rt::spawn(reload_seeds(Rc::clone(&node), source, hangup));
+    let reloaded = Rc::clone(&node);
+    actix_rt::spawn(reload::run(common.seeds, source, hangup, move |seeds| {
+        *reloaded.seeds.borrow_mut() = seeds.to_vec();
+    }));
     actix_rt::spawn(serve_readiness(Rc::clone(&node), readiness_listener));
     actix_rt::spawn(accept(Rc::clone(&node), caller_listener));
     actix_rt::spawn(tunnel::accept(Rc::clone(&node), tunnel_listener));
@@ -88,30 +91,6 @@
     }
 }
 
-/// Reloads the seeds on each signal, and periodically, since the settings may change without a signal.
-async fn reload_seeds<S>(node: Rc<Node>, source: S, mut hangup: Hangup)
-where
-    S: Source,
-{
-    loop {
-        /// Interval of reloads without a signal. New seeds matter only once the known control VMs are lost.
-        const RELOAD_INTERVAL: Duration = Duration::from_secs(3);
-        let signalled = timeout(RELOAD_INTERVAL, hangup.wait()).await.is_ok();
-        match source.seeds() {
-            Ok(seeds) => {
-                let previous = node.seeds.replace(seeds);
-                if signalled || previous != *node.seeds.borrow() {
-                    log::info!(
-                        signalled = signalled, seeds = format!("{:?}", node.seeds.borrow());
-                        "settings reloaded"
-                    );
-                }
-            }
-            Err(error) => log::warn!("cannot reload the settings: {error:#}"),
-        }
-    }
-}
-
 async fn accept(node: Rc<Node>, listener: TcpListener) {
     loop {
         let (stream, _) = net::accept(&listener).await;
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -31,4 +31,5 @@
 pub mod metrics;
 pub mod net;
 pub mod protocol;
+mod reload;
 pub mod settings;
