control: Confirm a leave only once those that route know of it

Cause: a control VM knows the targets that announced themselves to it; for others, and for earlier starts, a withdrawal was answered 200 and told nobody. It was also confirmed when no other control VM had acknowledged the relay, and by VMs without any entry VM. Ruled out: the entry VM's lease (4.5 s, as intended) and the links (the packet was lost between target and control VM).

Change: withdrawals go out by name whatever is known; a leave is confirmed when another control VM with entry VMs has passed it on or all linked entry VMs have acknowledged it, and fails with 503 otherwise; ready targets are confirmed only by a control VM that has entry VMs. A start that was not known is held out for 10 s, so that late announcements do not bring it back. A message on a link that has just ended opens the next link and is not dropped.

--- a/core/src/fleet/directory.rs
+++ b/core/src/fleet/directory.rs
@@ -18,6 +18,16 @@
 /// the platform specifies.
 const TOMBSTONE_TTL: Duration = Duration::from_mins(2);
 
+/// Time for which announcements of a target are ignored after it was withdrawn where its current start was
+/// not known: one that is still under way cannot be told from one of a later start.
+const WITHDRAWAL_HOLD: Duration = Duration::from_secs(10);
+
+/// Time after a withdrawal within which another one of the same target is a copy of it.
+const WITHDRAWAL_COPIES: Duration = Duration::from_secs(5);
+
+/// Maximum number of names that are held at the same time.
+const MAX_HELD_NAMES: usize = 1_024;
+
 /// State that a target announces.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
@@ -53,6 +63,26 @@
 }
 
 impl Announcement {
+    /// Creates the withdrawal of a target by its name alone, whichever start of it a receiver knows.
+    pub fn withdrawal(name: &str) -> Self {
+        Self {
+            name: name.into(),
+            service: Arc::default(),
+            address: SocketAddr::from(([0, 0, 0, 0], 0)),
+            zone: Arc::default(),
+            slots: 0,
+            state: State::Gone,
+            cold_ms: 0,
+            started_ms: 0,
+            sequence: 0,
+        }
+    }
+
+    /// Returns whether this is the withdrawal of a target by its name alone.
+    pub fn is_withdrawal(&self) -> bool {
+        self.state == State::Gone && self.sequence == 0
+    }
+
     fn recency(&self) -> (u64, bool, u64) {
         // The end of a target orders after all announcements since the same start.
         (self.started_ms, self.state == State::Gone, self.sequence)
@@ -124,12 +154,17 @@
     ids: HashMap<Arc<str>, Target>,
     by_hash: HashMap<u64, Target>,
     records: Vec<Option<Record>>,
+    /// Names whose announcements are ignored for [`WITHDRAWAL_HOLD`], with the time of the withdrawal.
+    held: HashMap<Arc<str>, Instant>,
 }
 
 impl Directory {
     /// Records an announcement that arrived at `heard`; returns the ID of the target if the
     /// announcement is newer than the known one.
     pub fn announce(&mut self, heard: Instant, announcement: Announcement) -> Option<Target> {
+        if announcement.state != State::Gone && self.is_held(heard, &announcement.name) {
+            return None;
+        }
         let id = self.ids.get(&announcement.name).copied();
         if let Some(id) = id
             && let Some(record) = &mut self.records[id.0 as usize]
@@ -196,16 +231,31 @@
         })
     }
 
-    /// Marks a target as gone; returns its ID if it was known and present.
+    /// Marks a target as gone; returns its ID if it was known and present. Otherwise the withdrawal may be
+    /// that of a start of which only other VMs know, so announcements are ignored for a while.
     pub fn withdraw(&mut self, now: Instant, name: &str) -> Option<Target> {
-        let id = *self.ids.get(name)?;
-        let record = self.records[id.0 as usize].as_mut()?;
-        if record.announcement.state == State::Gone {
-            return None;
+        let id = self.id(name);
+        if let Some(id) = id
+            && let Some(Some(record)) = self.records.get_mut(id.0 as usize)
+        {
+            if record.announcement.state != State::Gone {
+                record.announcement.state = State::Gone;
+                record.heard = now;
+                return Some(id);
+            }
+            if now.since(record.heard) < WITHDRAWAL_COPIES {
+                return None;
+            }
         }
-        record.announcement.state = State::Gone;
-        record.heard = now;
-        Some(id)
+        if self.held.len() < MAX_HELD_NAMES {
+            self.held.insert(name.into(), now);
+        }
+        None
+    }
+
+    fn is_held(&self, heard: Instant, name: &str) -> bool {
+        let withdrawn_at = self.held.get(name);
+        withdrawn_at.is_some_and(|at| heard.since(*at) < WITHDRAWAL_HOLD)
     }
 
     /// Sets when a target was last heard. Its next announcement makes it usable again.
@@ -218,6 +268,7 @@
     /// Removes targets that were last heard more than [`TOMBSTONE_TTL`] ago, so that the directory
     /// stays bounded.
     pub fn expire(&mut self, now: Instant) {
+        self.held.retain(|_, at| now.since(*at) < WITHDRAWAL_HOLD);
         for slot in &mut self.records {
             if let Some(record) = slot
                 && now.since(record.heard) > TOMBSTONE_TTL
--- a/core/src/fleet/reducer.rs
+++ b/core/src/fleet/reducer.rs
@@ -13,7 +13,7 @@
 use super::topology::Topology;
 use super::{
     Announcement, Config, Directory, Effect, Entry, Event, Freshness, Health, Id, Load, LoadReport,
-    LoadTable, Reason, Refusal, Relayed, Renewal, Request, SlidingWindow, State, Target,
+    LoadTable, Reason, Refusal, Relayed, Renewal, Request, SlidingWindow, Target,
 };
 use crate::time::Instant;
 
@@ -269,7 +269,7 @@
 
     fn announced(&mut self, now: Instant, announcement: Announcement, age_ms: u64) {
         let heard = now - Duration::from_millis(age_ms);
-        if announcement.state == State::Gone && announcement.sequence == 0 {
+        if announcement.is_withdrawal() {
             self.directory.withdraw(now, &announcement.name);
             return;
         }
--- a/core/tests/fleet/targets.rs
+++ b/core/tests/fleet/targets.rs
@@ -1,6 +1,6 @@
 //! Targets that start, leave, go cold and change their addresses.
 
-use primrosepin_core::fleet::{Directory, Event, Outcome, State};
+use primrosepin_core::fleet::{Announcement, Directory, Entry, Event, Outcome, State};
 
 use super::support::{Fleet, START, announcement, ms, request};
 
@@ -47,6 +47,72 @@
     assert_eq!(directory.usable(START), 0);
 }
 
+/// Guards against a late announcement that brings back a target whose withdrawal came before it was known,
+/// or before its latest start was.
+#[test]
+fn a_withdrawal_holds_for_a_target_that_was_not_known() {
+    let unknown = announcement("engine", 1, 0);
+    let mut directory = Directory::default();
+    assert!(directory.withdraw(START, &unknown.name).is_none());
+    assert!(
+        directory
+            .announce(START + ms(4_000), unknown.clone())
+            .is_none()
+    );
+
+    // The earlier start was withdrawn long before, so the withdrawal is that of a later one.
+    let mut directory = Directory::default();
+    directory.announce(START, unknown.clone());
+    assert!(directory.withdraw(START, &unknown.name).is_some());
+    let later = START + ms(8_000);
+    directory.withdraw(later, &unknown.name);
+    let mut restarted = unknown;
+    restarted.started_ms += 1;
+    assert!(
+        directory
+            .announce(later + ms(4_000), restarted.clone())
+            .is_none()
+    );
+    assert!(directory.announce(later + ms(10_000), restarted).is_some());
+}
+
+/// Guards against a target that starts again under its name and is ignored, because the withdrawal of its
+/// earlier start arrived over several VMs.
+#[test]
+fn copies_of_a_withdrawal_do_not_hold_the_next_start() {
+    let mut directory = Directory::default();
+    let mut target = announcement("engine", 1, 0);
+    directory.announce(START, target.clone());
+    assert!(directory.withdraw(START, &target.name).is_some());
+    directory.withdraw(START + ms(30), &target.name);
+    target.started_ms += 1;
+    assert!(directory.announce(START + ms(60), target).is_some());
+}
+
+/// Guards against an entry VM that goes on using a target of which the withdrawing control VM knew an earlier
+/// start, or nothing.
+#[test]
+fn a_withdrawal_by_name_takes_out_the_start_that_is_known() {
+    let mut fleet = Fleet::new(1, 0);
+    let mut target = announcement("engine", 1, 0);
+    target.started_ms += 1;
+    let usable = |fleet: &Fleet| fleet.vms[0].directory().usable(fleet.now);
+    let others = usable(&fleet);
+    fleet.announce(target.clone());
+    assert_eq!(usable(&fleet), others + 1);
+    let withdrawal = Announcement::withdrawal(&target.name);
+    assert!(withdrawal.is_withdrawal());
+    let entry = Entry {
+        announcement: withdrawal,
+        age_ms: 0,
+    };
+    fleet.apply(0, Event::Announced(entry));
+    assert_eq!(usable(&fleet), others);
+    target.sequence += 1;
+    fleet.announce(target);
+    assert_eq!(usable(&fleet), others);
+}
+
 /// Guards against dispatching to targets that no longer announce themselves.
 #[test]
 fn silent_targets_get_no_work() {
--- a/core/tests/simulation/mod.rs
+++ b/core/tests/simulation/mod.rs
@@ -273,7 +273,7 @@
             .map(|seed| self.replicas[*seed].address)
             .collect();
         for index in 0..self.replicas.len() {
-            self.replicas[index].listed = self.listed.clone();
+            self.replicas[index].listed.clone_from(&self.listed);
             self.handle(index, Event::Listed(addresses.clone()));
         }
     }
--- a/gateway/src/control/calls.rs
+++ b/gateway/src/control/calls.rs
@@ -12,6 +12,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::hub::Hub;
+use super::relay;
 use crate::document;
 use crate::http::{self, Connection, Error};
 use crate::memory::Share;
@@ -40,8 +41,6 @@
 pub(super) struct Context {
     pub(super) hub: Rc<Hub>,
     pub(super) protocol: Arc<dyn Protocol>,
-    /// Link address of this VM.
-    pub(super) link_address: SocketAddr,
     /// API port, the same on all control VMs.
     pub(super) call_port: u16,
     /// Time limit for a proposed change to be decided.
@@ -194,40 +193,41 @@
     }
 }
 
+/// Records an announcement. It is confirmed only if those that route hear of it; the target calls another
+/// control VM otherwise.
 async fn announce(context: &Context, announcement: Announcement) -> Response {
+    let hub = &context.hub;
     let draining = announcement.state == State::Draining;
     let entry = Entry {
         announcement: announcement.clone(),
         age_ms: 0,
     };
-    if context.hub.announce(announcement, 0) && draining {
-        relay(context, &entry).await;
+    hub.announce(announcement, 0);
+    if draining {
+        // Also if it is known here: what made it known may have reached nobody else.
+        return confirm_leave(context, &entry).await;
+    }
+    if !hub.has_entry_vms() {
+        return Response::new(503).with_text("no entry VM is connected");
     }
     Response::new(200).with_json(b"{}".as_slice().into())
 }
 
 async fn withdraw(context: &Context, name: &str) -> Response {
-    if let Some(announcement) = context.hub.withdraw(name) {
-        let entry = Entry {
-            announcement,
-            age_ms: 0,
-        };
-        relay(context, &entry).await;
-    }
-    Response::new(200).with_json(b"{}".as_slice().into())
+    let entry = context.hub.withdraw(name);
+    confirm_leave(context, &entry).await
 }
 
-/// Relays an announcement to the other control VMs and waits until one of them stores it. The target stops
-/// serving once its call is answered, so the announcement must survive the loss of this VM.
-async fn relay(context: &Context, entry: &Entry) {
-    let members = context.hub.replica.member_addresses().into_iter();
-    let others = members.filter(|address| *address != context.link_address);
-    if !context.hub.peers.relay(others, entry).await {
-        log::warn!(
-            target_name = &*entry.announcement.name;
-            "no other control VM acknowledged the announcement in time; it may be lost if this VM fails now"
-        );
+/// Confirms that a target leaves once those that route know of it.
+async fn confirm_leave(context: &Context, entry: &Entry) -> Response {
+    if relay::relay(&context.hub, entry).await {
+        return Response::new(200).with_json(b"{}".as_slice().into());
     }
+    log::warn!(
+        target_name = &*entry.announcement.name;
+        "leave not confirmed: neither another control VM nor all connected entry VMs acknowledged it in time"
+    );
+    Response::new(503).with_text("the entry VMs could not be told in time")
 }
 
 /// Returns a redirect to the leader, or 503 if no leader is known within [`LEADER_TIMEOUT`]; `None` if
--- a/gateway/src/control/hub.rs
+++ b/gateway/src/control/hub.rs
@@ -1,7 +1,7 @@
 //! Directory of targets and links to entry VMs.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -15,12 +15,13 @@
 
 use super::peers::Peers;
 use super::quarantine::Quarantine;
+use super::relay::{Acknowledgement, Relays};
 use crate::message::{EntryVm, Message};
 use crate::{link, metrics};
 
 /// Identifies a link within this process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct LinkId(u64);
+pub(super) struct LinkId(u64);
 
 #[derive(Debug)]
 struct EntryLink {
@@ -34,7 +35,10 @@
     /// Availability zone of this VM.
     zone: Arc<str>,
     pub(super) replica: Replica,
+    /// Link address of this VM.
+    address: SocketAddr,
     pub(super) peers: Peers,
+    pub(super) relays: Rc<Relays>,
     pub(super) instruments: metrics::Control,
     directory: RefCell<Directory>,
     links: RefCell<BTreeMap<LinkId, EntryLink>>,
@@ -48,14 +52,18 @@
 impl Hub {
     pub(super) fn new(
         zone: Arc<str>,
+        address: SocketAddr,
         replica: Replica,
         peers: Peers,
+        relays: Rc<Relays>,
         instruments: metrics::Control,
     ) -> Self {
         Self {
             zone,
             replica,
+            address,
             peers,
+            relays,
             instruments,
             directory: RefCell::default(),
             links: RefCell::default(),
@@ -108,21 +116,48 @@
         true
     }
 
-    /// Marks a target as gone. Returns its last announcement in that state, or `None` if it is unknown
-    /// or already gone.
-    pub(super) fn withdraw(&self, name: &str) -> Option<Announcement> {
+    /// Marks a target as gone and tells entry VMs so by its name: they may know a target, or a later start of
+    /// it, that this VM does not. Returns what tells the other control VMs.
+    pub(super) fn withdraw(&self, name: &str) -> Entry {
         let now = primrosepin_process::now();
         let mut directory = self.directory.borrow_mut();
-        let id = directory.withdraw(now, name)?;
-        let announcement = directory.get(id)?.clone();
+        let was_present = directory.withdraw(now, name).is_some();
+        let known = directory.id(name).and_then(|id| directory.get(id)).cloned();
         drop(directory);
-        log::info!(target_name = name; "target withdrawn");
-        let entry = Entry {
-            announcement: announcement.clone(),
+        log::info!(target_name = name, known = known.is_some(), was_present = was_present; "target withdrawn");
+        let new_entry = |announcement| Entry {
+            announcement,
             age_ms: 0,
         };
-        self.broadcast(&Message::Targets(vec![entry]));
-        Some(announcement)
+        let mut entries = vec![new_entry(Announcement::withdrawal(name))];
+        entries.extend(known.map(new_entry));
+        self.broadcast(&Message::Targets(entries.clone()));
+        entries.swap_remove(entries.len() - 1)
+    }
+
+    /// Returns whether any entry VM is linked.
+    pub(super) fn has_entry_vms(&self) -> bool {
+        !self.links.borrow().is_empty()
+    }
+
+    /// Relays an announcement to the other control VMs.
+    pub(super) fn relay_to_control(&self, number: u64, entry: &Entry) {
+        for address in self.replica.member_addresses() {
+            if address != self.address {
+                let entry = entry.clone();
+                self.peers.send(address, Message::Relay { number, entry });
+            }
+        }
+    }
+
+    /// Relays an announcement to the linked entry VMs, and returns their links.
+    pub(super) fn relay_to_entry_vms(&self, number: u64, entry: &Entry) -> BTreeSet<LinkId> {
+        let links = self.links.borrow();
+        for link in links.values() {
+            let entry = entry.clone();
+            self.send(&link.outgoing, Message::Relay { number, entry });
+        }
+        links.keys().copied().collect()
     }
 
     /// Sends batched announcements and a changed roster to entry VMs, and drops expired targets.
@@ -272,8 +307,16 @@
                 if entry.announcement.state == State::Gone {
                     self.withdraw(&entry.announcement.name);
                 }
-                self.announce(entry.announcement, entry.age_ms);
-                self.send(outgoing, Message::RelayAck { number });
+                if !entry.announcement.is_withdrawal() {
+                    self.announce(entry.announcement, entry.age_ms);
+                }
+                // Without entry VMs, this VM cannot tell those that route.
+                if self.has_entry_vms() {
+                    self.send(outgoing, Message::RelayAck { number });
+                }
+            }
+            Message::RelayAck { number } => {
+                self.relays.acknowledge(number, Acknowledgement::Entry(id));
             }
             Message::Heartbeat
             | Message::Suspects(_)
@@ -283,7 +326,6 @@
             | Message::Targets(_)
             | Message::Renewals(_)
             | Message::Roster { .. }
-            | Message::RelayAck { .. }
             | Message::LoadReport { .. }
             | Message::TunnelRequest { .. }
             | Message::TunnelAnswer(_)
--- a/gateway/src/control/peers.rs
+++ b/gateway/src/control/peers.rs
@@ -1,48 +1,46 @@
 //! Links to other control VMs.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use primrosepin_core::fleet::Entry;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::timeout;
 
+use super::relay::{Acknowledgement, Relays};
 use crate::message::Message;
 use crate::{link, net};
 
 /// Time limit for opening a connection. Consensus repeats its messages, so waiting longer gains nothing.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Time to wait for another control VM to acknowledge an announcement before the target's call is
-/// answered. The target waits one second for the response.
-const RELAY_TIMEOUT: Duration = Duration::from_millis(250);
-
-#[derive(Default)]
 struct State {
     links: RefCell<HashMap<SocketAddr, mpsc::Sender<Message>>>,
-    /// Relays that await acknowledgement, by sequence number.
-    pending_relays: RefCell<HashMap<u64, mpsc::UnboundedSender<()>>>,
-    next_relay: Cell<u64>,
+    relays: Rc<Relays>,
 }
 
 /// Links to other control VMs, opened on the first message to send.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub(super) struct Peers(Rc<State>);
 
 impl Peers {
-    /// Queues a message. It is dropped if the queue is full, the link has ended or the peer is unreachable.
-    pub(super) fn send(&self, to: SocketAddr, message: Message) {
+    /// Creates a set without links. Acknowledgements that arrive on the links go to `relays`.
+    pub(super) fn new(relays: Rc<Relays>) -> Self {
+        Self(Rc::new(State {
+            links: RefCell::default(),
+            relays,
+        }))
+    }
+
+    /// Queues a message, on a new link if there is none. It is dropped if the queue is full or the peer is
+    /// unreachable.
+    pub(super) fn send(&self, to: SocketAddr, mut message: Message) {
         let mut links = self.0.links.borrow_mut();
         if let Some(link) = links.get(&to) {
             match link.try_send(message) {
                 Ok(()) | Err(mpsc::error::TrySendError::Full(_)) => return,
-                Err(mpsc::error::TrySendError::Closed(_)) => {
-                    links.remove(&to);
-                    return;
-                }
+                Err(mpsc::error::TrySendError::Closed(returned)) => message = returned,
             }
         }
         let (outgoing, queue) = mpsc::channel(link::QUEUE_MESSAGES);
@@ -69,40 +67,12 @@
             }
         });
     }
-
-    /// Sends an announcement to other control VMs. Returns whether one of them acknowledged it within
-    /// [`RELAY_TIMEOUT`].
-    pub(super) async fn relay<I>(&self, to: I, entry: &Entry) -> bool
-    where
-        I: Iterator<Item = SocketAddr>,
-    {
-        let number = self.0.next_relay.get();
-        self.0.next_relay.set(number + 1);
-        let (sender, mut acknowledged) = mpsc::unbounded_channel();
-        self.0.pending_relays.borrow_mut().insert(number, sender);
-        let mut sent = false;
-        for address in to {
-            sent = true;
-            let entry = entry.clone();
-            self.send(address, Message::Relay { number, entry });
-        }
-        let stored = sent
-            && matches!(
-                timeout(RELAY_TIMEOUT, acknowledged.recv()).await,
-                Ok(Some(()))
-            );
-        self.0.pending_relays.borrow_mut().remove(&number);
-        stored
-    }
 }
 
 impl State {
     fn handle_message(&self, message: &Message) {
-        if let Message::RelayAck { number } = message
-            && let Some(relay) = self.pending_relays.borrow().get(number)
-        {
-            // Fails only if the wait has ended.
-            let _ = relay.send(());
+        if let Message::RelayAck { number } = message {
+            self.relays.acknowledge(*number, Acknowledgement::Control);
         }
     }
 }
--- a/gateway/src/control/server.rs
+++ b/gateway/src/control/server.rs
@@ -17,6 +17,7 @@
 use super::hub::Hub;
 use super::peers::{self, Peers};
 use super::quarantine;
+use super::relay::Relays;
 use crate::protocol::Protocol;
 use crate::settings::{Core, Source};
 use crate::{metrics, net, reload};
@@ -69,13 +70,16 @@
         &registry,
         outgoing,
     )?;
-    let peers = Peers::default();
+    let relays = Rc::<Relays>::default();
+    let peers = Peers::new(Rc::clone(&relays));
     let (sent, all_sent) = oneshot::channel();
     actix_rt::spawn(peers::send_log_messages(peers.clone(), log_messages, sent));
     let hub = Rc::new(Hub::new(
         Arc::clone(&common.zone),
+        link_address,
         replica.clone(),
         peers,
+        relays,
         metrics::Control::new(&registry),
     ));
     let gauge_source = Rc::clone(&hub);
@@ -89,7 +93,6 @@
     let context = Rc::new(Context {
         hub: Rc::clone(&hub),
         protocol,
-        link_address,
         call_port: settings.calls.port(),
         call_timeout: settings.call_timeout,
     });
--- a/gateway/src/entry/uplink.rs
+++ b/gateway/src/entry/uplink.rs
@@ -193,6 +193,13 @@
                 node.apply(Event::Announced(entry));
             }
         }
+        Message::Relay { number, entry } => {
+            node.apply(Event::Announced(entry));
+            if let Some(link) = node.links.borrow().get(&ip) {
+                // Dropped if the queue is full; the target's call then fails unless others acknowledge it.
+                drop(link.outgoing.try_send(Message::RelayAck { number }));
+            }
+        }
         Message::Renewals(renewals) => {
             let now = primrosepin_process::now();
             let requested_at = node.targets_requested_at.get();
@@ -230,7 +237,6 @@
         | Message::ConfigRequest
         | Message::TargetsRequest
         | Message::Consensus(_)
-        | Message::Relay { .. }
         | Message::RelayAck { .. }
         | Message::LoadReport { .. }
         | Message::Planner { .. } => {}
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -77,14 +77,15 @@
     },
     /// Message between replicas of the log.
     Consensus(consensus::Message),
-    /// Announcement that must not be lost with the sender; acknowledged by [`Message::RelayAck`].
+    /// Announcement that must not be lost with the sender, a control VM; acknowledged by [`Message::RelayAck`].
+    /// Entry VMs of earlier builds ignore it, so they get [`Message::Targets`] as well.
     Relay {
         /// Sequence number chosen by the sender.
         number: u64,
         /// The announcement.
         entry: Entry,
     },
-    /// Acknowledges that the receiver stores the announcement of a [`Message::Relay`].
+    /// Acknowledges a [`Message::Relay`]: the sender uses the announcement, or has passed it on to its entry VMs.
     RelayAck {
         /// Sequence number of the relay.
         number: u64,
