--- a/gateway/src/link.rs
+++ b/gateway/src/link.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use crate::message::{MAX_BYTES, Message};
+use crate::message::{self, MAX_BYTES, Message};
 
 /// Time without outgoing messages after which a heartbeat is sent.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -35,12 +35,23 @@
 {
     let (mut reader, mut writer) = stream.into_split();
     let receive_loop = async {
+        let mut skipped = 0_u64;
         loop {
-            match timeout(RECEIVE_TIMEOUT, read_frame(&mut reader, MAX_BYTES)).await {
-                Ok(Ok(Message::Heartbeat)) => {}
-                Ok(Ok(message)) => on_message(message),
-                Ok(Err(error)) => return Err(error),
-                Err(_) => return Err(io::Error::from(io::ErrorKind::TimedOut).into()),
+            let read = timeout(RECEIVE_TIMEOUT, read_bytes(&mut reader, MAX_BYTES)).await;
+            let bytes = read.map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
+            match Message::decode(&bytes) {
+                Ok(Message::Heartbeat) => {}
+                Ok(message) => on_message(message),
+                // A newer build may send kinds that this one does not know; the link serves the others.
+                Err(error) if message::has_known_version(&bytes) => {
+                    skipped += 1;
+                    if skipped == 1 {
+                        log::warn!(
+                            "skipping messages on a link that this build cannot read: {error:#}"
+                        );
+                    }
+                }
+                Err(error) => return Err(error),
             }
         }
     };
@@ -76,6 +87,14 @@
 
 /// Reads a message. Fails if it is larger than `max_bytes`.
 pub(crate) async fn read_frame<R>(reader: &mut R, max_bytes: usize) -> eyre::Result<Message>
+where
+    R: AsyncRead + Unpin,
+{
+    Message::decode(&read_bytes(reader, max_bytes).await?)
+}
+
+/// Reads an encoded message. Fails if it is larger than `max_bytes`.
+async fn read_bytes<R>(reader: &mut R, max_bytes: usize) -> eyre::Result<Vec<u8>>
 where
     R: AsyncRead + Unpin,
 {
@@ -88,5 +107,5 @@
     );
     let mut bytes = vec![0; length];
     reader.read_exact(&mut bytes).await?;
-    Message::decode(&bytes)
+    Ok(bytes)
 }
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -137,18 +137,11 @@
         Ok(bytes)
     }
 
-    /// Decodes a message. Fails on an unknown version, malformed input or trailing bytes.
+    /// Decodes a message. Fails on an unknown version or kind, and on malformed input. Bytes after the message
+    /// are fields that a newer build has added, and are ignored.
     pub fn decode(bytes: &[u8]) -> eyre::Result<Self> {
         match bytes.split_first() {
-            Some((&VERSION, body)) => {
-                let (message, rest) = postcard::take_from_bytes(body)?;
-                ensure!(
-                    rest.is_empty(),
-                    "{} trailing bytes after the message",
-                    rest.len()
-                );
-                Ok(message)
-            }
+            Some((&VERSION, body)) => Ok(postcard::take_from_bytes(body)?.0),
             Some((version, _)) => {
                 bail!("unsupported message version {version}, expected {VERSION}")
             }
@@ -156,3 +149,8 @@
         }
     }
 }
+
+/// Returns whether an encoded message has the version of this build. Its kind may be unknown all the same.
+pub(crate) fn has_known_version(bytes: &[u8]) -> bool {
+    bytes.first() == Some(&VERSION)
+}
