quarantine: Crashes under other fatal requests are not chance

Seen: a_request_that_crashes_targets_is_no_longer_sent_to_them failed on arm64 with "/long/f?page=2 reached targets 4 times after it had 3 times"; three are allowed.

Cause: a rule needs one crash more where more than three times as many targets ended without the request, since a sound request may meet targets that end for other reasons. With five fatal requests of three crashes each, the twelve of the others count as chance, so no rule is derived until one request has ended a fourth target; with two targets an attempt, four copies get through before the rule arrives. Ruled out: lost reports (all three crashes of each request are in the log) and the wait for objections (0.4 s of 3 s).

Change: crashes with a part that has enough crashes for a rule of its own do not count as chance.

--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -350,10 +350,20 @@
                 }
             }
             let most = by_part.values().map(Vec::len).max().unwrap_or(0);
+            // Crashes with a part that may get a rule of its own are not chance.
+            let repeated: BTreeSet<usize> = by_part
+                .values()
+                .filter(|crashes| crashes.len() >= min_crashes)
+                .flatten()
+                .copied()
+                .collect();
             let recent = unexplained
                 .iter()
-                .filter(|(record, _)| now.since(record.at) < COINCIDENCE_TIME);
-            let others = recent.count().saturating_sub(most);
+                .enumerate()
+                .filter(|(_, (record, _))| now.since(record.at) < COINCIDENCE_TIME);
+            let others = recent
+                .filter(|(index, _)| !repeated.contains(index))
+                .count();
             let needed = min_crashes + coincidences(others, most);
             if most < needed {
                 return rules;
--- a/core/tests/quarantine.rs
+++ b/core/tests/quarantine.rs
@@ -138,6 +138,22 @@
     assert_eq!(rules, [whole, rule(&[1])]);
 }
 
+/// Guards against fatal requests that hide each other: the crashes of the others are not chance.
+#[test]
+fn many_fatal_requests_at_once_are_all_found() {
+    for count in 1..12 {
+        let mut evidence = Evidence::new();
+        for request in 0..count {
+            for process in 0..3 {
+                let process = request * 3 + process;
+                crash_at(ANY_SERVICE, &mut evidence, START, process, &[&[request]]);
+            }
+        }
+        let rules = evidence.rules(START + SETTLED);
+        assert_eq!(rules.len(), count as usize, "{rules:?}");
+    }
+}
+
 /// Guards against refusing a request because connections to targets were lost: reports on processes that still run
 /// are withdrawn, and rules that rest on them end.
 #[test]
