gateway: Break off a resumed stream that repeats events

Found by a test for the report of errors in the middle of a stream: the next target starts a stream from its beginning although it is asked to resume after an event; the caller got events 1 to 11 up to three times (ORDER).

Cause: the ids of events were remembered for the next attempt, and not compared with those that arrive. Ruled out: Last-Event-Id was sent with each attempt.

Change: an event whose id is a number and not above the last one delivered breaks the attempt off, and another target resumes.

--- a/gateway/src/entry/attempt.rs
+++ b/gateway/src/entry/attempt.rs
@@ -9,7 +9,7 @@
 use tokio::time::{sleep, sleep_until};
 
 use super::delivery::Delivery;
-use super::events::Events;
+use super::events::{Events, are_in_order};
 use super::node::Node;
 use super::path;
 use super::reservation::Reservation;
@@ -485,6 +485,10 @@
                 break;
             }
             if let Some(complete) = events.split() {
+                if !are_in_order(delivery.last_event_id.as_deref(), &complete.bytes) {
+                    self.log_broken("events that do not follow the last one");
+                    break;
+                }
                 if !started && complete.is_progress {
                     started = true;
                     self.node.apply(Event::Started(self.id));
--- a/gateway/src/entry/events.rs
+++ b/gateway/src/entry/events.rs
@@ -54,6 +54,16 @@
     lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line))
 }
 
+/// Returns whether each event with a number as its id comes after the one before, the first one after `last`. A target
+/// that resumes a stream at the wrong place sends events a second time.
+pub(super) fn are_in_order(last: Option<&str>, events: &[u8]) -> bool {
+    let number = |id: &str| id.trim().parse::<u64>().ok();
+    let mut last = last.and_then(number);
+    let ids = lines(events).filter_map(|line| line.strip_prefix(b"id:"));
+    ids.filter_map(|id| number(std::str::from_utf8(id).ok()?))
+        .all(|id| last.replace(id).is_none_or(|last| id > last))
+}
+
 /// Returns the last event id in a sequence of events.
 pub(super) fn last_event_id(events: &[u8]) -> Option<Arc<str>> {
     let id = lines(events)
