gateway: A success that is no stream does not end one

Cause: a body without bytes is a complete stream without events, and nothing checked that a success on a stream route is a stream.

Change: on stream routes a success needs status 200 and, if it names a content type, text/event-stream; otherwise the attempt is broken off.

--- a/gateway/src/entry/attempt.rs
+++ b/gateway/src/entry/attempt.rs
@@ -374,6 +374,10 @@
             }
         }
         match verdict {
+            Verdict::Served if self.dispatch.stream && !is_stream(head) => {
+                self.log_broken("a success without a stream");
+                broken
+            }
             Verdict::Served if self.dispatch.stream => {
                 self.forward_stream(target, head, caller, delivery).await
             }
@@ -579,6 +583,16 @@
     }
 }
 
+/// Returns whether a success has a stream of events as its body. One without would end a stream that is resumed.
+fn is_stream(head: &Response) -> bool {
+    let content_type = head.headers.get("content-type");
+    let is_event_stream = |value: &str| {
+        let media_type = value.split(';').next().unwrap_or_default();
+        media_type.trim().eq_ignore_ascii_case("text/event-stream")
+    };
+    head.status == 200 && content_type.is_none_or(is_event_stream)
+}
+
 /// Returns the outcome of an answer that was delivered whole.
 fn served(head: &Response) -> Outcome {
     if head.body == Body::UntilClose {
