fleet: Give no work to targets whose answers say that they want none

Cause of what would have been seen: a target was usable until its announcement said otherwise, so one that never announces its leave, or asks for a pause, was sent requests all the same.

Change: the adapter decodes both into fleet::Notice; the directory keeps them for the target's current start, on this VM alone, and such a target is not usable. Notices of answers to other requests, or from another target at the address, are ignored. A time is believed for ten minutes at most.

--- a/core/src/fleet/directory.rs
+++ b/core/src/fleet/directory.rs
@@ -28,6 +28,18 @@
 /// Maximum number of names that are held at the same time.
 const MAX_HELD_NAMES: usize = 1_024;
 
+/// Longest time for which a target is believed that it takes no work.
+const MAX_CLOSED_TIME: Duration = Duration::from_mins(10);
+
+/// What the answer of a target says about new work from this VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Notice {
+    /// The target leaves.
+    Leaving,
+    /// The target takes no work for this time.
+    Closed(Duration),
+}
+
 /// State that a target announces.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
@@ -139,12 +151,26 @@
     pub(super) cold_until: Instant,
     /// Hash of the name. It gives all VMs the same order of targets.
     pub(super) name_hash: u64,
+    /// What this VM heard from the target itself since it started.
+    notice: Notices,
+}
+
+/// What a target has told this VM about new work in its answers.
+#[derive(Debug, Clone, Copy, Default)]
+struct Notices {
+    /// It leaves, whether or not it announces so.
+    leaving: bool,
+    /// It takes no work from this VM before this time.
+    closed_until: Instant,
 }
 
 impl Record {
     /// Returns whether the target takes new work.
     pub(super) fn usable(&self, now: Instant) -> bool {
-        self.announcement.state == State::Ready && now.since(self.heard) < ANNOUNCEMENT_LEASE
+        self.announcement.state == State::Ready
+            && now.since(self.heard) < ANNOUNCEMENT_LEASE
+            && !self.notice.leaving
+            && now >= self.notice.closed_until
     }
 }
 
@@ -172,6 +198,9 @@
             if announcement.recency() <= record.announcement.recency() {
                 return None;
             }
+            if announcement.started_ms != record.announcement.started_ms {
+                record.notice = Notices::default();
+            }
             record.heard = record.heard.max(heard);
             record.cold_until = heard + Duration::from_millis(announcement.cold_ms);
             record.announcement = announcement;
@@ -189,6 +218,7 @@
             cold_until: heard + Duration::from_millis(announcement.cold_ms),
             name_hash,
             announcement,
+            notice: Notices::default(),
         }));
         Some(id)
     }
@@ -258,6 +288,20 @@
         withdrawn_at.is_some_and(|at| heard.since(*at) < WITHDRAWAL_HOLD)
     }
 
+    /// Records what a target says about new work, until it starts again.
+    pub(super) fn record_notice(&mut self, now: Instant, target: Target, notice: Notice) {
+        let Some(Some(record)) = self.records.get_mut(target.0 as usize) else {
+            return;
+        };
+        match notice {
+            Notice::Leaving => record.notice.leaving = true,
+            Notice::Closed(time) => {
+                let until = now + time.min(MAX_CLOSED_TIME);
+                record.notice.closed_until = record.notice.closed_until.max(until);
+            }
+        }
+    }
+
     /// Sets when a target was last heard. Its next announcement makes it usable again.
     pub(super) fn set_last_heard(&mut self, target: Target, heard: Instant) {
         if let Some(Some(record)) = self.records.get_mut(target.0 as usize) {
@@ -328,6 +372,12 @@
         usable.map(|(_, record)| record.announcement.address)
     }
 
+    /// Returns whether a target takes new work.
+    pub fn is_usable(&self, now: Instant, name: &str) -> bool {
+        let record = self.id(name).and_then(|id| self.record(id));
+        record.is_some_and(|record| record.usable(now))
+    }
+
     /// Returns the number of targets that take new work.
     pub fn usable(&self, now: Instant) -> usize {
         self.records()
--- a/core/src/fleet/event.rs
+++ b/core/src/fleet/event.rs
@@ -5,7 +5,7 @@
 
 use crate::quarantine::{Part, Rule};
 
-use super::{Config, Entry, Id, LoadReport, Peer, PlannerMessage, Request};
+use super::{Config, Entry, Id, LoadReport, Notice, Peer, PlannerMessage, Request};
 
 /// How an attempt at a target ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -97,6 +97,8 @@
     Started(Id),
     /// The answer of a target named a limit on its requests a second, or, if the target had named one, none.
     LimitNamed(Id, Option<f64>),
+    /// The answer of a target says something about new work.
+    Noticed(Id, Notice),
     /// An attempt ended at its target.
     Ended(Id, Outcome),
 }
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -46,7 +46,7 @@
 mod window;
 
 pub use config::{Config, ConfigError, Limits, Organisation, RetryPolicy, Route, Service};
-pub use directory::{Announcement, Directory, Entry, Renewal, State, Target};
+pub use directory::{Announcement, Directory, Entry, Notice, Renewal, State, Target};
 pub use effect::{Dispatch, Effect, LoadReport, PlannerDecision, Reason, Refusal, Relayed};
 pub use engine::Engine;
 pub use event::{Event, Outcome};
--- a/core/src/fleet/reducer.rs
+++ b/core/src/fleet/reducer.rs
@@ -13,7 +13,7 @@
 use super::topology::Topology;
 use super::{
     Announcement, Config, Directory, Effect, Entry, Event, Freshness, Health, Id, Load, LoadReport,
-    LoadTable, Reason, Refusal, Relayed, Renewal, Request, SlidingWindow, Target,
+    LoadTable, Notice, Reason, Refusal, Relayed, Renewal, Request, SlidingWindow, Target,
 };
 use crate::time::Instant;
 
@@ -242,6 +242,7 @@
             Event::Suspected(parts) => self.watch(now, parts, effects),
             Event::Arrived(id, request) => self.arrived(now, id, request, effects),
             Event::LimitNamed(id, rate) => self.record_named_limit(now, id, rate),
+            Event::Noticed(id, notice) => self.record_notice(now, id, notice),
             Event::Started(id) => self.started(now, id),
             Event::Ended(id, outcome) => self.ended(now, id, outcome, effects),
         }
@@ -285,6 +286,14 @@
         }
     }
 
+    /// Records what the target of a running request says about new work.
+    fn record_notice(&mut self, now: Instant, id: Id, notice: Notice) {
+        let running = self.pending.get(&id).and_then(|p| p.running.as_ref());
+        if let Some(target) = running.map(|running| running.target) {
+            self.directory.record_notice(now, target, notice);
+        }
+    }
+
     fn arrived(&mut self, now: Instant, id: Id, request: Request, effects: &mut Vec<Effect>) {
         let admitted = self.admit(now, request);
         match admitted {
--- a/core/tests/fleet/targets.rs
+++ b/core/tests/fleet/targets.rs
@@ -1,6 +1,8 @@
 //! Targets that start, leave, go cold and change their addresses.
 
-use primrosepin_core::fleet::{Announcement, Directory, Entry, Event, Outcome, State};
+use std::time::Duration;
+
+use primrosepin_core::fleet::{Announcement, Directory, Entry, Event, Notice, Outcome, State};
 
 use super::support::{Fleet, START, announcement, ms, request};
 
@@ -204,3 +206,39 @@
         "too little of the cold-start budget is used: {sent}"
     );
 }
+
+/// Guards against requests to a target that says in its answers that it leaves, or that it takes no work for a while,
+/// and that announces itself as ready all the same.
+#[test]
+fn a_target_that_wants_no_work_gets_none() {
+    for (notice, closed_ms) in [
+        (Notice::Leaving, u64::MAX),
+        (Notice::Closed(ms(2_000)), 2_000),
+        (Notice::Closed(Duration::MAX), u64::MAX),
+    ] {
+        let mut fleet = Fleet::new(1, 4);
+        let id = fleet.arrive(0, request("short", 2_000));
+        let name = fleet.dispatch(id).unwrap().name.to_string();
+        fleet.apply(0, Event::Noticed(id, notice));
+        fleet.end(0, id, Outcome::Served);
+        let began = fleet.now;
+        for _ in 0..30 {
+            fleet.run(ms(100));
+            let closed = fleet.now.since(began).as_millis() < u128::from(closed_ms);
+            let id = fleet.arrive(0, request("short", 2_000));
+            let chosen = fleet.dispatch(id).unwrap().name.to_string();
+            assert!(!closed || chosen != name, "{notice:?}");
+            assert_eq!(
+                fleet.vms[0].directory().is_usable(fleet.now, &name),
+                !closed
+            );
+            fleet.end(0, id, Outcome::Served);
+        }
+        // Its next start knows nothing of it.
+        let directory = fleet.vms[0].directory();
+        let mut restarted = directory.get(directory.id(&name).unwrap()).unwrap().clone();
+        restarted.started_ms += 1;
+        fleet.announce(restarted);
+        assert!(fleet.vms[0].directory().is_usable(fleet.now, &name));
+    }
+}
--- a/gateway/src/entry/attempt.rs
+++ b/gateway/src/entry/attempt.rs
@@ -373,6 +373,20 @@
                 );
             }
         }
+        // An answer from another target at the address, or to another request, says nothing about this one.
+        if !matches!(verdict, Verdict::Invalid | Verdict::WrongTarget) {
+            for notice in self.node.protocol.notices(head) {
+                let was_usable = self.node.is_usable(&self.dispatch.name);
+                self.node.apply(Event::Noticed(self.id, notice));
+                if was_usable {
+                    log::info!(
+                        request = self.request_id, target_name = &*self.dispatch.name,
+                        notice = format!("{notice:?}");
+                        "target takes no new work from this VM"
+                    );
+                }
+            }
+        }
         match verdict {
             Verdict::Served if self.dispatch.stream && !is_stream(head) => {
                 self.log_broken("a success without a stream");
--- a/gateway/src/entry/node.rs
+++ b/gateway/src/entry/node.rs
@@ -307,6 +307,12 @@
         self.reducer.borrow_mut().can_relocate(now, id)
     }
 
+    /// Returns whether a target takes new work from this VM.
+    pub(super) fn is_usable(&self, target: &str) -> bool {
+        let now = primrosepin_process::now();
+        self.reducer.borrow().directory().is_usable(now, target)
+    }
+
     /// Returns whether the target of a running request has named a limit.
     pub(super) fn is_limited(&self, id: Id) -> bool {
         self.reducer.borrow().is_limited(id)
--- a/gateway/src/protocol.rs
+++ b/gateway/src/protocol.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use primrosepin_core::fleet::{Announcement, Config, Dispatch, Request};
+use primrosepin_core::fleet::{Announcement, Config, Dispatch, Notice, Request};
+use smallvec::SmallVec;
 
 use crate::http;
 
@@ -106,6 +107,9 @@
     /// Returns the limit that a target's response names: requests a second that it takes from all VMs together.
     fn named_limit(&self, head: &http::Response) -> Option<f64>;
 
+    /// Returns what a target's response says about new work from this VM.
+    fn notices(&self, head: &http::Response) -> SmallVec<[Notice; 2]>;
+
     /// Returns whether a header of a target's response is forwarded to the caller.
     fn returns_header(&self, name: &str) -> bool;
 
