gateway: Do not repeat a request at a target that takes no new work

Cause: a pooled connection that closes without a byte of an answer is taken for one that the target closed while it was idle, however late, and the request is repeated on a new connection by the decision made before. Ruled out: the reducer, which did not choose the target again.

--- a/gateway/src/entry/attempt.rs
+++ b/gateway/src/entry/attempt.rs
@@ -183,6 +183,11 @@
         };
         let mut was_closed = false;
         loop {
+            if was_closed && !self.node.is_usable(&self.dispatch.name) {
+                // The connection may have closed long after the decision for this target.
+                self.log_broken("the target takes no new work any more");
+                return broken(delivery, false);
+            }
             let reused = pooled.is_some();
             let mut target = match pooled.take() {
                 Some(target) => target,
