quarantine: Try a request that is refused as a whole now and then

Cause: a rule on a whole request rests on targets that ended under it without an answer in between. Once every copy is refused nothing can refute the rule, which holds for ten minutes. Ruled out: lost reports of answers (none was answered).

Change: 10, 40 and 160 s after a rule arrived, one copy is sent to one target, by the VM whose turn it is. An answer lifts the rule everywhere through the reports that control VMs ask for anyway; a crash leaves it in force.

Evidence: a_request_that_is_refused_as_a_whole_is_tried_now_and_then had no dispatch in 300 s before; a sound request is tried once, a fatal one three times in 300 s, each at one target. The other tests of rules pass.

--- a/core/src/fleet/attempts.rs
+++ b/core/src/fleet/attempts.rs
@@ -340,6 +340,7 @@
                 )
                 .into(),
                 attempt: pending.attempts,
+                is_trial: pending.is_trial,
                 time_left: pending.deadline.since(now),
                 predicted: choice.predicted,
                 stall_timeout: stall_timeout(&pending.route),
@@ -390,6 +391,7 @@
         };
         pending.decide_locally = false;
         pending.planner = None;
+        pending.is_trial = false;
         let running = pending.running.take();
         self.loads.remove(id);
         self.report_due = true;
--- a/core/src/fleet/effect.rs
+++ b/core/src/fleet/effect.rs
@@ -68,6 +68,8 @@
     pub reservation: Arc<str>,
     /// Number of the attempt, from 1.
     pub attempt: u32,
+    /// Whether it is a trial of a request that rules refuse because it crashed targets.
+    pub is_trial: bool,
     /// Time left until the deadline.
     pub time_left: Duration,
     /// Longest time without an event after which the attempt is given up and another target is
--- a/core/src/fleet/guard.rs
+++ b/core/src/fleet/guard.rs
@@ -6,6 +6,7 @@
 use smallvec::SmallVec;
 
 use super::pending::{Pending, Running};
+use super::trial::Trials;
 use super::{
     Effect, Id, Organisation, Outcome, PartId, PartIds, Reason, Reducer, Request, State, Target,
 };
@@ -44,6 +45,7 @@
 pub(super) struct Guard {
     /// Rules in force.
     rules: Vec<Rule>,
+    trials: Trials,
     /// Own reports of crashes, with the targets that they are about.
     crashes: VecDeque<(Instant, Target, Crash)>,
     /// When parts were last answered.
@@ -53,10 +55,6 @@
 }
 
 impl Guard {
-    fn matches(&self, service: u64, parts: &[PartId]) -> bool {
-        self.rules.iter().any(|rule| rule.matches(service, parts))
-    }
-
     /// Records that a prompt was answered; returns the parts to report.
     fn record_answered(
         &mut self,
@@ -108,6 +106,15 @@
     both.filter(|(_, parts)| !parts.is_empty()).collect()
 }
 
+/// Returns the rules that match a request.
+fn matching<'r>(rules: &'r [Rule], pending: &Pending) -> impl Iterator<Item = &'r Rule> + Clone {
+    let parts = parts_by_service(pending);
+    rules.iter().filter(move |rule| {
+        let mut parts = parts.iter();
+        parts.any(|(service, parts)| rule.matches(*service, parts))
+    })
+}
+
 impl Reducer {
     /// Returns the crashes to report on a link that was just opened.
     pub fn recent_crashes(&self, now: Instant) -> Vec<Crash> {
@@ -126,6 +133,7 @@
         rules: Vec<Rule>,
         effects: &mut Vec<Effect>,
     ) {
+        self.guard.trials.set_rules(now, &rules);
         self.guard.rules = rules;
         let waiting = self.pending.iter();
         let waiting: Vec<Id> = waiting
@@ -153,21 +161,31 @@
         }
     }
 
-    /// Returns whether a rule matches a request.
-    fn is_quarantined(&self, pending: &Pending) -> bool {
-        let mut all = parts_by_service(pending).into_iter();
-        all.any(|(service, parts)| self.guard.matches(service, parts))
+    /// Returns whether a request is refused by a rule now. Takes the trial of a request that may be tried.
+    fn is_quarantined(&mut self, now: Instant, id: Id) -> bool {
+        let Some(pending) = self.pending.get_mut(&id) else {
+            return false;
+        };
+        let refusing = matching(&self.guard.rules, pending);
+        if pending.is_trial || refusing.clone().next().is_none() {
+            return false;
+        }
+        let is_trial =
+            self.guard
+                .trials
+                .take(now, refusing, &self.settings.vm, self.topology.planners());
+        pending.is_trial = is_trial;
+        !is_trial
     }
 
-    /// Refuses a request that a rule matches; returns whether it did.
+    /// Refuses a request that a rule matches, unless it is a trial; returns whether it did.
     pub(super) fn refuse_quarantined(
         &mut self,
         now: Instant,
         id: Id,
         effects: &mut Vec<Effect>,
     ) -> bool {
-        let pending = self.pending.get(&id);
-        let matches = pending.is_some_and(|pending| self.is_quarantined(pending));
+        let matches = self.is_quarantined(now, id);
         if matches {
             self.withdraw_query(id, effects);
             self.refuse(
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -43,6 +43,7 @@
 mod relocation;
 mod request;
 mod topology;
+mod trial;
 mod window;
 
 pub use config::{Config, ConfigError, Limits, Organisation, RetryPolicy, Route, Service};
--- a/core/src/fleet/pending.rs
+++ b/core/src/fleet/pending.rs
@@ -43,6 +43,8 @@
     pub(super) attempts: u32,
     pub(super) unreachable: u32,
     pub(super) tried: SmallVec<[Target; 4]>,
+    /// Whether its next attempt is a trial of the rules that refuse it.
+    pub(super) is_trial: bool,
     /// Whether an earlier attempt may have run.
     pub(super) may_have_run: bool,
     pub(super) running: Option<Running>,
@@ -86,6 +88,7 @@
             attempts: 0,
             unreachable: 0,
             tried: SmallVec::new(),
+            is_trial: false,
             may_have_run: false,
             running: None,
             exclusive: false,
--- a/gateway/src/entry/caller.rs
+++ b/gateway/src/entry/caller.rs
@@ -198,7 +198,7 @@
             request = &*request_id, target_name = &*dispatch.name, route = &*dispatch.route,
             attempt = dispatch.attempt, helpers = dispatch.helpers.len(),
             prompt_tokens = prompt_tokens, parts = &*summary.parts, fingerprint = &*summary.fingerprint,
-            at_target = dispatch.load.running,
+            at_target = dispatch.load.running, trial = dispatch.is_trial,
             exclusive = dispatch.load.exclusive, reading = dispatch.load.prefilling, read_ms = dispatch.load.prefill_ms,
             predicted_ms = dispatch.predicted.as_millis() as u64,
             placed_by = dispatch.planner.as_deref().unwrap_or(&node.settings.common.vm),
