control: Bound the copies of data that was set aside

Cause: a replica that is replaced sets its data aside in a new subfolder and joins again.

Change: the latest four subfolders are kept; their existence still keeps the replica from bootstrapping a deployment.

Evidence: few_copies_of_data_that_was_set_aside_are_kept, six damaged logs in a row, kept six before and keeps four.

--- a/control/src/disk.rs
+++ b/control/src/disk.rs
@@ -21,6 +21,10 @@
 /// Prefix of the names of subfolders that hold files that were set aside.
 const DAMAGED_PREFIX: &str = "damaged-";
 
+/// Number of subfolders with files that were set aside that are kept. A replica that is replaced again and again
+/// must not fill its disk.
+const MAX_SET_ASIDE: usize = 4;
+
 /// An opened data folder with its decoded content.
 #[derive(Debug)]
 pub(crate) struct Disk {
@@ -186,5 +190,24 @@
         }
     }
     fs::File::open(folder)?.sync_all()?;
+    remove_old_subfolders(folder)
+}
+
+/// Removes all but the latest subfolders with files that were set aside.
+fn remove_old_subfolders(folder: &Path) -> eyre::Result<()> {
+    let mut subfolders = Vec::new();
+    for entry in fs::read_dir(folder)? {
+        let entry = entry?;
+        let name = entry.file_name().to_string_lossy().into_owned();
+        let at_ms = name.strip_prefix(DAMAGED_PREFIX).map(str::parse::<u128>);
+        if let Some(Ok(at_ms)) = at_ms {
+            subfolders.push((at_ms, entry.path()));
+        }
+    }
+    subfolders.sort_unstable();
+    let excess = subfolders.len().saturating_sub(MAX_SET_ASIDE);
+    for (_, path) in &subfolders[..excess] {
+        fs::remove_dir_all(path).wrap_err_with(|| format!("cannot remove {}", path.display()))?;
+    }
     Ok(())
 }
--- a/control/tests/server/cluster.rs
+++ b/control/tests/server/cluster.rs
@@ -213,6 +213,35 @@
     );
 }
 
+/// Guards against a disk that fills up because a replica sets its data aside again and again.
+#[actix_rt::test]
+async fn few_copies_of_data_that_was_set_aside_are_kept() {
+    let deployment = Deployment::new(3);
+    let mut servers = join_all((0..3).map(|index| deployment.start(index))).await;
+    wait_until_healthy(&servers.iter().collect::<Vec<_>>()).await;
+    let data = deployment.data(1);
+    for _ in 0..6 {
+        servers.remove(1).stop().await.unwrap();
+        let first = fs::read_dir(&data).unwrap().find_map(|file| {
+            let path = file.unwrap().path();
+            let name = path.file_name()?.to_str()?;
+            name.starts_with("log-").then_some(path)
+        });
+        let segment = first.unwrap();
+        let mut bytes = fs::read(&segment).unwrap();
+        let middle = bytes.len() / 2;
+        bytes[middle] ^= 1;
+        fs::write(&segment, bytes).unwrap();
+        servers.insert(1, deployment.start(1).await);
+        wait_until_healthy(&servers.iter().collect::<Vec<_>>()).await;
+    }
+    let names = fs::read_dir(&data)
+        .unwrap()
+        .map(|file| file.unwrap().file_name());
+    let kept = names.filter(|name| name.to_string_lossy().starts_with("damaged-"));
+    assert_eq!(kept.count(), 4);
+}
+
 /// Guards against a replica with a full disk that acknowledges changes, that stops the service of the
 /// others, or that does not return once there is space.
 #[actix_rt::test]
--- a/core/tests/fleet/quarantine.rs
+++ b/core/tests/fleet/quarantine.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use primrosepin_core::fingerprint::Fingerprint;
-use primrosepin_core::fleet::{Event, Id, Outcome, PartId, Reason, Reducer};
+use primrosepin_core::fleet::{Event, Id, Outcome, PartId, Reducer};
 use primrosepin_core::quarantine::{ANY_SERVICE, Evidence, Part, Rule};
 use primrosepin_core::time::Instant;
 use rand::rngs::SmallRng;
@@ -803,7 +803,7 @@
         fleet.apply_to_all(&Event::Suspected(vec![part]));
         let began = fleet.now;
         let mut trials: Vec<Duration> = Vec::new();
-        while fleet.now.since(began) < Duration::from_secs(300) {
+        while fleet.now.since(began) < Duration::from_mins(5) {
             for vm in 0..6 {
                 let id = fleet.arrive(vm, refused.clone());
                 if fleet.dispatch(id).is_none() {
