--- a/core/src/consensus/mod.rs
+++ b/core/src/consensus/mod.rs
@@ -16,6 +16,13 @@
 //! only after the learner has caught up, so a replica that lost its votes and log cannot vote under its
 //! old id.
 //!
+//! # Discovery
+//!
+//! Only the leader admits replicas, and a replica without data knows the listed ones alone. Followers pass
+//! join requests on to the leader. Members send join requests to listed replicas that are not members, and a
+//! replica without data takes the sender of any message of a deployment for a contact: it asks there too and
+//! passes on the requests of others. A replica that is reset keeps the addresses of the members it knew.
+//!
 //! # Bootstrap
 //!
 //! A replica without data sends join requests to all replicas in its settings. If none of them has data
