control: One function that damages a file in the tests

Cause: the test of set-aside data wrote again the five lines with which the test of damaged disks flips a bit of a log.

Change: both call `damage`. No assertion changes.

Evidence: the server tests pass (11 of 11), formatter and linter are clean for the crate.

--- a/control/tests/server/cluster.rs
+++ b/control/tests/server/cluster.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::os::unix::fs::symlink;
+use std::path::Path;
 
 use futures_util::future::join_all;
 use primrosepin_core::ledger::{Answer, Call};
@@ -170,6 +171,14 @@
     assert_eq!((status, &body["version"]), (200, &json!(2)));
 }
 
+/// Flips a bit in the middle of a file.
+fn damage(file: &Path) {
+    let mut bytes = fs::read(file).unwrap();
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 1;
+    fs::write(file, bytes).unwrap();
+}
+
 /// Guards against a replica with a lost or damaged disk that does not return or returns with part of the
 /// data, and against the loss of service when a second VM is lost right after the repair.
 #[actix_rt::test]
@@ -191,11 +200,7 @@
     let out = json!({"id": "out", "out": true});
     post_until_decided(servers[0].addresses().admin, "/v1/zones/nitra-b", &out).await;
     servers.remove(1).stop().await.unwrap();
-    let segment = deployment.data(1).join("log-0000000000000002");
-    let mut bytes = fs::read(&segment).unwrap();
-    let middle = bytes.len() / 2;
-    bytes[middle] ^= 1;
-    fs::write(&segment, bytes).unwrap();
+    damage(&deployment.data(1).join("log-0000000000000002"));
     servers.insert(1, deployment.start(1).await);
     wait_until_healthy(&servers.iter().collect::<Vec<_>>()).await;
     servers.remove(2).stop().await.unwrap();
@@ -227,11 +232,7 @@
             let name = path.file_name()?.to_str()?;
             name.starts_with("log-").then_some(path)
         });
-        let segment = first.unwrap();
-        let mut bytes = fs::read(&segment).unwrap();
-        let middle = bytes.len() / 2;
-        bytes[middle] ^= 1;
-        fs::write(&segment, bytes).unwrap();
+        damage(&first.unwrap());
         servers.insert(1, deployment.start(1).await);
         wait_until_healthy(&servers.iter().collect::<Vec<_>>()).await;
     }
