fleet: Policy tells which services are scheduled as contended ones

Cause: the decisions for two customers with hard load must act only where a configuration calls for them, and nothing in the configuration said so inside the product. Ruled out: a switch by name or by VM size (says nothing of the load) and a setting on each VM (VMs could disagree). Change: Policy is derived from each service's configuration: routes of different priorities, or zones whose round trip is 2% or more of the shortest objective.

--- a/bench/src/region/day.rs
+++ b/bench/src/region/day.rs
@@ -74,6 +74,14 @@
     pub late_worth: f64,
     /// Retries of a caller after a refusal or a closed connection.
     pub retries: u32,
+    /// Priority; 0 is the highest.
+    #[serde(default = "usual_priority")]
+    pub priority: u8,
+}
+
+/// Priority of a class that sets none, so that days without priorities have one class of urgency.
+fn usual_priority() -> u8 {
+    1
 }
 
 /// A log-normal distribution of sizes.
--- a/bench/src/region/world/mod.rs
+++ b/bench/src/region/world/mod.rs
@@ -413,7 +413,7 @@
             timeout: Duration::from_millis(class.timeout_ms),
             objective: Duration::from_millis(class.objective_ms),
             gap: Some(Duration::from_millis(class.gap_ms)),
-            priority: 1,
+            priority: class.priority,
             split: smallvec![("engines".into(), 1)],
             max_attempts: 2,
             public: true,
@@ -423,7 +423,9 @@
             max_connections: 400,
             cold_per_s: self.day.cold_per_s,
             engine: Some(self.day.engine),
+            zone_delay: Duration::from_secs_f64(self.day.cross_zone_ms / 1e3),
             gap: None,
+            policy: primrosepin_core::fleet::Policy::default(),
         };
         let routes = self.day.classes.iter().map(route).collect();
         let config = Config::new(
--- a/core/src/fleet/config.rs
+++ b/core/src/fleet/config.rs
@@ -6,7 +6,7 @@
 
 use smallvec::SmallVec;
 
-use super::Engine;
+use super::{Engine, Policy};
 
 /// How often a request of a route may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -60,8 +60,12 @@
     pub cold_per_s: f64,
     /// Cost model of the engine; none for a plain service.
     pub engine: Option<Engine>,
+    /// One-way delay between the availability zones that are farthest apart; zero if it is not configured.
+    pub zone_delay: Duration,
     /// Smallest gap objective among the routes to this service; set by [`Config::new`].
     pub gap: Option<Duration>,
+    /// Decisions that the configuration calls for; set by [`Config::new`].
+    pub policy: Policy,
 }
 
 impl Service {
@@ -192,19 +196,17 @@
         organisations: Option<Vec<Organisation>>,
         limits: Limits,
     ) -> Result<Self, ConfigError> {
-        let gap = |name: &Arc<str>| {
-            let routes_to_it =
-                |route: &&Route| route.split.iter().any(|(service, _)| service == name);
+        let routes_to = |name: &Arc<str>| {
+            let name = Arc::clone(name);
             routes
                 .iter()
-                .filter(routes_to_it)
-                .filter_map(|route| route.gap)
-                .min()
+                .filter(move |route| route.split.iter().any(|(service, _)| *service == name))
         };
         let services: HashMap<_, _> = services
             .into_iter()
             .map(|service| Service {
-                gap: gap(&service.name),
+                gap: routes_to(&service.name).filter_map(|route| route.gap).min(),
+                policy: Policy::new(&service, routes_to(&service.name)),
                 ..service
             })
             .map(|service| (Arc::clone(&service.name), Arc::new(service)))
--- /dev/null
+++ b/core/src/fleet/policy.rs
@@ -0,0 +1,51 @@
+//! Which of the decisions for contended services a configuration calls for.
+//!
+//! Services whose callers do not compete, and whose zones are close to each other, are scheduled as one pool without
+//! classes. The decisions for contended services take effect only where the configuration of a service shows one of
+//! two needs:
+//!
+//! - Its routes have different priorities, so their requests compete and the more urgent come first.
+//! - Its zones are far apart compared with its shortest objective, so that targets of another zone do not make up for
+//!   missing ones, and each zone must follow its own demand.
+
+use super::{Route, Service};
+
+/// Fraction of the shortest objective from which a round trip between zones counts as long. Below it, the time to
+/// reach another zone is lost among the errors of predictions.
+const FAR_FRACTION: f64 = 0.02;
+
+/// Decisions that the configuration of a service calls for.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Policy {
+    /// Whether the service's routes have different priorities.
+    pub has_priorities: bool,
+    /// Whether the service's zones are far apart.
+    pub has_far_zones: bool,
+}
+
+impl Policy {
+    /// Derives the policy of a service from its own figures and the routes to it.
+    pub(super) fn new<'r, R>(service: &Service, routes: R) -> Self
+    where
+        R: Iterator<Item = &'r Route> + Clone,
+    {
+        if service.engine.is_none() {
+            return Self::default();
+        }
+        let mut priorities = routes.clone().map(|route| route.priority);
+        let first = priorities.next();
+        let objective = routes.map(|route| route.objective).min();
+        let round_trip = service.zone_delay * 2;
+        Self {
+            has_priorities: priorities.any(|priority| Some(priority) != first),
+            has_far_zones: objective
+                .is_some_and(|objective| round_trip >= objective.mul_f64(FAR_FRACTION))
+                && !round_trip.is_zero(),
+        }
+    }
+
+    /// Returns whether the service is scheduled as a contended one.
+    pub fn is_contended(self) -> bool {
+        self.has_priorities || self.has_far_zones
+    }
+}
--- a/core/tests/fleet/main.rs
+++ b/core/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod limits;
 mod load;
 mod planner;
+mod policy;
 mod quarantine;
 mod reach;
 mod rules;
--- a/core/tests/fleet/support.rs
+++ b/core/tests/fleet/support.rs
@@ -8,8 +8,8 @@
 use primrosepin_core::fingerprint::Fingerprint;
 use primrosepin_core::fleet::{
     Announcement, Config, Dispatch, Effect, Engine, Entry, Event, Id, Limits, Organisation,
-    Outcome, PartIds, Peer, PlannerMessage, Reducer, Refusal, Request, RetryPolicy, Route, Service,
-    Settings, State, Tokens,
+    Outcome, PartIds, Peer, PlannerMessage, Policy, Reducer, Refusal, Request, RetryPolicy, Route,
+    Service, Settings, State, Tokens,
 };
 use primrosepin_core::quarantine::{Crash, Part};
 use primrosepin_core::time::Instant;
@@ -79,7 +79,9 @@
         max_connections: 400,
         cold_per_s: 36.0,
         engine,
+        zone_delay: Duration::ZERO,
         gap: None,
+        policy: Policy::default(),
     };
     vec![service("engine", Some(engine())), service("plain", None)]
 }
