fleet: Reserve more targets for medium prompts where they are more urgent

Cause: in bursts of long prompts while a zone is out, medium prompts found the fifth of the targets that is reserved for them taken and were refused, although their route has the higher priority. The test gets 16 of 16 medium prompts in time, 11 before.

--- a/core/src/fleet/attempts.rs
+++ b/core/src/fleet/attempts.rs
@@ -10,8 +10,8 @@
 use super::placement::Candidate;
 use super::queue::MAX_COST;
 use super::{
-    Choice, Dispatch, Effect, Id, Load, Outcome, Placement, Reason, Reducer, Refusal, RetryPolicy,
-    SlidingWindow, Target, Tokens,
+    Choice, Dispatch, Division, Effect, Id, Load, Outcome, Placement, Reason, Reducer, Refusal,
+    RetryPolicy, SlidingWindow, Target, Tokens,
 };
 use crate::time::Instant;
 
@@ -134,6 +134,7 @@
                 .objective
                 .saturating_sub(now.since(pending.arrived)),
             gap: gap(&pending.service),
+            division: Division::new(pending.service.policy),
         };
         let tokens = pending.tokens();
         let choice = match &pending.service.engine {
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -23,6 +23,7 @@
 mod attempts;
 mod config;
 mod directory;
+mod division;
 mod effect;
 mod engine;
 mod event;
@@ -49,6 +50,7 @@
 
 pub use config::{Config, ConfigError, Limits, Organisation, RetryPolicy, Route, Service};
 pub use directory::{Announcement, Directory, Entry, Notice, Renewal, State, Target};
+pub use division::Division;
 pub use effect::{Dispatch, Effect, LoadReport, PlannerDecision, Reason, Refusal, Relayed};
 pub use engine::Engine;
 pub use event::{Event, Outcome};
--- a/core/src/fleet/placement.rs
+++ b/core/src/fleet/placement.rs
@@ -15,7 +15,7 @@
 use smallvec::SmallVec;
 
 use super::engine::predicted_duration;
-use super::{Engine, Load, Target, Tokens};
+use super::{Division, Engine, Load, Target, Tokens};
 
 /// Fraction of the slots that short prompts fill before the next target in the order is used. The
 /// rest absorbs requests of peers that have not been reported yet.
@@ -75,9 +75,6 @@
 /// Prefill backlog up to which medium prompts stay on the targets reserved for them, ms.
 const MEDIUM_BACKLOG_MS: f64 = 500.0;
 
-/// One of this many targets without short prompts is reserved for medium prompts.
-const MEDIUM_TARGET_DIVISOR: usize = 5;
-
 /// Predictions closer than this count as equal, ms.
 const TIE_MS: f64 = 20.0;
 
@@ -166,6 +163,8 @@
     pub objective: Duration,
     /// Smallest gap objective of the service's routes.
     pub gap: Duration,
+    /// Division of the targets between medium and long prompts.
+    pub division: Division,
 }
 
 impl Placement {
@@ -319,7 +318,7 @@
         let gap_ms = self.gap.as_secs_f64() * 1e3;
         let mut free: SmallVec<[&Candidate; 32]> = candidates.iter().collect();
         let long = prefill_ms > LONG_PREFILL_MS;
-        let medium_limit = medium_target_limit(&free);
+        let medium_limit = medium_target_limit(&free, self.division);
         if long && let Some(end) = medium_limit {
             free.retain(|c| !(c.is_dedicated() && c.name_hash <= end));
         }
@@ -477,11 +476,11 @@
 /// Returns the largest name hash of the targets reserved for medium prompts; none if there are too
 /// few targets. Without the reserve, medium prompts would wait behind parts of long ones that take
 /// many times as long.
-fn medium_target_limit(free: &[&Candidate]) -> Option<u64> {
+fn medium_target_limit(free: &[&Candidate], division: Division) -> Option<u64> {
     let dedicated = free.iter().filter(|c| c.is_dedicated());
     let mut hashes: SmallVec<[u64; 32]> = dedicated.map(|c| c.name_hash).collect();
     hashes.sort_unstable();
-    let last = (hashes.len() / MEDIUM_TARGET_DIVISOR).checked_sub(1)?;
+    let last = division.reserved_targets(hashes.len()).checked_sub(1)?;
     Some(hashes[last])
 }
 
--- a/core/src/fleet/policy.rs
+++ b/core/src/fleet/policy.rs
@@ -8,6 +8,10 @@
 //! - Its zones are far apart compared with its shortest objective, so that targets of another zone do not make up for
 //!   missing ones, and each zone must follow its own demand.
 
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
 use super::{Route, Service};
 
 /// Fraction of the shortest objective from which a round trip between zones counts as long. Below it, the time to
@@ -19,6 +23,8 @@
 pub struct Policy {
     /// Whether the service's routes have different priorities.
     pub has_priorities: bool,
+    /// Whether, in addition, routes with shorter objectives have higher priorities.
+    pub prefers_short: bool,
     /// Whether the service's zones are far apart.
     pub has_far_zones: bool,
 }
@@ -27,17 +33,22 @@
     /// Derives the policy of a service from its own figures and the routes to it.
     pub(super) fn new<'r, R>(service: &Service, routes: R) -> Self
     where
-        R: Iterator<Item = &'r Route> + Clone,
+        R: Iterator<Item = &'r Route>,
     {
         if service.engine.is_none() {
             return Self::default();
         }
-        let mut priorities = routes.clone().map(|route| route.priority);
-        let first = priorities.next();
-        let objective = routes.map(|route| route.objective).min();
+        let mut urgencies: SmallVec<[(Duration, u8); 8]> = routes
+            .map(|route| (route.objective, route.priority))
+            .collect();
+        urgencies.sort_unstable();
+        let objective = urgencies.first().map(|(objective, _)| *objective);
+        let priorities = || urgencies.iter().map(|(_, priority)| *priority);
+        let has_priorities = priorities().min() != priorities().max();
         let round_trip = service.zone_delay * 2;
         Self {
-            has_priorities: priorities.any(|priority| Some(priority) != first),
+            has_priorities,
+            prefers_short: has_priorities && priorities().is_sorted(),
             has_far_zones: objective
                 .is_some_and(|objective| round_trip >= objective.mul_f64(FAR_FRACTION))
                 && !round_trip.is_zero(),
--- a/core/src/fleet/relocation.rs
+++ b/core/src/fleet/relocation.rs
@@ -6,7 +6,7 @@
 
 use super::pending::{gap, max_duration};
 use super::queue::MAX_COST;
-use super::{Id, Placement, Reducer, RetryPolicy};
+use super::{Division, Id, Placement, Reducer, RetryPolicy};
 use crate::time::Instant;
 
 impl Reducer {
@@ -29,6 +29,7 @@
         let placement = Placement {
             objective: pending.route.objective,
             gap: gap(&pending.service),
+            division: Division::new(pending.service.policy),
         };
         let choice = placement.place_generation(engine, pending.tokens(), &candidates);
         choice.is_some_and(|choice| {
--- a/core/tests/fleet/main.rs
+++ b/core/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Decisions of entry VMs whose targets serve the whole region.
 
+mod division;
 mod fetch;
 mod limits;
 mod load;
