--- a/gateway/src/account/book.rs
+++ b/gateway/src/account/book.rs
@@ -16,6 +16,13 @@
 /// Time between two measurements of a client's rate.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
+/// Time for which a connection between requests is kept however short the process runs, in times of the stall limit:
+/// clients that stop are found in the meantime, and its next request may be on the way.
+const IDLE_STALLS: u32 = 2;
+
+/// Longest delay of the process's own tasks that is taken into account.
+const MAX_LAG: Duration = Duration::from_secs(2);
+
 /// Time without progress after which a readiness probe or a scrape counts as stalled. Their heads fit into one
 /// packet, and a probe must not wait behind a crowd for longer than the platform waits for its answer.
 const PROBE_STALL: Duration = Duration::from_millis(100);
@@ -98,9 +105,8 @@
     /// hold unread (about one and a half times the receive buffer of [`crate::net`]).
     pub fn connection_bytes(self) -> usize {
         match self {
-            Self::Caller | Self::Call => 40 * 1024,
+            Self::Caller | Self::Call | Self::Tunnel => 40 * 1024,
             Self::Probe | Self::Scrape => 32 * 1024,
-            Self::Tunnel => 128 * 1024,
             Self::Link | Self::Target => 56 * 1024,
         }
     }
@@ -177,20 +183,21 @@
 
 impl Entry {
     /// Returns the order in which the client is closed; `None` if it must stay.
-    fn rank(&self, now: Instant, clients: &Clients) -> Option<Rank> {
+    ///
+    /// `lag` is the delay of the process's own tasks: what a client sent may wait unread for as long.
+    fn rank(&self, now: Instant, clients: &Clients, lag: Duration) -> Option<Rank> {
         let stall = match self.kind {
             Kind::Probe | Kind::Scrape => PROBE_STALL.min(clients.stall),
             _ => clients.stall,
         };
+        let stall = stall + 2 * lag;
+        let quiet = now.since(self.progress_at);
         match self.stage {
             Stage::Idle if !self.has_served => Some(Rank::Unused),
-            Stage::Idle => Some(Rank::Idle),
-            Stage::Busy => None,
+            Stage::Idle => (quiet >= stall * IDLE_STALLS).then_some(Rank::Idle),
             Stage::Reading | Stage::Writing if self.is_waiting => None,
-            Stage::Reading | Stage::Writing if now.since(self.progress_at) >= stall => {
-                Some(Rank::Stalled)
-            }
-            Stage::Writing => None,
+            Stage::Reading | Stage::Writing if quiet >= stall => Some(Rank::Stalled),
+            Stage::Busy | Stage::Writing => None,
             Stage::Reading => self
                 .rate
                 .filter(|rate| *rate < clients.min_bytes_per_s as f64)
@@ -226,6 +233,8 @@
     next: u64,
     /// When memory is next searched for.
     next_search: Instant,
+    /// Recent delay of the process's own tasks.
+    lag: Duration,
 }
 
 impl Book {
@@ -269,6 +278,7 @@
             entries: HashMap::new(),
             next: 0,
             next_search: Instant::default(),
+            lag: Duration::ZERO,
         }
     }
 
@@ -308,6 +318,11 @@
         self.entries.contains_key(&id)
     }
 
+    /// Records the delay of a periodic task of the process. It is remembered for some periods.
+    pub fn record_lag(&mut self, lag: Duration) {
+        self.lag = lag.max(self.lag.mul_f64(0.9)).min(MAX_LAG);
+    }
+
     /// Returns the kind of a client; `None` if the account closed it.
     pub fn kind(&self, id: Id) -> Option<Kind> {
         self.entries.get(&id).map(|entry| entry.kind)
@@ -470,14 +485,16 @@
         closed
     }
 
-    /// Returns whether closing clients could make room for a connection of this kind.
-    pub fn can_make_room(&self, now: Instant, kind: Kind) -> bool {
-        let Some(limit) = self.shortage(kind) else {
-            return true;
-        };
-        let helps = |entry: &Entry| self.helps(kind, limit, entry.kind);
+    /// Returns what is short for a new connection of this kind if closing clients cannot help; `None` if there is
+    /// room, or closing clients can make it.
+    pub fn obstacle(&self, now: Instant, kind: Kind) -> Option<Limit> {
+        let limit = self.shortage(kind)?;
         let mut entries = self.entries.values();
-        entries.any(|entry| helps(entry) && entry.rank(now, &self.clients).is_some())
+        let can_close = entries.any(|entry| {
+            self.helps(kind, limit, entry.kind)
+                && entry.rank(now, &self.clients, self.lag).is_some()
+        });
+        (!can_close).then_some(limit)
     }
 
     /// Returns whether closing a client of kind `other` relieves a shortage of `kind`.
@@ -503,7 +520,7 @@
             .iter()
             .filter(|(id, entry)| Some(**id) != except && self.helps(kind, limit, entry.kind))
             .filter_map(|(id, entry)| {
-                let rank = entry.rank(now, &self.clients)?;
+                let rank = entry.rank(now, &self.clients, self.lag)?;
                 Some((rank, entry.progress_at, *id, entry.kind))
             })
             .collect();
--- a/gateway/src/account/mod.rs
+++ b/gateway/src/account/mod.rs
@@ -33,7 +33,7 @@
 use primrosepin_core::time::Instant;
 use primrosepin_telemetry::metrics::{Counter, Gauge, Metrics};
 use tokio::sync::Notify;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 pub use book::{Book, Id, Kind, Limit, Stage};
 pub use share::{Exhausted, Share};
@@ -44,6 +44,9 @@
 /// Interval at which those that wait for room look again: clients become stalled as time passes.
 const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Interval at which the delay of the process's own tasks is measured.
+const LAG_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Minimum time between two log lines on closed clients.
 const REPORT_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -155,18 +158,25 @@
             .record(book.memory_bytes() as u64, &[]);
     }
 
+    /// Measures the delay of the process's own tasks; never returns.
+    pub async fn measure_lag(self) {
+        loop {
+            let due = primrosepin_process::now() + LAG_INTERVAL;
+            sleep(LAG_INTERVAL).await;
+            let lag = primrosepin_process::now().since(due);
+            self.0.book.borrow_mut().record_lag(lag);
+        }
+    }
+
     /// Waits until a connection of this kind has room, or closing a client can make it.
     pub async fn wait_for_room(&self, kind: Kind) {
         let mut has_waited = false;
         loop {
             let now = primrosepin_process::now();
-            let book = self.0.book.borrow();
-            if book.can_make_room(now, kind) {
+            let Some(limit) = self.0.book.borrow().obstacle(now, kind) else {
                 return;
-            }
-            let limit = book.shortage(kind);
-            drop(book);
-            if let Some(limit) = limit.filter(|_| !has_waited) {
+            };
+            if !has_waited {
                 has_waited = true;
                 self.record_wait(kind, limit);
             }
--- a/gateway/src/control/server.rs
+++ b/gateway/src/control/server.rs
@@ -103,6 +103,7 @@
     });
     let links = accept_links(Rc::clone(&hub), link_listener, account.clone());
     actix_rt::spawn(links);
+    actix_rt::spawn(account.clone().measure_lag());
     actix_rt::spawn(accept_calls(context, call_listener, account));
     actix_rt::spawn(flush_periodically(Rc::clone(&hub)));
     actix_rt::spawn(broadcast_changes(Rc::clone(&hub)));
--- a/gateway/src/entry/server.rs
+++ b/gateway/src/entry/server.rs
@@ -68,6 +68,7 @@
     let receiver = Rc::clone(&node);
     actix_rt::spawn(async move { receiver.receive_datagrams().await });
     actix_rt::spawn(tick(Rc::clone(&node)));
+    actix_rt::spawn(node.account.clone().measure_lag());
     let reloaded = Rc::clone(&node);
     actix_rt::spawn(reload::run(common.seeds, source, hangup, move |seeds| {
         *reloaded.seeds.borrow_mut() = seeds.to_vec();
--- a/gateway/src/entry/tunnel.rs
+++ b/gateway/src/entry/tunnel.rs
@@ -36,6 +36,9 @@
 /// Time for which a tunnel whose target has closed its side stays open, so that its last bytes are delivered.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 
+/// Memory of an open tunnel beside that of its connection, bytes: buffers in both directions, here and in the kernel.
+const FORWARD_BYTES: usize = 88 * 1024;
+
 /// Largest number of tunnels. Each takes two file descriptors and a share of the VM's processor.
 pub const MAX_TUNNELS: usize = 256;
 
@@ -87,6 +90,8 @@
     let Ok(target) = connected else {
         return Ok(());
     };
+    let mut share = client.share();
+    share.set(FORWARD_BYTES);
     // The process does not exit before requests in its tunnels have ended.
     let active = node.mark_active();
     node.tunnels.set(node.tunnels.get() + 1);
--- a/gateway/src/http.rs
+++ b/gateway/src/http.rs
@@ -290,7 +290,8 @@
                         return Ok(());
                     }
                     let taken = (*left).min(input.len() as u64);
-                    output.extend_from_slice(&input.split_to(taken as usize));
+                    output.extend_from_slice(&input[..taken as usize]);
+                    input.advance(taken as usize);
                     *left -= taken;
                 }
                 Self::Chunks(chunk) => {
@@ -351,7 +352,8 @@
                 return Ok(None);
             }
             let taken = left.min(input.len() as u64);
-            output.extend_from_slice(&input.split_to(taken as usize));
+            output.extend_from_slice(&input[..taken as usize]);
+            input.advance(taken as usize);
             Body::Chunks(ChunkState::Data(left - taken))
         }
         ChunkState::DataEnd => {
@@ -434,6 +436,7 @@
 
     /// Marks a stream that another entry VM forwards. Its end does not show that the target has closed the
     /// connection, since that VM may have ended.
+    #[must_use]
     pub fn through_tunnel(self) -> Self {
         Self {
             is_tunnel: true,
