gateway: Small requests are served beside crowds of large bodies and pipelined requests

Cause: trials with 2,000 clients against the release build. Memory held (peak of an entry process of 160 MB: 98.7 MB), but ordinary requests waited. 300 bodies of 1 MB: 1 of 4 timed out after 3 s, as bodies that waited took each MB that was freed. 2,000 connections with 40 requests each: 1 of 6 timed out; a connection with pipelined requests served all of them in one go, and a new caller waited until idle clients had been idle for two seconds.

Ruled out: lack of memory for the connections themselves; 2,000 of them used 82 of 89 MB, but closing one is enough.

Change: buffers of more than 64 kB leave an eighth of the memory to smaller ones. A connection yields between pipelined requests. Kept connections may be closed after one stall time, in their order after those that stopped. A refusal counts as a served request. The first buffer of a frame on a link has 4 kB.

--- a/gateway/src/account/book.rs
+++ b/gateway/src/account/book.rs
@@ -16,9 +16,12 @@
 /// Time between two measurements of a client's rate.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
-/// Time for which a connection between requests is kept however short the process runs, in times of the stall limit:
-/// clients that stop are found in the meantime, and its next request may be on the way.
-const IDLE_STALLS: u32 = 2;
+/// Size up to which a buffer may use all of the memory, bytes. Larger ones leave `SMALL_DIVISOR` of it free, so that
+/// ordinary requests need not wait behind a crowd of large ones.
+const SMALL_BYTES: usize = 64 * 1024;
+
+/// Part of the memory that buffers of more than `SMALL_BYTES` leave free.
+const SMALL_DIVISOR: usize = 8;
 
 /// Longest delay of the process's own tasks that is taken into account.
 const MAX_LAG: Duration = Duration::from_secs(2);
@@ -194,7 +197,8 @@
         let quiet = now.since(self.progress_at);
         match self.stage {
             Stage::Idle if !self.has_served => Some(Rank::Unused),
-            Stage::Idle => (quiet >= stall * IDLE_STALLS).then_some(Rank::Idle),
+            // Clients that stop are found in the meantime, and its next request may be on the way.
+            Stage::Idle => (quiet >= stall).then_some(Rank::Idle),
             Stage::Reading | Stage::Writing if self.is_waiting => None,
             Stage::Reading | Stage::Writing if quiet >= stall => Some(Rank::Stalled),
             Stage::Busy | Stage::Writing => None,
@@ -340,7 +344,7 @@
         }
         // A kind within its reserve is not refused for memory that the others hold.
         let has_reserve = bounds.open < bounds.reserved;
-        (!has_reserve && !self.fits(kind, kind.connection_bytes())).then_some(Limit::Memory)
+        (!has_reserve && !self.fits(kind, kind.connection_bytes(), 0)).then_some(Limit::Memory)
     }
 
     /// Returns the descriptors that a connection of this kind has to leave free for the others.
@@ -353,23 +357,29 @@
         free.sum::<usize>().min(self.descriptors)
     }
 
-    /// Returns the memory that clients of this kind may fill, bytes.
-    fn ceiling(&self, kind: Kind) -> usize {
-        match kind {
-            Kind::Caller | Kind::Call => self.memory_bytes - self.reserved_bytes,
-            _ => self.memory_bytes,
-        }
+    /// Returns the memory that clients of this kind may fill with buffers of this size, bytes.
+    fn ceiling(&self, kind: Kind, size: usize) -> usize {
+        let for_others = match kind {
+            Kind::Caller | Kind::Call => self.reserved_bytes,
+            _ => 0,
+        };
+        let for_small = if size > SMALL_BYTES {
+            self.memory_bytes / SMALL_DIVISOR
+        } else {
+            0
+        };
+        self.memory_bytes - for_others - for_small
     }
 
-    fn fits(&self, kind: Kind, bytes: usize) -> bool {
-        self.used_bytes + bytes <= self.ceiling(kind)
+    /// Returns whether this much more memory fits for a buffer that then has this size, bytes.
+    fn fits(&self, kind: Kind, bytes: usize, size: usize) -> bool {
+        self.used_bytes + bytes <= self.ceiling(kind, size)
     }
 
-    /// Returns whether a client may use this much more memory without anyone being closed, bytes.
-    pub fn has_memory(&self, id: Id, bytes: usize) -> bool {
-        self.entries
-            .get(&id)
-            .is_none_or(|entry| self.fits(entry.kind, bytes))
+    /// Returns whether a buffer of a client may grow from `before` to `after` bytes without anyone being closed.
+    pub fn has_memory(&self, id: Id, before: usize, after: usize) -> bool {
+        let fits = |entry: &Entry| self.fits(entry.kind, after.saturating_sub(before), after);
+        self.entries.get(&id).is_none_or(fits)
     }
 
     /// Adds a connection. The caller has made room for it.
@@ -419,7 +429,7 @@
         if let Some(entry) = self.entries.get_mut(&id)
             && entry.stage != stage
         {
-            entry.has_served |= stage == Stage::Busy;
+            entry.has_served |= matches!(stage, Stage::Busy | Stage::Writing);
             entry.stage = stage;
             entry.progress_at = now;
             entry.window_start = now;
@@ -461,7 +471,8 @@
                 break;
             };
             let before = closed.len();
-            self.relieve(now, kind, limit, kind.connection_bytes(), None, &mut closed);
+            let bytes = kind.connection_bytes();
+            self.relieve(now, kind, limit, (bytes, 0), None, &mut closed);
             if closed.len() == before {
                 break;
             }
@@ -469,15 +480,22 @@
         closed
     }
 
-    /// Closes other clients until this one may use this much more memory, bytes. Returns those closed; there may
-    /// still be no room.
-    pub fn make_memory(&mut self, now: Instant, id: Id, bytes: usize) -> Vec<(Id, Kind, Limit)> {
+    /// Closes other clients until a buffer of this one may grow from `before` to `after` bytes. Returns those closed;
+    /// there may still be no room.
+    pub fn make_memory(
+        &mut self,
+        now: Instant,
+        id: Id,
+        before: usize,
+        after: usize,
+    ) -> Vec<(Id, Kind, Limit)> {
         let mut closed = Vec::new();
         if now < self.next_search {
             return closed;
         }
         if let Some(kind) = self.kind(id) {
-            self.relieve(now, kind, Limit::Memory, bytes, Some(id), &mut closed);
+            let need = (after.saturating_sub(before), after);
+            self.relieve(now, kind, Limit::Memory, need, Some(id), &mut closed);
         }
         if closed.is_empty() {
             self.next_search = now + SEARCH_INTERVAL;
@@ -506,12 +524,13 @@
         }
     }
 
+    /// Closes clients until the limit is no longer met. `need` is the memory and the size of the buffer, bytes.
     fn relieve(
         &mut self,
         now: Instant,
         kind: Kind,
         limit: Limit,
-        bytes: usize,
+        need: (usize, usize),
         except: Option<Id>,
         closed: &mut Vec<(Id, Kind, Limit)>,
     ) {
@@ -533,7 +552,7 @@
                 Rank::Unused | Rank::Stalled => SURPLUS_DIVISOR,
                 Rank::Idle | Rank::Slow(_) => usize::MAX,
             };
-            if self.is_relieved(kind, limit, bytes, surplus) {
+            if self.is_relieved(kind, limit, need, surplus) {
                 break;
             }
             if self.helps(kind, limit, other) {
@@ -543,9 +562,15 @@
         }
     }
 
-    fn is_relieved(&self, kind: Kind, limit: Limit, bytes: usize, surplus: usize) -> bool {
+    fn is_relieved(
+        &self,
+        kind: Kind,
+        limit: Limit,
+        (bytes, size): (usize, usize),
+        surplus: usize,
+    ) -> bool {
         match limit {
-            Limit::Memory => self.fits(kind, bytes + self.memory_bytes / surplus),
+            Limit::Memory => self.fits(kind, bytes + self.memory_bytes / surplus, size),
             Limit::Descriptors => {
                 let needed = kind.descriptors() + self.descriptors / surplus;
                 self.used_descriptors + needed <= self.descriptors - self.reserved_descriptors(kind)
--- a/gateway/src/account/share.rs
+++ b/gateway/src/account/share.rs
@@ -44,7 +44,7 @@
         };
         let mut has_waited = false;
         loop {
-            if bytes <= self.bytes || self.has_overdraft || self.make_memory(bytes - self.bytes) {
+            if bytes <= self.bytes || self.has_overdraft || self.make_memory(bytes) {
                 break;
             }
             if !account.0.is_overdrawn.replace(true) {
@@ -71,7 +71,7 @@
     /// Resizes like [`Share::resize`]; fails if the memory is not there within the limit.
     pub async fn resize_within(&mut self, bytes: usize, limit: Duration) -> Result<(), Exhausted> {
         // Growth that fits needs no timer.
-        if bytes <= self.bytes || self.owner.is_none() || self.make_memory(bytes - self.bytes) {
+        if bytes <= self.bytes || self.owner.is_none() || self.make_memory(bytes) {
             self.set(bytes);
             return Ok(());
         }
@@ -90,7 +90,7 @@
             return;
         }
         if bytes > self.bytes && !self.has_overdraft {
-            self.make_memory(bytes - self.bytes);
+            self.make_memory(bytes);
         }
         let mut book = account.0.book.borrow_mut();
         book.charge(*id, self.bytes, bytes);
@@ -106,7 +106,7 @@
         let Some((account, id)) = &self.owner else {
             return true;
         };
-        account.0.book.borrow().has_memory(*id, bytes)
+        account.0.book.borrow().has_memory(*id, 0, bytes)
     }
 
     /// Returns the time that a request waits for memory.
@@ -115,18 +115,18 @@
         owner.map_or(Duration::MAX, |(account, _)| account.0.limits.memory_wait)
     }
 
-    /// Closes clients that make no progress until more memory fits. Returns whether it does.
+    /// Closes clients that make no progress until this size fits. Returns whether it does.
     fn make_memory(&self, bytes: usize) -> bool {
         let Some((account, id)) = &self.owner else {
             return true;
         };
         let now = primrosepin_process::now();
         let mut book = account.0.book.borrow_mut();
-        if book.has_memory(*id, bytes) {
+        if book.has_memory(*id, self.bytes, bytes) {
             return true;
         }
-        let closed = book.make_memory(now, *id, bytes);
-        let fits = book.has_memory(*id, bytes);
+        let closed = book.make_memory(now, *id, self.bytes, bytes);
+        let fits = book.has_memory(*id, self.bytes, bytes);
         drop(book);
         account.evict(&closed);
         fits
--- a/gateway/src/control/calls.rs
+++ b/gateway/src/control/calls.rs
@@ -166,6 +166,10 @@
             caller.shutdown().await;
             return;
         }
+        if !caller.input.is_empty() {
+            // Calls that are pipelined are all there: their connection must not keep the others waiting.
+            tokio::task::yield_now().await;
+        }
     }
 }
 
--- a/gateway/src/entry/caller.rs
+++ b/gateway/src/entry/caller.rs
@@ -121,6 +121,10 @@
         if close {
             return linger(&mut caller).await;
         }
+        if !caller.input.is_empty() {
+            // Requests that are pipelined are all there: their connection must not keep the others waiting.
+            tokio::task::yield_now().await;
+        }
     }
 }
 
--- a/gateway/src/link.rs
+++ b/gateway/src/link.rs
@@ -22,7 +22,7 @@
 const RECEIVE_TIMEOUT: Duration = Duration::from_millis(1_800);
 
 /// First size of the buffer of a message that is being received, bytes. Most messages are smaller.
-const FIRST_BUFFER_BYTES: usize = 64 * 1024;
+const FIRST_BUFFER_BYTES: usize = 4 * 1024;
 
 /// Capacity of the send queue. Senders drop messages when it is full; the protocols tolerate message loss.
 pub const QUEUE_MESSAGES: usize = 1_024;
