gateway: Receive buffer of 32 kB for clients, so that ordinary bodies cost what they did

Ruled out: more charge for fewer windows is not too dear: 64 kB for each connection leave room for 1,390 connections of callers at 160 MB, against the 75 that an entry VM has.

Change: 32 kB to receive for callers and calls, 8 kB for probes and scrapes; one read takes up to 32 kB. The charges of connections follow.

--- a/gateway/src/account/book.rs
+++ b/gateway/src/account/book.rs
@@ -108,8 +108,8 @@
     /// hold unread (about one and a half times the receive buffer of [`crate::net`]).
     pub fn connection_bytes(self) -> usize {
         match self {
-            Self::Caller | Self::Call | Self::Tunnel => 40 * 1024,
-            Self::Probe | Self::Scrape => 32 * 1024,
+            Self::Caller | Self::Call | Self::Tunnel => 64 * 1024,
+            Self::Probe | Self::Scrape => 24 * 1024,
             Self::Link | Self::Target => 56 * 1024,
         }
     }
--- a/gateway/src/control/server.rs
+++ b/gateway/src/control/server.rs
@@ -48,9 +48,9 @@
     let shutdown = Shutdown::new()?;
     let common = settings.common.clone();
     let link_address = common.address();
-    let link_listener = net::listen_for_peers(link_address)
+    let link_listener = net::listen(link_address, Kind::Link)
         .wrap_err_with(|| format!("cannot listen on {link_address}"))?;
-    let call_listener = net::listen(settings.calls)
+    let call_listener = net::listen(settings.calls, Kind::Call)
         .wrap_err_with(|| format!("cannot listen on {}", settings.calls))?;
     let registry = Metrics::new("control", &common.vm, &common.zone)?;
     let (outgoing, log_messages) = mpsc::unbounded_channel();
--- a/gateway/src/entry/server.rs
+++ b/gateway/src/entry/server.rs
@@ -48,14 +48,14 @@
 {
     let shutdown = Shutdown::new()?;
     let common = settings.common.clone();
-    let caller_listener = net::listen(settings.callers)
+    let caller_listener = net::listen(settings.callers, Kind::Caller)
         .wrap_err_with(|| format!("cannot listen on {}", settings.callers))?;
-    let readiness_listener = net::listen(settings.ready)
+    let readiness_listener = net::listen(settings.ready, Kind::Probe)
         .wrap_err_with(|| format!("cannot listen on {}", settings.ready))?;
     let datagrams = UdpSocket::bind(common.address())
         .await
         .wrap_err_with(|| format!("cannot bind {}", common.address()))?;
-    let tunnel_listener = net::listen_for_peers(common.address())
+    let tunnel_listener = net::listen(common.address(), Kind::Tunnel)
         .wrap_err_with(|| format!("cannot listen on {}", common.address()))?;
     let registry = Metrics::new("entry", &common.vm, &common.zone)?;
     let node = Rc::new(Node::new(settings, protocol, registry.clone(), datagrams));
--- a/gateway/src/entry/tunnel.rs
+++ b/gateway/src/entry/tunnel.rs
@@ -37,7 +37,7 @@
 const LINGER_TIME: Duration = Duration::from_millis(500);
 
 /// Memory of an open tunnel beside that of its connection, bytes: buffers in both directions, here and in the kernel.
-const FORWARD_BYTES: usize = 88 * 1024;
+const FORWARD_BYTES: usize = 64 * 1024;
 
 /// Largest number of tunnels. Each takes two file descriptors and a share of the VM's processor.
 pub const MAX_TUNNELS: usize = 256;
--- a/gateway/src/http.rs
+++ b/gateway/src/http.rs
@@ -28,7 +28,7 @@
 const MAX_CHUNK_LINE_BYTES: usize = 256;
 
 /// Most bytes that are read at once.
-const READ_BYTES: usize = 16 * 1024;
+const READ_BYTES: usize = 32 * 1024;
 
 /// Smallest capacity of the buffer of a body that does not fit into what was already received, bytes.
 const MIN_BODY_BUFFER_BYTES: usize = 4 * 1024;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -168,7 +168,7 @@
 where
     F: Fn() + 'static,
 {
-    let listener: TcpListener = net::listen(address)?;
+    let listener: TcpListener = net::listen(address, Kind::Scrape)?;
     let refresh = Rc::new(refresh);
     let last_bytes = Rc::new(Cell::new(0));
     loop {
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -26,9 +26,12 @@
 
 /// Receive buffer of connections from clients, bytes. The kernel doubles it, and holds up to one and a half times
 /// the value unread for each connection. Connections inherit it from their listener: set on an open connection, it
-/// is smaller than the window that the peer already knows, and the peer waits for retransmissions. It allows
-/// 3.6 MB/s at a round trip of 4.5 ms, more than the link of an entry VM carries.
-const CLIENT_RECEIVE_BYTES: usize = 16 * 1024;
+/// is smaller than the window that the peer already knows, and the peer waits for retransmissions. An ordinary
+/// request of 31 kB fits into it, so it is read at once.
+const CLIENT_RECEIVE_BYTES: usize = 32 * 1024;
+
+/// Receive buffer of connections from probes and collectors of metrics, bytes. Their requests are short.
+const PROBE_RECEIVE_BYTES: usize = 8 * 1024;
 
 /// Receive buffer of connections from other VMs of the deployment and to targets, bytes.
 const PEER_RECEIVE_BYTES: usize = 32 * 1024;
@@ -36,17 +39,13 @@
 /// Send buffer of connections from clients and to targets, bytes. The kernel doubles it.
 const SEND_BYTES: usize = 64 * 1024;
 
-/// Opens a non-blocking listener with `SO_REUSEADDR` for clients, whose connections get small buffers.
-pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    listen_with(address, CLIENT_RECEIVE_BYTES)
-}
-
-/// Opens a non-blocking listener with `SO_REUSEADDR` for other VMs of the deployment.
-pub fn listen_for_peers(address: SocketAddr) -> io::Result<TcpListener> {
-    listen_with(address, PEER_RECEIVE_BYTES)
-}
-
-fn listen_with(address: SocketAddr, receive_bytes: usize) -> io::Result<TcpListener> {
+/// Opens a non-blocking listener with `SO_REUSEADDR` for connections of a kind, which bounds their buffers.
+pub fn listen(address: SocketAddr, kind: Kind) -> io::Result<TcpListener> {
+    let receive_bytes = match kind {
+        Kind::Caller | Kind::Call => CLIENT_RECEIVE_BYTES,
+        Kind::Probe | Kind::Scrape => PROBE_RECEIVE_BYTES,
+        Kind::Tunnel | Kind::Link | Kind::Target => PEER_RECEIVE_BYTES,
+    };
     let socket = Socket::new(
         Domain::for_address(address),
         Type::STREAM,
