core: Name the type of request IDs in the test of the division

Cause: the import was removed with an unused one, and the test did not compile. Change: the import is back. Result: the test target compiles.

--- a/core/tests/fleet/division.rs
+++ b/core/tests/fleet/division.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use primrosepin_core::fleet::{Config, Event, Limits};
+use primrosepin_core::fleet::{Config, Event, Id, Limits};
 
 use crate::support::{Fleet, ms, organisations, request, routes, services};
 
