core: Test that slowly read answers stay counted at their target

Ruled out: an expiry of own work. `LoadTable` removes it only when the request ends, and `REPORT_REFRESH` repeats reports while requests are pending, so peers' leases do not run out.

Change: a test with two VMs and one engine, in which an answer that has started is not read to its end for nine seconds, longer than the lease of peers' reports (5 s).

Conclusion: no change of the code is needed.

--- a/core/tests/fleet/load.rs
+++ b/core/tests/fleet/load.rs
@@ -319,3 +319,29 @@
         "some prompts have no decision"
     );
 }
+
+/// Load: a caller that reads its answer slowly, for longer than an answer takes. Guards against slots and KV cache that
+/// are counted as free at a target, here and at peers, while the request still holds them there.
+#[test]
+fn a_slowly_read_answer_stays_counted_until_its_request_ends() {
+    let mut fleet = Fleet::new(2, 1);
+    let id = fleet.arrive(0, request("short", 4_000));
+    let name = fleet.dispatch(id).unwrap().name.to_string();
+    fleet.run(ms(100));
+    fleet.apply(0, Event::Started(id));
+    // Longer than the time after which silent peers no longer count. The route allows ten seconds.
+    for _ in 0..9 {
+        fleet.run(ms(1_000));
+        for vm in 0..2 {
+            let load = fleet.vms[vm].load(&name, fleet.now);
+            assert_eq!(load.running, 1, "entry-{vm}");
+            assert_eq!(load.kv_tokens, 4_000 + 1_300, "entry-{vm}");
+        }
+    }
+    fleet.end(0, id, Outcome::CallerGone);
+    fleet.run(ms(100));
+    for vm in 0..2 {
+        let load = fleet.vms[vm].load(&name, fleet.now);
+        assert_eq!((load.running, load.kv_tokens), (0, 0), "entry-{vm}");
+    }
+}
