fleet: Pace of targets, measured by all entry VMs

Cause: each VM learned a target's slowness from its own late first events only.

Ruled out: first events as proof of the normal pace.

Change: core::fleet::pace takes gaps between the first events of answers, and late first events, as measurements; Message::Paces, a new last kind, tells deviating ones to the recipients of load reports, at most once a second. The pace is the lower median over VMs and ends 3 s after its last measurement. Candidate::slowdown, the gap check of short prompts and the avoidance of targets use it where the service is contended; elsewhere nothing changes.

--- a/bench/src/region/world/engine.rs
+++ b/bench/src/region/world/engine.rs
@@ -175,7 +175,9 @@
         let Some(running) = self.attempts.get_mut(&attempt) else {
             return;
         };
-        running.last_event = self.now;
+        let gap = self
+            .now
+            .since(std::mem::replace(&mut running.last_event, self.now));
         let first = !std::mem::replace(&mut running.started, true);
         let (vm, id, call) = (running.vm, running.id, running.call);
         let delay = self.latency(self.vms[vm].zone, self.targets[number].zone);
@@ -184,6 +186,8 @@
         }
         if first {
             self.send_vm(delay, vm, Event::Started(id));
+        } else {
+            self.send_vm(delay, vm, Event::Continued(id, gap));
         }
         let Some(caller) = &mut self.callers[call] else {
             return;
--- a/core/src/fleet/attempts.rs
+++ b/core/src/fleet/attempts.rs
@@ -76,7 +76,8 @@
                     continue;
                 }
             }
-            let health = self.health.get(&target).copied().unwrap_or_default();
+            let avoided = self.is_avoided(now, &pending.service, target, record);
+            let slowdown = self.slowdown(now, &pending.service, target, record.name_hash);
             candidates.push(Candidate {
                 target,
                 address: announcement.address,
@@ -84,9 +85,14 @@
                 local: announcement.zone == self.settings.zone,
                 load: self.loads.load(record.name_hash, now),
                 slots: announcement.slots,
-                avoided: health.avoided(now, record.heard),
+                avoided,
                 cold,
-                slowdown: health.slowdown(),
+                slowdown,
+                pace: if pending.service.policy.is_contended() {
+                    slowdown
+                } else {
+                    1.0
+                },
                 tie_break: xxhash_rust::xxh3::xxh3_64_with_seed(
                     &record.name_hash.to_le_bytes(),
                     self.vm_hash,
@@ -292,6 +298,11 @@
         if !self.pending.contains_key(&id) {
             return;
         }
+        let engine = self
+            .pending
+            .get(&id)
+            .and_then(|p| p.service.engine.as_ref());
+        let probe = self.probe(now, engine, name_hash, choice);
         self.add_load(now, id, choice, tokens);
         if cold {
             let window = self.cold_windows.entry(choice.target);
@@ -310,6 +321,7 @@
             target: choice.target,
             sent_at: now,
             predicted: choice.predicted,
+            probe,
             started_at: None,
             answered: false,
         });
@@ -365,12 +377,17 @@
             return;
         }
         running.started_at = Some(now);
+        let exclusive = pending.exclusive;
         if pending.service.engine.is_some() {
             let taken = now.since(running.sent_at);
             let health = self.health.entry(running.target).or_default();
             health.record_first_event(taken, running.predicted);
+            if pending.service.policy.is_contended() {
+                let running = running.clone();
+                self.record_first_event_pace(now, &running);
+            }
             self.loads.finish_prefill(id, now);
-            if pending.exclusive {
+            if exclusive {
                 self.report_due = true;
                 // Report at once, so that peers see that the helpers are free.
                 self.reported_at = Instant::default();
--- a/core/src/fleet/effect.rs
+++ b/core/src/fleet/effect.rs
@@ -9,7 +9,7 @@
 
 use crate::quarantine::{Crash, Part};
 
-use super::{Helper, Id, LimitStatement, Load, PlannerMessage, RetryPolicy, Target};
+use super::{Helper, Id, LimitStatement, Load, Pace, PlannerMessage, RetryPolicy, Target};
 
 /// Why a request is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -152,6 +152,10 @@
     Refuse(Id, Refusal),
     /// Sends a load report to these peers.
     ReportLoad(Arc<[Arc<str>]>, LoadReport),
+    /// Tells these peers what this VM measured of deviating targets.
+    ReportPaces(Arc<[Arc<str>]>, Vec<Pace>),
+    /// A target, named here, became slower than its figures by this factor; none if it is back to normal.
+    PaceChanged(Arc<str>, Option<f64>),
     /// Reports to all control VMs a target that ended under a request.
     ReportCrashes(Vec<Crash>),
     /// Tells all control VMs of processes of targets that were reported as ended and still run.
--- a/core/src/fleet/event.rs
+++ b/core/src/fleet/event.rs
@@ -5,7 +5,7 @@
 
 use crate::quarantine::{Part, Rule};
 
-use super::{Config, Entry, Id, LoadReport, Notice, Peer, PlannerMessage, Request};
+use super::{Config, Entry, Id, LoadReport, Notice, Pace, Peer, PlannerMessage, Request};
 
 /// How an attempt at a target ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -80,6 +80,13 @@
         /// The load report.
         report: LoadReport,
     },
+    /// A peer told what it measured of deviating targets.
+    PacesReported {
+        /// Name of the peer.
+        peer: Arc<str>,
+        /// Its measurements.
+        paces: Vec<Pace>,
+    },
     /// A peer sent a message about a long prompt.
     PlannerMessage {
         /// Name of the peer.
@@ -95,6 +102,9 @@
     Arrived(Id, Request),
     /// The first byte of a target's answer arrived.
     Started(Id),
+    /// Further events of an answer arrived after this VM waited this time for the target. Only the first ones of each
+    /// answer are used.
+    Continued(Id, Duration),
     /// The answer of a target named a limit on its requests a second, or, if the target had named one, none.
     LimitNamed(Id, Option<f64>),
     /// The answer of a target says something about new work.
--- a/core/src/fleet/health.rs
+++ b/core/src/fleet/health.rs
@@ -92,9 +92,13 @@
     /// Returns whether the target, last heard at `heard`, should get no work while others can take
     /// it.
     pub fn avoided(&self, now: Instant, heard: Instant) -> bool {
+        self.is_failing(now, heard) || self.slowdown > MAX_SLOWDOWN
+    }
+
+    /// Returns whether the target, last heard at `heard`, failed recently or has no room.
+    pub fn is_failing(&self, now: Instant, heard: Instant) -> bool {
         now < self.backoff_until
             || self.failure_rate > MAX_FAILURE_RATE
-            || self.slowdown > MAX_SLOWDOWN
             || self.unreachable_at.is_some_and(|at| at >= heard)
     }
 
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 //!
 //! - [`Directory`]: targets by their announcements, ordered by start time and sequence number.
 //! - [`LoadTable`]: load of each target, from this VM and its peers.
+//! - [`PaceTable`]: how much slower than announced targets are.
 //! - [`SlidingWindow`]: request counts that bound retries and requests to targets in cold start.
 //! - [`PlannerMessage`]: messages to and from the planner, the VM that places long prompts for the
 //!   whole region from one queue.
@@ -32,6 +33,7 @@
 mod health;
 mod limit;
 mod load;
+mod pace;
 mod pending;
 mod placement;
 mod planner;
@@ -57,6 +59,7 @@
 pub use health::Health;
 pub use limit::LimitStatement;
 pub use load::{Load, LoadTable};
+pub use pace::{Pace, Table as PaceTable};
 pub use placement::{Candidate, Choice, Helper, Placement};
 pub use planner_message::{Denial, Grant, PlannerMessage, Query};
 pub use policy::Policy;
--- a/core/src/fleet/pending.rs
+++ b/core/src/fleet/pending.rs
@@ -6,6 +6,7 @@
 use smallvec::SmallVec;
 
 use super::engine::predicted_duration;
+use super::pace::Probe;
 use super::planner::{Origin, PendingQuery};
 use super::{Choice, Organisation, PartIds, Placement, Request, Route, Service, Target, Tokens};
 use crate::time::Instant;
@@ -24,6 +25,8 @@
     pub(super) target: Target,
     pub(super) sent_at: Instant,
     pub(super) predicted: Duration,
+    /// Measurements of the target's pace.
+    pub(super) probe: Probe,
     /// When the first event arrived.
     pub(super) started_at: Option<Instant>,
     /// Whether its answer has been recorded as one that the target bears.
--- a/core/src/fleet/placement.rs
+++ b/core/src/fleet/placement.rs
@@ -106,6 +106,8 @@
     pub cold: bool,
     /// Ratio of the actual to the predicted time to the first event.
     pub slowdown: f64,
+    /// Factor by which its passes and prefills exceed the announced times; 1 where the service is not contended.
+    pub pace: f64,
     /// Order among equal targets. It differs between VMs, so that VMs that decide at the same time
     /// choose different targets.
     pub tie_break: u64,
@@ -276,7 +278,7 @@
             !c.avoided
                 && running < c.slots
                 && c.load.exclusive == 0
-                && pass + f64::from(c.load.prefill_ms) + prefill_ms <= gap_ms
+                && (pass + f64::from(c.load.prefill_ms) + prefill_ms) * c.pace <= gap_ms
         };
         let local = fitting.iter().filter(|c| c.local).count();
         let chosen = fitting[..needed.min(local)]
--- a/core/src/fleet/planner.rs
+++ b/core/src/fleet/planner.rs
@@ -180,9 +180,8 @@
             .directory
             .records()
             .filter(|(target, record)| {
-                let health = self.health.get(target);
                 record.announcement.service == pending.service.name
-                    && health.is_some_and(|health| health.avoided(now, record.heard))
+                    && self.is_avoided(now, &pending.service, *target, record)
             })
             .map(|(target, _)| target);
         let query = Query {
--- a/core/src/fleet/reducer.rs
+++ b/core/src/fleet/reducer.rs
@@ -13,7 +13,8 @@
 use super::topology::Topology;
 use super::{
     Announcement, Config, Directory, Effect, Entry, Event, Freshness, Health, Id, Load, LoadReport,
-    LoadTable, Notice, Reason, Refusal, Relayed, Renewal, Request, SlidingWindow, Target,
+    LoadTable, Notice, PaceTable, Reason, Refusal, Relayed, Renewal, Request, SlidingWindow,
+    Target,
 };
 use crate::time::Instant;
 
@@ -79,6 +80,8 @@
     /// Requests and retries in the retry window, by service.
     pub(super) retry_windows: HashMap<Arc<str>, RetryWindows>,
     pub(super) loads: LoadTable,
+    /// How much slower than announced targets are.
+    pub(super) paces: PaceTable,
     /// Roles of the entry VMs known to run.
     pub(super) topology: Topology,
     /// Time until which VMs that did not answer are not queried.
@@ -129,6 +132,7 @@
             cold_windows: HashMap::new(),
             retry_windows: HashMap::new(),
             loads: LoadTable::default(),
+            paces: PaceTable::default(),
             topology: Topology::default(),
             unresponsive: HashMap::new(),
             reported_planner: None,
@@ -198,7 +202,7 @@
     pub fn apply(&mut self, now: Instant, event: Event, effects: &mut Vec<Effect>) {
         match event {
             Event::Tick => {
-                self.tick(now);
+                self.tick(now, effects);
                 self.record_long_answers(now, effects);
                 self.withdraw_reports(effects);
                 self.report_planner_change(now, effects);
@@ -235,6 +239,7 @@
                 self.merge_limits(now, &report.limits);
                 self.loads.update_peer(now, peer, report);
             }
+            Event::PacesReported { peer, paces } => self.paces.merge(now, &peer, &paces),
             Event::PlannerMessage { peer, message } => {
                 self.receive_planner_message(now, &peer, message, effects);
             }
@@ -244,13 +249,15 @@
             Event::LimitNamed(id, rate) => self.record_named_limit(now, id, rate),
             Event::Noticed(id, notice) => self.record_notice(now, id, notice),
             Event::Started(id) => self.started(now, id),
+            Event::Continued(id, gap) => self.continued(now, id, gap),
             Event::Ended(id, outcome) => self.ended(now, id, outcome, effects),
         }
         self.serve_queue(now, effects);
         self.report_load(now, effects);
+        self.report_paces(now, effects);
     }
 
-    fn tick(&mut self, now: Instant) {
+    fn tick(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         self.expire_peer_requests(now);
         /// Interval and factor with which the health records of targets decay.
         const DECAY_INTERVAL: Duration = Duration::from_secs(1);
@@ -261,6 +268,7 @@
                 health.decay(DECAY_FACTOR);
             }
             self.loads.expire(now);
+            self.update_paces(now, effects);
             self.unresponsive.retain(|_, until| now < *until);
             self.directory.expire(now);
             self.expire_limits(now);
--- a/core/tests/fleet/main.rs
+++ b/core/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod fetch;
 mod limits;
 mod load;
+mod pace;
 mod planner;
 mod policy;
 mod quarantine;
--- a/core/tests/fleet/support.rs
+++ b/core/tests/fleet/support.rs
@@ -276,9 +276,26 @@
                     self.decisions.push((vm, id, Decision::Refused(refusal)));
                 }
                 Effect::Queue(..)
+                | Effect::PaceChanged(..)
                 | Effect::PlannerTimedOut(..)
                 | Effect::PlannerDecision(_)
                 | Effect::PlannerChanged(_) => {}
+                Effect::ReportPaces(recipients, paces) => {
+                    for recipient in recipients.iter() {
+                        let peer = recipient.strip_prefix("entry-").unwrap();
+                        let peer: usize = peer.parse().unwrap();
+                        if self.partitioned.contains(&peer) || self.partitioned.contains(&vm) {
+                            continue;
+                        }
+                        self.next += 1;
+                        let event = Event::PacesReported {
+                            peer: format!("entry-{vm}").into(),
+                            paces: paces.clone(),
+                        };
+                        let at = self.now + self.delay;
+                        self.messages.insert((at, self.next), (peer, event));
+                    }
+                }
                 Effect::ReportCrashes(crashes) => {
                     let reports = crashes.into_iter().map(|crash| (vm, Report::Crash(crash)));
                     self.crash_reports.extend(reports);
--- a/gateway/src/control/hub.rs
+++ b/gateway/src/control/hub.rs
@@ -327,6 +327,7 @@
             | Message::Renewals(_)
             | Message::Roster { .. }
             | Message::LoadReport { .. }
+            | Message::Paces { .. }
             | Message::TunnelRequest { .. }
             | Message::TunnelAnswer(_)
             | Message::Planner { .. } => {}
--- a/gateway/src/entry/attempt.rs
+++ b/gateway/src/entry/attempt.rs
@@ -26,6 +26,10 @@
 /// Interval at which the path to a silent target is looked at.
 const PATH_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Number of gaps at the start of each answer that are reported to the reducer. It uses the first ones that are not due
+/// to events held up on the way.
+const MEASURED_GAPS: u32 = 6;
+
 /// Time without progress after which a target is left if the path to it is lost. Open connections may live on where
 /// new ones cannot be made.
 const LOST_SILENCE: Duration = Duration::from_millis(600);
@@ -500,6 +504,8 @@
         let mut events = Events::new();
         let mut share = self.node.response_memory.share();
         let mut started = false;
+        let mut measured_gaps = 0;
+        let mut waits_since = primrosepin_process::now();
         let mut closed = false;
         let mut stall = Stall::new(self, &target, self.first_progress_limit());
         loop {
@@ -515,6 +521,10 @@
                 if !started && complete.is_progress {
                     started = true;
                     self.node.apply(Event::Started(self.id));
+                } else if complete.is_progress && measured_gaps < MEASURED_GAPS {
+                    measured_gaps += 1;
+                    let gap = primrosepin_process::now().since(waits_since);
+                    self.node.apply(Event::Continued(self.id, gap));
                 }
                 if delivery
                     .send_events(caller, head, &complete.bytes)
@@ -523,6 +533,8 @@
                 {
                     return Outcome::CallerGone;
                 }
+                // Time in which the caller reads is not the target's.
+                waits_since = primrosepin_process::now();
                 if complete.is_progress {
                     let retryable = self.dispatch.retryable;
                     stall.record_progress(retryable.then_some(self.dispatch.stall_timeout));
--- a/gateway/src/entry/node.rs
+++ b/gateway/src/entry/node.rs
@@ -7,8 +7,8 @@
 use std::sync::Arc;
 
 use primrosepin_core::fleet::{
-    Dispatch, Effect, Event, Fetch, Id, Limits, LoadReport, PartId, Peer, PlannerDecision,
-    PlannerMessage, Reach, Reducer, Refusal, Renewal,
+    Dispatch, Effect, Event, Fetch, Id, Limits, PartId, Peer, PlannerDecision, PlannerMessage,
+    Reach, Reducer, Refusal, Renewal,
 };
 use primrosepin_core::quarantine::{ANY_SERVICE, Crash, Rule};
 use primrosepin_core::time::Instant;
@@ -214,7 +214,22 @@
                 }
                 Effect::Refuse(id, refusal) => self.send_decision(id, Decision::Refuse(refusal)),
                 Effect::Queue(id, length) => self.send_decision(id, Decision::Queue(length)),
-                Effect::ReportLoad(recipients, report) => self.report_load(&recipients, report),
+                Effect::ReportLoad(recipients, report) => {
+                    let vm = Arc::clone(&self.settings.common.vm);
+                    self.send_to_peers(&recipients, &Message::LoadReport { vm, report });
+                }
+                Effect::ReportPaces(recipients, paces) => {
+                    self.instruments.sent_paces.add(paces.len() as u64, &[]);
+                    let vm = Arc::clone(&self.settings.common.vm);
+                    self.send_to_peers(&recipients, &Message::Paces { vm, paces });
+                }
+                Effect::PaceChanged(target, Some(pace)) => {
+                    self.instruments.slowed_targets.add(1, &[]);
+                    log::info!(target_name = &*target, pace; "target is slower than its figures");
+                }
+                Effect::PaceChanged(target, None) => {
+                    log::info!(target_name = &*target; "target is back to its pace");
+                }
                 Effect::ReportCrashes(crashes) => {
                     for crash in &crashes {
                         log::info!(
@@ -403,9 +418,8 @@
         }
     }
 
-    fn report_load(&self, recipients: &[Arc<str>], report: LoadReport) {
-        let vm = Arc::clone(&self.settings.common.vm);
-        let bytes = match (Message::LoadReport { vm, report }).encode() {
+    fn send_to_peers(&self, recipients: &[Arc<str>], message: &Message) {
+        let bytes = match message.encode() {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!("cannot encode a datagram: {error:#}");
@@ -450,6 +464,10 @@
                 Ok(Message::LoadReport { vm, report }) if vm != self.settings.common.vm => {
                     self.apply(Event::LoadReported { peer: vm, report });
                 }
+                Ok(Message::Paces { vm, paces }) if vm != self.settings.common.vm => {
+                    self.instruments.received_paces.add(paces.len() as u64, &[]);
+                    self.apply(Event::PacesReported { peer: vm, paces });
+                }
                 Ok(Message::Planner { vm, message }) if vm != self.settings.common.vm => {
                     self.apply(Event::PlannerMessage { peer: vm, message });
                 }
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -5,7 +5,7 @@
 
 use eyre::{bail, ensure};
 use primrosepin_core::consensus;
-use primrosepin_core::fleet::{Entry, LoadReport, PlannerMessage, Renewal};
+use primrosepin_core::fleet::{Entry, LoadReport, Pace, PlannerMessage, Renewal};
 use primrosepin_core::quarantine::{Crash, Part, Rule};
 use serde::{Deserialize, Serialize};
 
@@ -123,6 +123,13 @@
     },
     /// Answer to [`Message::TunnelRequest`]. Bytes to and from the target follow, unless it is a refusal.
     TunnelAnswer(Result<(), tunnel::Refusal>),
+    /// Measurements of targets that deviate from their figures; sent as a datagram. Earlier builds ignore it.
+    Paces {
+        /// Name of the sending VM.
+        vm: Arc<str>,
+        /// What it measured since its last message.
+        paces: Vec<Pace>,
+    },
 }
 
 impl Message {
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -82,6 +82,12 @@
     pub quarantine_rules: Gauge<u64>,
     /// Connections to targets asked of other entry VMs, by outcome.
     pub tunnels: Counter<u64>,
+    /// Targets that became slower than their figures.
+    pub slowed_targets: Counter<u64>,
+    /// Measurements of deviating targets that peers were told of.
+    pub sent_paces: Counter<u64>,
+    /// Measurements of deviating targets that peers told.
+    pub received_paces: Counter<u64>,
     /// Datagrams that could not be sent.
     pub unsent_datagrams: Counter<u64>,
 }
@@ -111,6 +117,12 @@
                 "tunnels",
                 "Connections to targets asked of other entry VMs, by outcome",
             ),
+            slowed_targets: metrics.counter(
+                "slowed_targets",
+                "Targets that became slower than their figures",
+            ),
+            sent_paces: metrics.counter("sent_paces", "Paces of targets that peers were told of"),
+            received_paces: metrics.counter("received_paces", "Paces of targets that peers told"),
             unsent_datagrams: metrics
                 .counter("lost_shares", "Datagrams to peers that were not sent"),
         }
--- a/gateway/tests/message.rs
+++ b/gateway/tests/message.rs
@@ -1,11 +1,12 @@
 //! Encoding of messages between processes, and compression of documents.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use primrosepin_core::consensus::{self, Body, Entry as LogEntry, Id, Member, Members, Payload};
 use primrosepin_core::fleet::{
-    Announcement, Entry, Grant, LimitStatement, Load, LoadReport, PartId, PlannerMessage, Query,
-    Relayed, Renewal, State, Tokens,
+    Announcement, Entry, Grant, LimitStatement, Load, LoadReport, Pace, PartId, PlannerMessage,
+    Query, Relayed, Renewal, State, Tokens,
 };
 use primrosepin_core::quarantine::{Crash, Part, Rule};
 use primrosepin_gateway::document;
@@ -118,6 +119,10 @@
                 prefill_ms: 280.25,
             }),
         },
+        Message::Paces {
+            vm: "entry-1".into(),
+            paces: vec![Pace::new(77, 4.0, Duration::from_millis(320))],
+        },
     ]
 }
 
