--- a/core/tests/fleet/main.rs
+++ b/core/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod fetch;
 mod limits;
 mod load;
+mod pace;
 mod planner;
 mod policy;
 mod quarantine;
