fleet, standin: Targets that retain the beginning of a prompt are preferred

Cause: requests that share instructions or a document are prefilled from their first token at any target, although an engine that served one of them may still hold the shared part. Ruled out: affinity by a hash of the prefix, which ignores load and crowds a target under a hot prefix. Change: prefix_cache_tokens of a service's engine switches on a table of what targets are assumed to hold. Short prompts weigh the saved prefill against the wait at each target; longer ones run undivided where most of the prompt is held. The simulation's engines keep prefixes in free KV memory, and classes may share prefixes. Conclusion: without the field the candidates, their order and all times are computed as before.

--- a/bench/src/region/day.rs
+++ b/bench/src/region/day.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 
 use eyre::WrapErr;
-use primrosepin_core::fleet::Engine;
+use primrosepin_core::fleet::{Engine, PartId, SizedPart, SizedParts};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde::Deserialize;
@@ -77,6 +77,41 @@
     /// Priority; 0 is the highest.
     #[serde(default = "usual_priority")]
     pub priority: u8,
+    /// Prefixes that prompts share; without them, no two prompts have a part in common.
+    #[serde(default)]
+    pub prefixes: Option<Prefixes>,
+}
+
+/// Prefixes that the prompts of a class share, such as instructions or documents.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Prefixes {
+    /// Number of different prefixes.
+    pub count: u32,
+    /// Length of each prefix, tokens. Prompts that are not longer have none.
+    pub tokens: u64,
+    /// Share of the longer prompts that begin with one of the prefixes.
+    pub share: f64,
+    /// Exponent of the popularity of the prefixes: the prefix of rank `n` is chosen in proportion to
+    /// `1 / n^skew`.
+    pub skew: f64,
+}
+
+impl Prefixes {
+    /// Draws the rank of the prefix of a prompt, from 1; none if the prompt has none.
+    fn draw(&self, prompt: u64, random: &mut StdRng) -> Option<u32> {
+        let (share, point) = (random.random::<f64>(), random.random::<f64>());
+        if prompt <= self.tokens || share >= self.share {
+            return None;
+        }
+        let weight = |rank: u32| f64::from(rank).powf(-self.skew);
+        let mut left = point * (1..=self.count).map(weight).sum::<f64>();
+        let mut ranks = 1..=self.count;
+        ranks.find(|rank| {
+            left -= weight(*rank);
+            left < 0.0
+        })
+    }
 }
 
 /// Priority of a class that sets none, so that days without priorities have one class of urgency.
@@ -210,6 +245,8 @@
     pub worth: f64,
     /// Score if the answer is late.
     pub late_worth: f64,
+    /// Rank of the shared prefix of the prompt among those of its class.
+    pub prefix: Option<u32>,
 }
 
 impl Size {
@@ -269,6 +306,9 @@
         for (index, class) in self.classes.iter().enumerate() {
             let mut random =
                 StdRng::seed_from_u64(seed.wrapping_mul(31).wrapping_add(index as u64));
+            // A source of its own, so that prefixes do not change the other draws.
+            let mut prefix_random =
+                StdRng::seed_from_u64(seed.wrapping_mul(37).wrapping_add(1_000 + index as u64));
             let bursts = || self.bursts.iter().filter(|burst| burst.class == class.name);
             let peak = bursts().fold(1.0_f64, |peak, burst| peak.max(burst.factor));
             let mut at_s = 0.0;
@@ -297,6 +337,9 @@
                     answer: answer as u64,
                     worth: class.worth * size,
                     late_worth: class.late_worth * size,
+                    prefix: class
+                        .prefixes
+                        .and_then(|prefixes| prefixes.draw(prompt as u64, &mut prefix_random)),
                 });
             }
         }
@@ -304,6 +347,25 @@
         arrivals
     }
 
+    /// Returns the parts of the prompt of a request with this number.
+    pub fn sized_parts(&self, number: usize, arrival: &Arrival) -> SizedParts {
+        let mut parts = SizedParts::new();
+        let shared = self.classes[arrival.class].prefixes;
+        let mut own = arrival.prompt;
+        if let (Some(prefixes), Some(rank)) = (shared, arrival.prefix) {
+            parts.push(SizedPart {
+                id: PartId::from_text(&format!("class {} prefix {rank}", arrival.class)),
+                tokens: prefixes.tokens,
+            });
+            own -= prefixes.tokens;
+        }
+        parts.push(SizedPart {
+            id: PartId::from_text(&format!("request {number}")),
+            tokens: own,
+        });
+        parts
+    }
+
     fn draw_zone(&self, random: &mut StdRng) -> usize {
         let total: f64 = self.zones.iter().map(|zone| zone.callers).sum();
         let mut point = random.random::<f64>() * total;
--- a/bench/src/region/policy.rs
+++ b/bench/src/region/policy.rs
@@ -8,6 +8,8 @@
 pub enum Policy {
     /// The placement of the product's reducer.
     Product,
+    /// The same without the placement by retained prefixes; the engines retain them all the same.
+    ProductWithoutPrefixes,
     /// Each VM sends unsplit prompts to the engines in turn.
     RoundRobin,
     /// Each VM sends unsplit prompts to the engine with the fewest of its own running requests.
@@ -16,11 +18,22 @@
 
 impl Policy {
     /// All policies.
-    pub const ALL: [Self; 3] = [Self::Product, Self::RoundRobin, Self::LeastLoad];
+    pub const ALL: [Self; 4] = [
+        Self::Product,
+        Self::ProductWithoutPrefixes,
+        Self::RoundRobin,
+        Self::LeastLoad,
+    ];
+
+    /// Returns whether the reducers of the product place the requests.
+    pub const fn is_product(self) -> bool {
+        matches!(self, Self::Product | Self::ProductWithoutPrefixes)
+    }
 
     const fn as_str(self) -> &'static str {
         match self {
             Self::Product => "product",
+            Self::ProductWithoutPrefixes => "product-without-prefixes",
             Self::RoundRobin => "round-robin",
             Self::LeastLoad => "least-load",
         }
@@ -39,7 +52,9 @@
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let mut all = Self::ALL.into_iter();
         all.find(|policy| policy.as_str() == text).ok_or_else(|| {
-            eyre::eyre!("unknown policy {text:?}; expected product, round-robin, least-load")
+            eyre::eyre!(
+                "unknown policy {text:?}; expected product, product-without-prefixes, round-robin, least-load"
+            )
         })
     }
 }
--- a/bench/src/region/report.rs
+++ b/bench/src/region/report.rs
@@ -21,6 +21,9 @@
 /// worth.
 const FULL_PRICE_HOLD_SHARE: f64 = 0.75;
 
+/// Largest prompt lengths of the groups by which times to the first event are listed, tokens.
+const LENGTHS: [u64; 5] = [4_000, 16_000, 64_000, 256_000, 1_000_000];
+
 /// Final state of a request as its caller saw it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub enum Outcome {
@@ -157,6 +160,10 @@
     pub prices: f64,
     /// Number of requests by class and outcome, in the order of [`Outcome`].
     pub outcomes: Vec<[usize; 6]>,
+    /// Prompt tokens that engines did not prefill because they retained them, relative to those of all requests; none
+    /// if the engines retain none.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub saved: Option<f64>,
     /// Violations of invariants.
     pub audit: Audit,
     /// Result of each request.
@@ -179,6 +186,7 @@
         policy: Policy,
         seed: u64,
         records: Vec<Record>,
+        saved_tokens: u64,
         audit: Audit,
     ) -> Self {
         let whole = earned_share(records.iter()).unwrap_or_default();
@@ -223,11 +231,42 @@
             zones,
             prices,
             outcomes: outcomes.collect(),
+            saved: (day.engine.prefix_cache_tokens > 0).then(|| {
+                let prompts: u64 = records.iter().map(|record| record.prompt).sum();
+                saved_tokens as f64 / prompts.max(1) as f64
+            }),
             audit,
             records,
         }
     }
 
+    /// Writes the times to the first event by prompt length, over all seeds.
+    fn write_lengths(table: &mut String, reports: &[Self]) {
+        let mut shortest = 0;
+        for longest in LENGTHS {
+            let records = reports.iter().flat_map(|report| &report.records);
+            let records = records.filter(|r| (shortest + 1..=longest).contains(&r.prompt));
+            let records: Vec<&Record> = records.collect();
+            let mut firsts: Vec<f64> = records.iter().filter_map(|r| r.first_ms).collect();
+            firsts.sort_by(f64::total_cmp);
+            if let Some(last) = firsts.len().checked_sub(1) {
+                let quantile = |part: f64| firsts[(last as f64 * part).round() as usize];
+                let on_time = records.iter().filter(|r| r.outcome == Outcome::OnTime);
+                let _ = writeln!(
+                    table,
+                    "  tokens {shortest:>6} to {longest:>7}: {:>6} requests  on time {:.4}  first event mean {:.1} ms  p50 {:.1}  p90 {:.1}  p99 {:.1}",
+                    records.len(),
+                    on_time.count() as f64 / records.len() as f64,
+                    firsts.iter().sum::<f64>() / firsts.len() as f64,
+                    quantile(0.5),
+                    quantile(0.9),
+                    quantile(0.99),
+                );
+            }
+            shortest = longest;
+        }
+    }
+
     /// Returns a table of the means over all seeds, with one line for each class.
     pub fn table(day: &Day, reports: &[Self], bounds: &[f64]) -> String {
         let mut table = String::new();
@@ -268,6 +307,11 @@
             }
             table.push('\n');
         }
+        if day.engine.prefix_cache_tokens > 0 {
+            Self::write_lengths(&mut table, reports);
+            let saved = mean(&|r| r.saved.unwrap_or_default());
+            let _ = writeln!(table, "  prompt tokens not prefilled {saved:.4}");
+        }
         let audits = reports.iter().map(|r| r.audit.violations()).sum::<u64>();
         let _ = writeln!(table, "  rules broken {audits}");
         table
--- a/bench/src/region/world/caller.rs
+++ b/bench/src/region/world/caller.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use primrosepin_core::fingerprint::Fingerprint;
-use primrosepin_core::fleet::{Event, Id, Outcome as End, PartIds, Request, Tokens};
+use primrosepin_core::fleet::{Event, Id, Outcome as End, PartIds, Request, SizedParts, Tokens};
 use rand::RngExt;
 
-use super::super::{Outcome, Policy};
+use super::super::Outcome;
 use super::{
     CALLER_LATENCY, Caller, CallerEvent, Pending, RETRY_DELAY, START, SimEvent, Vm, World, ms,
 };
@@ -64,6 +64,11 @@
                 answer: arrival.answer,
             }),
             parts: PartIds::new(),
+            sized_parts: if self.day.engine.prefix_cache_tokens > 0 {
+                self.day.sized_parts(call, &arrival)
+            } else {
+                SizedParts::new()
+            },
             fingerprint: Fingerprint::default(),
             timeout: Some(deadline.since(now)),
         };
@@ -78,7 +83,7 @@
                 attempts: 0,
             },
         );
-        if self.policy == Policy::Product {
+        if self.policy.is_product() {
             self.send_vm(CALLER_LATENCY, vm, Event::Arrived(id, request));
         } else {
             self.dispatch_baseline(vm, id);
--- a/bench/src/region/world/engine.rs
+++ b/bench/src/region/world/engine.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use primrosepin_core::fleet::{Event, Outcome as End, Reason, Refusal};
+use primrosepin_core::fleet::{Event, Outcome as End, Prefix, Reason, Refusal};
 use primrosepin_standin::passes;
 
-use super::super::{Disruption, Policy};
+use super::super::Disruption;
 use super::{AttemptId, COLD_FACTOR, COLD_SLACK, CallerEvent, EngineInput, START, SimEvent, World};
 
 impl World<'_> {
@@ -57,7 +57,7 @@
         let capacity = self.day.engine.slots as usize + self.day.queue;
         if self.targets[number].engine.request_count() >= capacity {
             self.cancel(attempt, Duration::ZERO);
-            if self.policy == Policy::Product {
+            if self.policy.is_product() {
                 self.send_vm(delay, vm, Event::Ended(id, End::Full));
             } else {
                 let refused = CallerEvent::Refused(Refusal {
@@ -72,7 +72,7 @@
         }
         self.count_cold(number);
         let out = self.zones_out.contains(&self.targets[number].zone);
-        if out && self.policy == Policy::Product && self.knows_zone_out(number) {
+        if out && self.policy.is_product() && self.knows_zone_out(number) {
             self.audit.to_zone_out += 1;
         }
         if let Some(caller) = &mut self.callers[call] {
@@ -94,7 +94,14 @@
             remote_kv_tokens: helpers.iter().map(|(_, tokens)| *tokens).sum(),
             priority: 5,
         };
-        self.targets[number].engine.submit(self.now, request);
+        let prefixes = if self.day.engine.prefix_cache_tokens > 0 {
+            Prefix::all(&self.day.sized_parts(call, &arrival)).into_vec()
+        } else {
+            Vec::new()
+        };
+        self.targets[number]
+            .engine
+            .submit_with_prefixes(self.now, request, prefixes);
         for (helper, _) in helpers {
             let delay = self.latency(self.targets[number].zone, self.targets[helper].zone);
             let help = SimEvent::ToEngine(helper, EngineInput::PrefillPart(attempt));
@@ -199,7 +206,7 @@
         for (helper, _) in &running.helpers {
             self.targets[*helper].engine.release(attempt);
         }
-        if self.policy != Policy::Product {
+        if !self.policy.is_product() {
             let count = &mut self.vms[running.vm].running[running.primary];
             *count = count.saturating_sub(1);
         }
--- a/bench/src/region/world/mod.rs
+++ b/bench/src/region/world/mod.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 
 use primrosepin_core::fleet::{
-    Announcement, Config, Entry, Event, Id, Limits, Peer, Reducer, Refusal, RetryPolicy, Route,
-    Service, Settings, State,
+    Announcement, Config, Engine, Entry, Event, Id, Limits, Peer, Reducer, Refusal, RetryPolicy,
+    Route, Service, Settings, State,
 };
 use primrosepin_core::time::Instant;
 use primrosepin_standin::passes;
@@ -422,7 +422,14 @@
             name: "engines".into(),
             max_connections: 400,
             cold_per_s: self.day.cold_per_s,
-            engine: Some(self.day.engine),
+            engine: Some(Engine {
+                prefix_cache_tokens: if self.policy == Policy::ProductWithoutPrefixes {
+                    0
+                } else {
+                    self.day.engine.prefix_cache_tokens
+                },
+                ..self.day.engine
+            }),
             zone_delay: Duration::from_secs_f64(self.day.cross_zone_ms / 1e3),
             gap: None,
             policy: primrosepin_core::fleet::Policy::default(),
@@ -521,7 +528,7 @@
             SimEvent::EndPass(target) => self.end_pass(target),
             SimEvent::Tick => {
                 for vm in 0..self.vms.len() {
-                    if self.vms[vm].up && self.policy == Policy::Product {
+                    if self.vms[vm].up && self.policy.is_product() {
                         self.apply(vm, Event::Tick);
                     }
                 }
@@ -576,6 +583,11 @@
         self.audit.held_tokens = self.targets.iter().map(|w| w.engine.kv_tokens_used()).sum();
         let pending = self.vms.iter().map(|vm| vm.reducer.pending() as u64);
         self.audit.left_at_vms = pending.sum();
-        Report::new(self.day, self.policy, self.seed, records, self.audit)
+        let saved = self
+            .targets
+            .iter()
+            .map(|target| target.engine.saved_tokens());
+        let saved = saved.sum();
+        Report::new(self.day, self.policy, self.seed, records, saved, self.audit)
     }
 }
--- a/bench/src/region/world/vm.rs
+++ b/bench/src/region/world/vm.rs
@@ -196,7 +196,7 @@
             let cancel = SimEvent::ToEngine(target, EngineInput::Cancel(attempt));
             self.push(self.now + delay, cancel);
         }
-        if self.policy != Policy::Product {
+        if !self.policy.is_product() {
             let running = &mut self.vms[ended.vm].running[ended.primary];
             *running = running.saturating_sub(1);
         }
@@ -257,7 +257,9 @@
                 let least = (0..usable.len()).min_by_key(|position| rank(*position));
                 usable[(least.unwrap_or_default() + offset) % usable.len()]
             }
-            Policy::Product | Policy::RoundRobin => usable[at.turn % usable.len()],
+            Policy::Product | Policy::ProductWithoutPrefixes | Policy::RoundRobin => {
+                usable[at.turn % usable.len()]
+            }
         };
         at.running[primary] += 1;
         let class = &self.day.classes[self.arrivals[pending.call].class];
--- a/core/src/fleet/attempts.rs
+++ b/core/src/fleet/attempts.rs
@@ -53,6 +53,7 @@
             * BUDGET_FRACTION
             / self.topology.vm_count() as f64;
         let limit_fraction = BUDGET_FRACTION / self.topology.vm_count() as f64;
+        let holdings = self.holdings(now, pending);
         let mut candidates = Vec::new();
         for (target, record) in self.directory.records() {
             if !self.may_run(now, pending, target, record) {
@@ -77,12 +78,17 @@
                 }
             }
             let health = self.health.get(&target).copied().unwrap_or_default();
+            let load = self.loads.load(record.name_hash, now);
+            let saving = holdings
+                .as_ref()
+                .map(|holdings| holdings.saving(record.name_hash, load, announcement.slots));
             candidates.push(Candidate {
                 target,
                 address: announcement.address,
                 name_hash: record.name_hash,
                 local: announcement.zone == self.settings.zone,
-                load: self.loads.load(record.name_hash, now),
+                load,
+                saving: saving.unwrap_or_default(),
                 slots: announcement.slots,
                 avoided: health.avoided(now, record.heard),
                 cold,
@@ -124,6 +130,9 @@
         if self.refuse_quarantined(now, id, effects) {
             return;
         }
+        if self.dispatch_to_holder(now, id, &pending, effects) {
+            return;
+        }
         if self.query_planner(now, id, &pending, effects) {
             return;
         }
@@ -310,6 +319,8 @@
             target: choice.target,
             sent_at: now,
             predicted: choice.predicted,
+            saving: choice.saving,
+            holds_prompt: choice.helpers.iter().all(|helper| helper.held_tokens == 0),
             started_at: None,
             answered: false,
         });
@@ -375,6 +386,7 @@
                 // Report at once, so that peers see that the helpers are free.
                 self.reported_at = Instant::default();
             }
+            self.record_retained(now, id);
         }
     }
 
--- a/core/src/fleet/engine.rs
+++ b/core/src/fleet/engine.rs
@@ -49,6 +49,9 @@
     pub chunk: u32,
     /// Time that helpers add to a step of the engine that decodes, ms.
     pub hop_ms: f64,
+    /// KV cache in which it keeps the parts of prompts after their requests, tokens; zero if it keeps none.
+    #[serde(default)]
+    pub prefix_cache_tokens: u64,
 }
 
 impl Engine {
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 //! - [`Directory`]: targets by their announcements, ordered by start time and sequence number.
 //! - [`LoadTable`]: load of each target, from this VM and its peers.
 //! - [`SlidingWindow`]: request counts that bound retries and requests to targets in cold start.
+//! - [`Retained`]: beginnings of prompts that targets still hold.
 //! - [`PlannerMessage`]: messages to and from the planner, the VM that places long prompts for the
 //!   whole region from one queue.
 //! - [`Freshness`]: up to what time the configuration is known to hold every committed change, such
@@ -30,6 +31,7 @@
 mod freshness;
 mod guard;
 mod health;
+mod holder;
 mod limit;
 mod load;
 mod pending;
@@ -43,6 +45,7 @@
 mod reducer;
 mod relocation;
 mod request;
+mod retained;
 mod topology;
 mod trial;
 mod window;
@@ -60,9 +63,10 @@
 pub use placement::{Candidate, Choice, Helper, Placement};
 pub use planner_message::{Denial, Grant, PlannerMessage, Query};
 pub use policy::Policy;
-pub use prompt::{MAX_PARTS, PartId, PartIds};
+pub use prompt::{MAX_PARTS, PartId, PartIds, Prefix, SizedPart, SizedParts};
 pub use reach::{Path, Reach};
 pub use reducer::{Reducer, Settings};
 pub use request::{Id, Request, Tokens};
+pub use retained::{Holdings, Prompt, Retained, Saving};
 pub use topology::Peer;
 pub use window::SlidingWindow;
--- a/core/src/fleet/pending.rs
+++ b/core/src/fleet/pending.rs
@@ -7,7 +7,9 @@
 
 use super::engine::predicted_duration;
 use super::planner::{Origin, PendingQuery};
-use super::{Choice, Organisation, PartIds, Placement, Request, Route, Service, Target, Tokens};
+use super::{
+    Choice, Organisation, PartIds, Placement, Request, Route, Saving, Service, Target, Tokens,
+};
 use crate::time::Instant;
 
 /// Assumed size of a generation that does not state its size.
@@ -24,6 +26,10 @@
     pub(super) target: Target,
     pub(super) sent_at: Instant,
     pub(super) predicted: Duration,
+    /// What the target was expected to save of the prefill.
+    pub(super) saving: Saving,
+    /// Whether it holds the KV cache of the whole prompt.
+    pub(super) holds_prompt: bool,
     /// When the first event arrived.
     pub(super) started_at: Option<Instant>,
     /// Whether its answer has been recorded as one that the target bears.
--- a/core/src/fleet/placement.rs
+++ b/core/src/fleet/placement.rs
@@ -15,7 +15,7 @@
 use smallvec::SmallVec;
 
 use super::engine::predicted_duration;
-use super::{Engine, Load, Target, Tokens};
+use super::{Engine, Load, Saving, Target, Tokens};
 
 /// Fraction of the slots that short prompts fill before the next target in the order is used. The
 /// rest absorbs requests of peers that have not been reported yet.
@@ -98,6 +98,8 @@
     pub local: bool,
     /// Load of the target.
     pub load: Load,
+    /// What it saves of the prefill of this prompt, undivided.
+    pub saving: Saving,
     /// Requests that it runs at the same time.
     pub slots: u32,
     /// Whether it failed recently, is slow or has no room.
@@ -157,6 +159,8 @@
     /// Whether the request does not have to wait for other work at its targets: a long prompt for
     /// the prefill of another one, a short prompt for a slot. Always true for a medium prompt.
     pub idle: bool,
+    /// What the target is expected to save of the prefill.
+    pub saving: Saving,
 }
 
 /// Objectives for placing one request.
@@ -238,6 +242,7 @@
             exclusive: false,
             cost: 0.0,
             idle: true,
+            saving: Saving::default(),
         })
     }
 
@@ -264,9 +269,10 @@
             .sum::<f64>()
             .floor() as usize
             + 1;
+        let rest_ms = |c: &Candidate| prefill_ms - c.saving.expected_ms();
         let rank = |c: &&&Candidate| {
             (
-                (first_event_ms(engine, c, prefill_ms) / TIE_MS) as u64,
+                (first_event_ms(engine, c, rest_ms(c)) / TIE_MS) as u64,
                 c.tie_break,
             )
         };
@@ -276,11 +282,16 @@
             !c.avoided
                 && running < c.slots
                 && c.load.exclusive == 0
-                && pass + f64::from(c.load.prefill_ms) + prefill_ms <= gap_ms
+                && pass + f64::from(c.load.prefill_ms) + rest_ms(c) <= gap_ms
         };
         let local = fitting.iter().filter(|c| c.local).count();
-        let chosen = fitting[..needed.min(local)]
+        // Targets further down the order take the prompt only if they run short ones anyway and save time.
+        let holds = |c: &Candidate| c.short_prompts() > 0 && c.saving.expected_ms() >= TIE_MS;
+        let first = needed.min(local);
+        let others = fitting[first..local].iter().filter(|c| holds(c));
+        let chosen = fitting[..first]
             .iter()
+            .chain(others)
             .filter(open)
             .min_by_key(rank);
         let chosen = chosen.or_else(|| fitting[..local].iter().find(open));
@@ -295,11 +306,12 @@
         Some(Choice {
             target: chosen.target,
             helpers: SmallVec::new(),
-            predicted: predicted_duration(first_event_ms(engine, chosen, prefill_ms)),
-            prefill_ms,
+            predicted: predicted_duration(first_event_ms(engine, chosen, rest_ms(chosen))),
+            prefill_ms: rest_ms(chosen),
             exclusive: false,
             cost: 0.0,
             idle,
+            saving: chosen.saving,
         })
     }
 }
@@ -420,6 +432,7 @@
             exclusive: true,
             cost: cost / value(tokens.prompt),
             idle,
+            saving: Saving::default(),
         })
     }
 }
@@ -493,7 +506,12 @@
 
 /// Returns the value of the answers at a target that a part makes late. Their gap lasts for a pass
 /// and the prefill in it.
-fn stalled_value(engine: &Engine, candidate: &Candidate, part_ms: f64, gap_ms: f64) -> f64 {
+pub(super) fn stalled_value(
+    engine: &Engine,
+    candidate: &Candidate,
+    part_ms: f64,
+    gap_ms: f64,
+) -> f64 {
     let load = candidate.load;
     let pass = engine.pass_ms(u32::from(load.running), u64::from(load.kv_tokens));
     let stall_ms = pass + f64::from(load.prefill_ms) + part_ms;
@@ -526,7 +544,7 @@
 }
 
 /// Returns whether the KV cache of a target can hold a prompt and its answer.
-fn fits(engine: &Engine, candidate: &Candidate, tokens: Tokens) -> bool {
+pub(super) fn fits(engine: &Engine, candidate: &Candidate, tokens: Tokens) -> bool {
     let limit = engine.kv_tokens as f64 * (1.0 - KV_RESERVE_FRACTION);
     let needed = u64::from(candidate.load.kv_tokens).saturating_add(tokens.total());
     needed as f64 <= limit
@@ -534,7 +552,7 @@
 
 /// Predicts the time to the first event of a prompt that is prefilled beside the load of a target,
 /// ms.
-fn first_event_ms(engine: &Engine, candidate: &Candidate, prefill_ms: f64) -> f64 {
+pub(super) fn first_event_ms(engine: &Engine, candidate: &Candidate, prefill_ms: f64) -> f64 {
     let load = candidate.load;
     let sequences = u32::from(load.running).min(engine.slots);
     let pass = engine.pass_ms(sequences, u64::from(load.kv_tokens));
--- a/core/src/fleet/planner.rs
+++ b/core/src/fleet/planner.rs
@@ -25,8 +25,8 @@
 use super::planner_message::{Denial, Grant, PlannerMessage, Query};
 use super::topology::Topology;
 use super::{
-    Choice, Effect, Helper, Id, PartIds, Peer, PlannerDecision, Reason, Reducer, Request, Target,
-    Tokens,
+    Choice, Effect, Helper, Id, PartIds, Peer, PlannerDecision, Reason, Reducer, Request, Saving,
+    SizedParts, Target, Tokens,
 };
 use crate::fingerprint::Fingerprint;
 use crate::time::Instant;
@@ -383,6 +383,7 @@
             exclusive: true,
             cost: 0.0,
             idle: true,
+            saving: Saving::default(),
         })
     }
 
@@ -454,6 +455,7 @@
             tokens: Some(query.tokens),
             // The VM that took the request checks its parts and its fingerprint.
             parts: PartIds::new(),
+            sized_parts: SizedParts::new(),
             fingerprint: Fingerprint::default(),
             timeout: Some(left),
         };
--- a/core/src/fleet/reducer.rs
+++ b/core/src/fleet/reducer.rs
@@ -13,7 +13,7 @@
 use super::topology::Topology;
 use super::{
     Announcement, Config, Directory, Effect, Entry, Event, Freshness, Health, Id, Load, LoadReport,
-    LoadTable, Notice, Reason, Refusal, Relayed, Renewal, Request, SlidingWindow, Target,
+    LoadTable, Notice, Reason, Refusal, Relayed, Renewal, Request, Retained, SlidingWindow, Target,
 };
 use crate::time::Instant;
 
@@ -93,6 +93,8 @@
     pub(super) guard: Guard,
     /// Limits that targets named.
     pub(super) named_limits: NamedLimits,
+    /// Prefixes that targets are assumed to hold.
+    pub(super) retained: Retained,
     /// Requests that wait for targets, slots or the end of a cold start.
     pub(super) queue: VecDeque<Id>,
     pub(super) queue_served_at: Instant,
@@ -137,6 +139,7 @@
             pending: BTreeMap::new(),
             guard: Guard::default(),
             named_limits: NamedLimits::default(),
+            retained: Retained::default(),
             queue: VecDeque::new(),
             queue_served_at: Instant::default(),
             slot_share: 0.0,
@@ -264,6 +267,9 @@
             self.unresponsive.retain(|_, until| now < *until);
             self.directory.expire(now);
             self.expire_limits(now);
+            let directory = &self.directory;
+            self.retained
+                .expire(now, |target| directory.by_name_hash(target).is_some());
             self.guard.expire(now);
         }
     }
@@ -283,6 +289,9 @@
             && restarted
         {
             self.health.remove(&target);
+            if let Some(record) = self.directory.record(target) {
+                self.retained.forget(record.name_hash);
+            }
         }
     }
 
--- a/core/src/fleet/request.rs
+++ b/core/src/fleet/request.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::PartIds;
+use super::{PartIds, SizedParts};
 use crate::fingerprint::Fingerprint;
 
 /// Process-local ID of a request.
@@ -43,6 +43,8 @@
     pub tokens: Option<Tokens>,
     /// Parts of the prompt that other requests may share.
     pub parts: PartIds,
+    /// All parts of the prompt with their lengths, in order, the request's own part last; empty if they are not known.
+    pub sized_parts: SizedParts,
     /// What the request asks for.
     pub fingerprint: Fingerprint,
     /// How long the caller waits; none if it does not say.
--- a/core/tests/fleet/main.rs
+++ b/core/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod policy;
 mod quarantine;
 mod reach;
+mod retained;
 mod rules;
 mod scale;
 mod support;
--- a/core/tests/fleet/support.rs
+++ b/core/tests/fleet/support.rs
@@ -9,7 +9,7 @@
 use primrosepin_core::fleet::{
     Announcement, Config, Dispatch, Effect, Engine, Entry, Event, Id, Limits, Organisation,
     Outcome, PartIds, Peer, PlannerMessage, Policy, Reducer, Refusal, Request, RetryPolicy, Route,
-    Service, Settings, State, Tokens,
+    Service, Settings, SizedParts, State, Tokens,
 };
 use primrosepin_core::quarantine::{Crash, Part};
 use primrosepin_core::time::Instant;
@@ -38,6 +38,7 @@
         pairs_ms_per_m: 0.162,
         chunk: 2_048,
         hop_ms: 0.1,
+        prefix_cache_tokens: 0,
     }
 }
 
@@ -131,6 +132,7 @@
             answer: 1_300,
         }),
         parts: PartIds::new(),
+        sized_parts: SizedParts::new(),
         fingerprint: Fingerprint::default(),
         timeout: Some(ms(10_000)),
     }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod fault;
 pub mod passes;
 pub mod plain;
+mod prefix_cache;
 pub mod record;
 mod respond;
 mod server;
--- a/standin/src/passes.rs
+++ b/standin/src/passes.rs
@@ -9,6 +9,10 @@
 //! request starts to decode once all parts are prefilled. KV memory for such a prompt can be held with
 //! [`Engine::reserve`].
 //!
+//! With `prefix_cache_tokens`, the engine keeps the parts of prompts after their requests in KV memory that it does not
+//! need otherwise, and does not prefill them again for a prompt that it prefills alone. It keeps those of each prompt
+//! whose KV memory it holds by itself; parts that helpers prefill arrive there too.
+//!
 //! # Invariants
 //!
 //! - No more than `slots` requests are admitted at once.
@@ -19,8 +23,11 @@
 use std::time::Duration;
 
 use primrosepin_core::fleet;
+use primrosepin_core::fleet::Prefix;
 use primrosepin_core::time::Instant;
 
+use crate::prefix_cache::PrefixCache;
+
 /// Remaining prefill below which a prompt counts as prefilled: passes prefill fractions of tokens, so
 /// rounding can leave a remainder.
 const MIN_REMAINING_TOKENS: f64 = 0.5;
@@ -71,10 +78,18 @@
 }
 
 impl Admitted {
-    fn new(parameters: &fleet::Engine, request: Request, generated: u64) -> Self {
+    /// Begins a request of whose prompt `held_tokens` are in the prefix cache.
+    fn new(parameters: &fleet::Engine, request: Request, generated: u64, held_tokens: u64) -> Self {
         let tokens = request.prompt_tokens + generated;
-        let (remaining_tokens, ms_per_token) =
+        let (mut remaining_tokens, mut ms_per_token) =
             equal_part(parameters, tokens, request.prefill_targets);
+        if held_tokens > 0 && request.prefill_targets <= 1 {
+            // At least one token is computed to generate the next one.
+            let held = held_tokens.min(tokens.saturating_sub(1));
+            remaining_tokens = (tokens - held) as f64;
+            let ms = parameters.prefill_ms(tokens) - parameters.prefill_ms(held);
+            ms_per_token = ms / remaining_tokens;
+        }
         Self {
             request,
             remaining_tokens,
@@ -147,6 +162,11 @@
     parts: Vec<Part>,
     reservations: BTreeMap<Id, u64>,
     pass: Option<Pass>,
+    cache: PrefixCache,
+    /// Prefixes of the prompts of requests that are not prefilled yet.
+    prefixes: BTreeMap<Id, Vec<Prefix>>,
+    /// Prompt tokens that were not prefilled because the cache held them.
+    saved_tokens: u64,
 }
 
 impl Engine {
@@ -160,6 +180,9 @@
             parts: Vec::new(),
             reservations: BTreeMap::new(),
             pass: None,
+            cache: PrefixCache::default(),
+            prefixes: BTreeMap::new(),
+            saved_tokens: 0,
         }
     }
 
@@ -177,6 +200,14 @@
         self.begin_pass(now);
     }
 
+    /// Queues a request whose prompt has these prefixes, the shortest first.
+    pub fn submit_with_prefixes(&mut self, now: Instant, request: Request, prefixes: Vec<Prefix>) {
+        if self.parameters.prefix_cache_tokens > 0 && !prefixes.is_empty() {
+            self.prefixes.insert(request.id, prefixes);
+        }
+        self.submit(now, request);
+    }
+
     /// Queues the prefill of an equal part of a prompt that another engine answers.
     pub fn prefill_part(&mut self, now: Instant, id: Id, prompt_tokens: u64, prefill_targets: u32) {
         let (remaining_tokens, ms_per_token) =
@@ -212,6 +243,7 @@
             return false;
         }
         self.reservations.insert(id, tokens);
+        self.shrink_cache();
         true
     }
 
@@ -226,6 +258,7 @@
         self.admitted.retain(|admitted| admitted.request.id != id);
         self.parts.retain(|part| part.id != id);
         self.reservations.remove(&id);
+        self.prefixes.remove(&id);
     }
 
     /// Drops all work; returns the requests that this engine was to answer.
@@ -233,6 +266,8 @@
         self.pass = None;
         self.parts.clear();
         self.reservations.clear();
+        self.cache = PrefixCache::default();
+        self.prefixes.clear();
         let waiting = self.waiting.drain(..).map(|(request, _)| request.id);
         let admitted = self.admitted.drain(..).map(|admitted| admitted.request.id);
         waiting.chain(admitted).collect()
@@ -249,6 +284,31 @@
         used + self.reservations.values().sum::<u64>()
     }
 
+    /// Returns the KV memory that the prefix cache takes, tokens.
+    pub fn cached_tokens(&self) -> u64 {
+        self.cache.tokens()
+    }
+
+    /// Returns the number of prompt tokens so far that were not prefilled because the cache held them.
+    pub fn saved_tokens(&self) -> u64 {
+        self.saved_tokens
+    }
+
+    /// Returns the most tokens that the prefix cache may take now.
+    fn cache_limit(&self) -> u64 {
+        let free = self
+            .parameters
+            .kv_tokens
+            .saturating_sub(self.kv_tokens_used());
+        free.min(self.parameters.prefix_cache_tokens)
+    }
+
+    /// Evicts prefixes whose memory requests need.
+    fn shrink_cache(&mut self) {
+        let limit = self.cache_limit();
+        self.cache.shrink(limit);
+    }
+
     /// Returns when the current pass ends; `None` while the engine is idle.
     pub fn pass_end(&self) -> Option<Instant> {
         self.pass.as_ref().map(|pass| pass.end)
@@ -260,6 +320,7 @@
             return;
         };
         self.apply_prefill(&pass, events);
+        self.keep_prefixes();
         self.apply_decode(&pass, events);
         self.preempt(events);
         self.begin_pass(pass.end);
@@ -271,14 +332,20 @@
             return;
         }
         while let Some((request, generated)) = self.waiting.front().copied() {
-            let admitted = Admitted::new(&self.parameters, request, generated);
+            let prefixes = self.prefixes.get(&request.id);
+            let held_tokens = prefixes.map_or(0, |prefixes| self.cache.held_tokens(prefixes));
+            let admitted = Admitted::new(&self.parameters, request, generated, held_tokens);
             let fits = self.kv_tokens_used() + admitted.kv_tokens() <= self.parameters.kv_tokens;
             if self.admitted.len() >= self.parameters.slots as usize || !fits {
                 break;
             }
             self.waiting.pop_front();
+            if request.prefill_targets <= 1 {
+                self.saved_tokens += held_tokens.min(request.prompt_tokens);
+            }
             self.admitted.push(admitted);
         }
+        self.shrink_cache();
         let decoding = || self.admitted.iter().filter(|a| a.is_decoding());
         let decoding_ids: Vec<Id> = decoding().map(|a| a.request.id).collect();
         // A split prompt generates its first token one step after its last part is prefilled.
@@ -369,6 +436,23 @@
             .retain(|part| part.remaining_tokens >= MIN_REMAINING_TOKENS);
     }
 
+    /// Keeps the prefixes of prompts whose prefill is complete.
+    fn keep_prefixes(&mut self) {
+        if self.prefixes.is_empty() {
+            return;
+        }
+        let decoding = self.admitted.iter().filter(|a| a.is_decoding());
+        let prefilled: Vec<(Id, bool)> = decoding
+            .map(|a| (a.request.id, a.request.remote_kv_tokens == 0))
+            .collect();
+        let limit = self.cache_limit();
+        for (id, holds_all) in prefilled {
+            if let Some(prefixes) = self.prefixes.remove(&id).filter(|_| holds_all) {
+                self.cache.keep(&prefixes, limit);
+            }
+        }
+    }
+
     fn apply_decode(&mut self, pass: &Pass, events: &mut Vec<Event>) {
         for admitted in self.admitted.iter_mut().filter(|a| a.is_decoding()) {
             let id = admitted.request.id;
--- a/standin/tests/passes.rs
+++ b/standin/tests/passes.rs
@@ -18,6 +18,7 @@
         pairs_ms_per_m: 0.162,
         chunk: 2_048,
         hop_ms: 0.1,
+        prefix_cache_tokens: 0,
     }
 }
 
