fleet, gateway: VMs tell each other which targets retain prefixes

Ruled out: load reports, which must not change; affinity by hash, which ignores load. Change: Message::Retained at the end of the enum, two datagrams of at most 500 bytes a second from each VM, passed on with their age. A holder with a prefill backlog, or where others would stall if the prefix were evicted, takes no undivided prompt. Conclusion: the cost of messages does not grow with the fleet.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -67,7 +67,8 @@
     /// sockets
     #[bpaf(command)]
     Region {
-        /// Placement policy: product, product-without-prefixes, round-robin, least-load
+        /// Placement policy: product, product-without-prefixes,
+        /// product-with-own-prefixes, round-robin, least-load
         #[bpaf(argument("NAME"), fallback(region::Policy::Product))]
         policy: region::Policy,
         /// First seed
--- a/bench/src/region/world/vm.rs
+++ b/bench/src/region/world/vm.rs
@@ -40,6 +40,7 @@
                 }
                 Effect::Queue(..)
                 | Effect::PlannerTimedOut(..)
+                | Effect::PrefixMissed(..)
                 | Effect::PlannerDecision(_)
                 | Effect::ReportCrashes(_)
                 | Effect::WithdrawCrashes(_)
@@ -56,6 +57,17 @@
                         self.send_vm(after, peer, Event::PlannerMessage { peer: vm, message });
                     }
                 }
+                Effect::ShareRetained(peer, statements) => {
+                    let names = self.names.iter();
+                    let Some(peer) = names.clone().position(|name| *name == peer) else {
+                        continue;
+                    };
+                    let is_lost = self.policy == Policy::ProductWithOwnPrefixes;
+                    if !is_lost && self.vms[peer].up && !self.drops_message() {
+                        let after = self.latency(self.vms[vm].zone, self.vms[peer].zone);
+                        self.send_vm(after, peer, Event::RetainedReported(statements));
+                    }
+                }
                 Effect::ReportLoad(recipients, report) => {
                     let recipients: HashSet<&Arc<str>> = recipients.iter().collect();
                     for peer in 0..self.vms.len() {
@@ -257,9 +269,10 @@
                 let least = (0..usable.len()).min_by_key(|position| rank(*position));
                 usable[(least.unwrap_or_default() + offset) % usable.len()]
             }
-            Policy::Product | Policy::ProductWithoutPrefixes | Policy::RoundRobin => {
-                usable[at.turn % usable.len()]
-            }
+            Policy::Product
+            | Policy::ProductWithoutPrefixes
+            | Policy::ProductWithOwnPrefixes
+            | Policy::RoundRobin => usable[at.turn % usable.len()],
         };
         at.running[primary] += 1;
         let class = &self.day.classes[self.arrivals[pending.call].class];
--- a/core/src/fleet/attempts.rs
+++ b/core/src/fleet/attempts.rs
@@ -354,6 +354,7 @@
                 is_trial: pending.is_trial,
                 time_left: pending.deadline.since(now),
                 predicted: choice.predicted,
+                saving: choice.saving,
                 stall_timeout: stall_timeout(&pending.route),
                 retry_policy: pending.route.retry_policy,
                 retryable: pending.route.retry_policy != RetryPolicy::AtMostOnce
@@ -365,7 +366,7 @@
         ));
     }
 
-    pub(super) fn started(&mut self, now: Instant, id: Id) {
+    pub(super) fn started(&mut self, now: Instant, id: Id, effects: &mut Vec<Effect>) {
         let Some(pending) = self.pending.get_mut(&id) else {
             return;
         };
@@ -386,7 +387,7 @@
                 // Report at once, so that peers see that the helpers are free.
                 self.reported_at = Instant::default();
             }
-            self.record_retained(now, id);
+            self.record_retained(now, id, effects);
         }
     }
 
--- a/core/src/fleet/effect.rs
+++ b/core/src/fleet/effect.rs
@@ -9,7 +9,10 @@
 
 use crate::quarantine::{Crash, Part};
 
-use super::{Helper, Id, LimitStatement, Load, PlannerMessage, RetryPolicy, Target};
+use super::{
+    Helper, Id, LimitStatement, Load, PlannerMessage, RetainedStatement, RetryPolicy, Saving,
+    Target,
+};
 
 /// Why a request is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -77,6 +80,8 @@
     pub stall_timeout: Duration,
     /// Predicted time to the first event.
     pub predicted: Duration,
+    /// What the target is expected to save of the prefill.
+    pub saving: Saving,
     /// How often the request may run.
     pub retry_policy: RetryPolicy,
     /// Whether another target may be tried if this one stalls.
@@ -163,6 +168,11 @@
     /// The planner, named here, did not answer a query in time, so this VM places the request
     /// itself.
     PlannerTimedOut(Id, Arc<str>),
+    /// Tells a peer which targets were last seen with shared prefixes.
+    ShareRetained(Arc<str>, Vec<RetainedStatement>),
+    /// The target of a request, named here, did not hold the beginning of the prompt as assumed: the first event came
+    /// this much later than predicted.
+    PrefixMissed(Id, Arc<str>, Duration),
     /// This VM, as the planner, decided on a peer's request.
     PlannerDecision(Box<PlannerDecision>),
     /// The planner changed; none if this VM now places its own long prompts.
--- a/core/src/fleet/event.rs
+++ b/core/src/fleet/event.rs
@@ -5,7 +5,9 @@
 
 use crate::quarantine::{Part, Rule};
 
-use super::{Config, Entry, Id, LoadReport, Notice, Peer, PlannerMessage, Request};
+use super::{
+    Config, Entry, Id, LoadReport, Notice, Peer, PlannerMessage, Request, RetainedStatement,
+};
 
 /// How an attempt at a target ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -87,6 +89,8 @@
         /// The message.
         message: PlannerMessage,
     },
+    /// A peer told which targets were last seen with shared prefixes.
+    RetainedReported(Vec<RetainedStatement>),
     /// Rules on prompts that crash targets are in force; they replace the earlier ones.
     Quarantined(Vec<Rule>),
     /// A control VM asks for answers to prompts with these parts.
--- a/core/src/fleet/holder.rs
+++ b/core/src/fleet/holder.rs
@@ -15,11 +15,15 @@
 use crate::time::Instant;
 
 /// Least part of the prefill that must be saved. Below it, divided prefill ends sooner for little more work.
-const MIN_SAVED_FRACTION: f64 = 0.5;
+const MIN_SAVED_FRACTION: f64 = 0.4;
 
 /// Least probability that the prefix is still held.
 const MIN_CHANCE: f64 = 0.75;
 
+/// Longest prefill backlog of a target that takes such a prompt, ms. Prompts that arrive together are prefilled in one
+/// pass, and the requests beside them stall for the sum.
+const MAX_BACKLOG_MS: u32 = 60;
+
 /// Fraction of the objective within which the first event is predicted. The rest covers parts of other prompts that
 /// arrive later and are prefilled first.
 const OBJECTIVE_FRACTION: f64 = 0.6;
@@ -43,10 +47,12 @@
                     && c.saving.chance >= MIN_CHANCE
                     && !c.avoided
                     && !c.cold
+                    && c.load.prefill_ms <= MAX_BACKLOG_MS
+                    // Others must not stall even if the prefix turns out to be evicted.
+                    && stalled_value(engine, c, prefill_ms, gap_ms) <= 0.0
                     && fits(engine, c, tokens)
             })
             .map(|c| (c, prefill_ms - c.saving.ms))
-            .filter(|(c, rest_ms)| stalled_value(engine, c, *rest_ms, gap_ms) <= 0.0)
             .map(|(c, rest_ms)| (first_event_ms(engine, c, rest_ms), c))
             .filter(|(first_ms, _)| *first_ms <= latest_ms)
             .min_by(|(a, x), (b, y)| a.total_cmp(b).then(x.tie_break.cmp(&y.tie_break)))?;
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -67,6 +67,6 @@
 pub use reach::{Path, Reach};
 pub use reducer::{Reducer, Settings};
 pub use request::{Id, Request, Tokens};
-pub use retained::{Holdings, Prompt, Retained, Saving};
+pub use retained::{Holdings, MAX_STATEMENTS, Prompt, Retained, RetainedStatement, Saving};
 pub use topology::Peer;
 pub use window::SlidingWindow;
--- a/core/src/fleet/reducer.rs
+++ b/core/src/fleet/reducer.rs
@@ -206,6 +206,7 @@
                 self.withdraw_reports(effects);
                 self.report_planner_change(now, effects);
                 self.repeat_queries(now, effects);
+                self.share_retained(now, effects);
             }
             Event::Configured {
                 revision,
@@ -241,12 +242,13 @@
             Event::PlannerMessage { peer, message } => {
                 self.receive_planner_message(now, &peer, message, effects);
             }
+            Event::RetainedReported(statements) => self.retained.merge(now, &statements),
             Event::Quarantined(rules) => self.set_quarantine(now, rules, effects),
             Event::Suspected(parts) => self.watch(now, parts, effects),
             Event::Arrived(id, request) => self.arrived(now, id, request, effects),
             Event::LimitNamed(id, rate) => self.record_named_limit(now, id, rate),
             Event::Noticed(id, notice) => self.record_notice(now, id, notice),
-            Event::Started(id) => self.started(now, id),
+            Event::Started(id) => self.started(now, id, effects),
             Event::Ended(id, outcome) => self.ended(now, id, outcome, effects),
         }
         self.serve_queue(now, effects);
--- a/core/src/fleet/retained.rs
+++ b/core/src/fleet/retained.rs
@@ -9,6 +9,10 @@
 //! An entry is an assumption that may be wrong at any time: engines evict and restart without notice. If it is, the
 //! prompt is prefilled as if nothing were held. Late first events lower the trust in what a target is said to hold.
 //!
+//! A VM of a large fleet sees few of the requests that share a prefix, so VMs pass on what they know. Each second, a VM
+//! tells two peers in turn which targets were last seen with a shared prefix. What it heard itself is passed on with its
+//! age, so news reaches all VMs in some seconds although each sends less than 1 KB/s.
+//!
 //! Only services whose engines have [`Engine::prefix_cache_tokens`] use this.
 //!
 //! # Invariants
@@ -21,10 +25,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 use super::pending::Pending;
-use super::{Engine, Id, Load, Prefix, Reducer};
+use super::{Effect, Engine, Id, Load, Prefix, Reducer};
 use crate::time::Instant;
 
 /// Age after which an entry is dropped. It bounds how long an eviction without notice is not seen.
@@ -60,6 +65,26 @@
 /// Least predicted saving whose first event tells whether the prefix was held, ms. The time of a pass hides smaller ones.
 const MIN_TELLING_MS: f64 = 100.0;
 
+/// Interval at which a VM tells peers what targets hold.
+const SHARE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Peers that are told each time.
+const SHARE_PEERS: usize = 2;
+
+/// Most prefixes in one message, so that the messages of a second stay under 1 KB: each takes at most 25 bytes.
+pub const MAX_STATEMENTS: usize = 18;
+
+/// A target that a VM assumes to hold a prefix, as it tells its peers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RetainedStatement {
+    /// Hash of the target's name.
+    pub target: u64,
+    /// Hash of the prefix.
+    pub prefix: u64,
+    /// Time since the prefix was last part of a prompt there, ms.
+    pub age_ms: u32,
+}
+
 /// What a target saves of the prefill of one prompt.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Saving {
@@ -83,6 +108,8 @@
     target: u64,
     /// When the prefix was last part of a prompt there.
     used_at: Instant,
+    /// Whether another request may begin with it: it was not a whole prompt.
+    is_shared: bool,
 }
 
 /// Prompt tokens that this VM's requests added to the caches of a service's targets, decayed.
@@ -107,14 +134,57 @@
     intakes: HashMap<Arc<str>, Intake>,
     /// Trust in what targets are assumed to hold, from 0 to 1, where it is not 1.
     trust: HashMap<u64, f64>,
+    shared_at: Instant,
+    /// Number of messages sent, which gives the next recipient.
+    sent: usize,
 }
 
 impl Retained {
-    /// Records that a target has prefilled a prompt with these prefixes.
+    /// Records that a target has prefilled a prompt with these prefixes, the last of which is the whole prompt.
     pub fn record(&mut self, now: Instant, target: u64, prefixes: &[Prefix]) {
-        for prefix in prefixes {
-            self.set(prefix.hash, target, now);
+        for (index, prefix) in prefixes.iter().enumerate() {
+            let holder = Holder {
+                target,
+                used_at: now,
+                is_shared: index + 1 < prefixes.len(),
+            };
+            self.set(prefix.hash, holder);
+        }
+    }
+
+    /// Takes over what a peer tells.
+    pub fn merge(&mut self, now: Instant, statements: &[RetainedStatement]) {
+        for statement in statements {
+            let age = Duration::from_millis(statement.age_ms.into());
+            if age < MAX_AGE {
+                let holder = Holder {
+                    target: statement.target,
+                    used_at: now - age,
+                    is_shared: true,
+                };
+                self.set(statement.prefix, holder);
+            }
+        }
+    }
+
+    /// Returns the shared prefixes that were used last, to tell a peer.
+    pub fn statements(&self, now: Instant) -> Vec<RetainedStatement> {
+        let all = self.holders.iter().flat_map(|(prefix, holders)| {
+            let shared = holders.iter().filter(|holder| holder.is_shared);
+            shared.map(|holder| RetainedStatement {
+                target: holder.target,
+                prefix: *prefix,
+                age_ms: now.since(holder.used_at).as_millis() as u32,
+            })
+        });
+        let mut all: Vec<RetainedStatement> = all.collect();
+        let order = |s: &RetainedStatement| (s.age_ms, s.prefix, s.target);
+        if all.len() > MAX_STATEMENTS {
+            all.select_nth_unstable_by_key(MAX_STATEMENTS, order);
+            all.truncate(MAX_STATEMENTS);
         }
+        all.sort_unstable_by_key(order);
+        all
     }
 
     /// Records that a request added tokens to the cache of one target of a service.
@@ -148,25 +218,22 @@
         }
     }
 
-    fn set(&mut self, prefix: u64, target: u64, used_at: Instant) {
+    fn set(&mut self, prefix: u64, holder: Holder) {
         let is_full = self.count >= MAX_HOLDINGS;
-        let holders = if is_full {
-            let Some(holders) = self.holders.get_mut(&prefix) else {
-                return;
-            };
-            holders
-        } else {
-            self.holders.entry(prefix).or_default()
-        };
-        if let Some(known) = holders.iter_mut().find(|holder| holder.target == target) {
-            known.used_at = known.used_at.max(used_at);
+        if is_full && !self.holders.contains_key(&prefix) {
+            return;
+        }
+        let holders = self.holders.entry(prefix).or_default();
+        if let Some(known) = holders.iter_mut().find(|h| h.target == holder.target) {
+            known.used_at = known.used_at.max(holder.used_at);
+            known.is_shared |= holder.is_shared;
         } else if holders.len() < MAX_HOLDERS && !is_full {
-            holders.push(Holder { target, used_at });
+            holders.push(holder);
             self.count += 1;
-        } else if let Some(oldest) = holders.iter_mut().min_by_key(|holder| holder.used_at)
-            && oldest.used_at < used_at
+        } else if let Some(oldest) = holders.iter_mut().min_by_key(|h| h.used_at)
+            && oldest.used_at < holder.used_at
         {
-            *oldest = Holder { target, used_at };
+            *oldest = holder;
         }
     }
 
@@ -300,6 +367,31 @@
 }
 
 impl Reducer {
+    /// Returns the number of prefixes that targets are assumed to hold, each counted once for each target.
+    pub fn retained_prefixes(&self) -> usize {
+        self.retained.len()
+    }
+
+    /// Tells the next peers what targets hold, once per [`SHARE_INTERVAL`].
+    pub(super) fn share_retained(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        if self.retained.is_empty() || now.since(self.retained.shared_at) < SHARE_INTERVAL {
+            return;
+        }
+        self.retained.shared_at = now;
+        let statements = self.retained.statements(now);
+        let peers = self.topology.recipients();
+        if statements.is_empty() || peers.is_empty() {
+            return;
+        }
+        // VMs start at different places of the list, so that no peer is told by all at the same time.
+        let start = self.vm_hash as usize % peers.len();
+        for _ in 0..SHARE_PEERS.min(peers.len()) {
+            let peer = &peers[(start + self.retained.sent) % peers.len()];
+            effects.push(Effect::ShareRetained(Arc::clone(peer), statements.clone()));
+            self.retained.sent = (self.retained.sent + 1) % peers.len();
+        }
+    }
+
     /// Returns what targets hold of a prompt; none if the engines of the service retain nothing, or nothing is known.
     pub(super) fn holdings(&self, now: Instant, pending: &Pending) -> Option<Holdings> {
         let engine = *pending.service.engine.as_ref()?;
@@ -326,7 +418,7 @@
     }
 
     /// Records what the first event of a request tells about the prefixes that its target holds.
-    pub(super) fn record_retained(&mut self, now: Instant, id: Id) {
+    pub(super) fn record_retained(&mut self, now: Instant, id: Id, effects: &mut Vec<Effect>) {
         let Some(pending) = self.pending.get(&id) else {
             return;
         };
@@ -344,6 +436,10 @@
             let late = now.since(running.sent_at).saturating_sub(running.predicted);
             let in_time = late.as_secs_f64() * 1e3 < saving.ms / 2.0;
             self.retained.record_answer(record.name_hash, in_time);
+            if !in_time {
+                let target = Arc::clone(&record.announcement.name);
+                effects.push(Effect::PrefixMissed(id, target, late));
+            }
         }
         let prompt = pending.tokens().prompt;
         let fresh = 1.0 - saving.expected_ms() / engine.prefill_ms(prompt).max(1.0);
--- a/core/tests/fleet/retained.rs
+++ b/core/tests/fleet/retained.rs
@@ -152,6 +152,27 @@
     assert!(!retry.helpers.is_empty());
 }
 
+/// Load: questions on one document that reach all VMs of a region, so that each VM has seen few of them. Guards against
+/// VMs that do not learn from each other, and against more messages than two a second.
+#[test]
+fn vms_learn_from_each_other_what_targets_hold() {
+    const VMS: usize = 24;
+    let mut fleet = fleet(VMS, 12, CACHE_TOKENS);
+    let (id, _) = serve(&mut fleet, 0, with_document("medium", 7, 40_000, 44_000, 1));
+    fleet.end(0, id, Outcome::Served);
+    // Twice as many VMs can know after each second, and more than a third as many do.
+    let before = fleet.retained_messages;
+    fleet.run(ms(3_000));
+    let knowing = (0..VMS).filter(|vm| fleet.vms[*vm].retained_prefixes() > 0);
+    assert!(knowing.count() >= 12);
+    let sent = fleet.retained_messages - before;
+    assert!(sent <= 2 * 3 * VMS, "{sent}");
+    let vm = (1..VMS).find(|vm| fleet.vms[*vm].retained_prefixes() > 0);
+    let question = with_document("medium", 7, 40_000, 44_000, 2);
+    let (_, second) = serve(&mut fleet, vm.unwrap(), question);
+    assert!(second.helpers.is_empty());
+}
+
 fn prompt(cache_tokens: u64, intake_per_s: f64) -> Prompt {
     Prompt {
         engine: Engine {
--- a/core/tests/fleet/support.rs
+++ b/core/tests/fleet/support.rs
@@ -181,6 +181,8 @@
     pub planner_messages: Vec<(usize, usize, PlannerMessage)>,
     /// Number of load reports that were sent.
     pub reports: usize,
+    /// Number of messages about retained prefixes that were sent.
+    pub retained_messages: usize,
     /// Reports to control VMs about crashes, with the VM that sent them.
     pub crash_reports: Vec<(usize, Report)>,
     messages: BTreeMap<(Instant, u64), (usize, Event)>,
@@ -198,6 +200,7 @@
             partitioned: Vec::new(),
             planner_messages: Vec::new(),
             reports: 0,
+            retained_messages: 0,
             crash_reports: Vec::new(),
             messages: BTreeMap::new(),
             next: 0,
@@ -279,6 +282,7 @@
                 }
                 Effect::Queue(..)
                 | Effect::PlannerTimedOut(..)
+                | Effect::PrefixMissed(..)
                 | Effect::PlannerDecision(_)
                 | Effect::PlannerChanged(_) => {}
                 Effect::ReportCrashes(crashes) => {
@@ -306,6 +310,18 @@
                     let at = self.now + self.delay;
                     self.messages.insert((at, self.next), (peer, event));
                 }
+                Effect::ShareRetained(peer, statements) => {
+                    self.retained_messages += 1;
+                    let peer = peer.strip_prefix("entry-").unwrap();
+                    let peer: usize = peer.parse().unwrap();
+                    if self.partitioned.contains(&peer) || self.partitioned.contains(&vm) {
+                        continue;
+                    }
+                    self.next += 1;
+                    let at = self.now + self.delay;
+                    let event = Event::RetainedReported(statements);
+                    self.messages.insert((at, self.next), (peer, event));
+                }
                 Effect::ReportLoad(recipients, report) => {
                     for recipient in recipients.iter() {
                         let peer = recipient.strip_prefix("entry-").unwrap();
--- a/gateway/src/control/hub.rs
+++ b/gateway/src/control/hub.rs
@@ -326,6 +326,7 @@
             | Message::Targets(_)
             | Message::Renewals(_)
             | Message::Roster { .. }
+            | Message::Retained(_)
             | Message::LoadReport { .. }
             | Message::TunnelRequest { .. }
             | Message::TunnelAnswer(_)
--- a/gateway/src/entry/caller.rs
+++ b/gateway/src/entry/caller.rs
@@ -201,11 +201,16 @@
             at_target = dispatch.load.running, trial = dispatch.is_trial,
             exclusive = dispatch.load.exclusive, reading = dispatch.load.prefilling, read_ms = dispatch.load.prefill_ms,
             predicted_ms = dispatch.predicted.as_millis() as u64,
+            saved_ms = dispatch.saving.ms as u64, saved_chance = dispatch.saving.chance,
             placed_by = dispatch.planner.as_deref().unwrap_or(&node.settings.common.vm),
             left_ms = dispatch.time_left.as_millis() as u64,
             revision = node.revision(), config_age_ms = node.config_age_ms();
             "dispatched"
         );
+        let saved_ms = dispatch.saving.expected_ms() as u64;
+        if saved_ms > 0 {
+            node.instruments.saved_prefill_ms.add(saved_ms, &[]);
+        }
         let attempt = Attempt {
             node,
             id,
--- a/gateway/src/entry/node.rs
+++ b/gateway/src/entry/node.rs
@@ -237,10 +237,23 @@
                     self.send_to_control(&Message::Alive(processes));
                 }
                 Effect::ReportAnswered(parts) => self.send_to_control(&Message::Answered(parts)),
-                Effect::SendToPeer(peer, message) => self.send_to_peer(&peer, message),
+                Effect::SendToPeer(peer, message) => {
+                    let vm = Arc::clone(&self.settings.common.vm);
+                    self.send_to_peer(&peer, &Message::Planner { vm, message });
+                }
+                Effect::ShareRetained(peer, statements) => {
+                    self.send_to_peer(&peer, &Message::Retained(statements));
+                }
                 Effect::PlannerTimedOut(id, planner) => {
                     self.send_decision(id, Decision::PlannerTimedOut(planner));
                 }
+                Effect::PrefixMissed(_, target, late) => {
+                    log::info!(
+                        target_name = &*target, late_ms = late.as_millis() as u64;
+                        "target did not hold the beginning of a prompt as assumed"
+                    );
+                    self.instruments.prefix_misses.add(1, &[]);
+                }
                 Effect::PlannerDecision(decision) => log_planner_decision(&decision),
                 Effect::PlannerChanged(planner) => log::info!(
                     planner = planner.as_deref().unwrap_or(&self.settings.common.vm);
@@ -420,15 +433,14 @@
         }
     }
 
-    fn send_to_peer(&self, peer: &str, message: PlannerMessage) {
+    fn send_to_peer(&self, peer: &str, message: &Message) {
         let peers = self.peers.borrow();
         let Some(peer) = peers.get(peer) else {
             // The peer has left; the reducer decides on its own when its query times out.
             self.instruments.unsent_datagrams.add(1, &[]);
             return;
         };
-        let vm = Arc::clone(&self.settings.common.vm);
-        match (Message::Planner { vm, message }).encode() {
+        match message.encode() {
             Ok(bytes) => {
                 if self.datagrams.try_send_to(&bytes, peer.address).is_err() {
                     self.instruments.unsent_datagrams.add(1, &[]);
@@ -453,6 +465,9 @@
                 Ok(Message::Planner { vm, message }) if vm != self.settings.common.vm => {
                     self.apply(Event::PlannerMessage { peer: vm, message });
                 }
+                Ok(Message::Retained(statements)) => {
+                    self.apply(Event::RetainedReported(statements));
+                }
                 Ok(_) => {}
                 Err(error) => log::debug!("invalid datagram: {error:#}"),
             }
@@ -530,6 +545,8 @@
         self.instruments.revision.record(reducer.revision(), &[]);
         let targets = reducer.directory().usable(now) as u64;
         self.instruments.targets.record(targets, &[]);
+        let retained = reducer.retained_prefixes() as u64;
+        self.instruments.retained_prefixes.record(retained, &[]);
         self.instruments
             .links
             .record(self.links.borrow().len() as u64, &[]);
--- a/gateway/src/entry/uplink.rs
+++ b/gateway/src/entry/uplink.rs
@@ -238,6 +238,7 @@
         | Message::TargetsRequest
         | Message::Consensus(_)
         | Message::RelayAck { .. }
+        | Message::Retained(_)
         | Message::LoadReport { .. }
         | Message::Planner { .. } => {}
     }
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -5,7 +5,7 @@
 
 use eyre::{bail, ensure};
 use primrosepin_core::consensus;
-use primrosepin_core::fleet::{Entry, LoadReport, PlannerMessage, Renewal};
+use primrosepin_core::fleet::{Entry, LoadReport, PlannerMessage, Renewal, RetainedStatement};
 use primrosepin_core::quarantine::{Crash, Part, Rule};
 use serde::{Deserialize, Serialize};
 
@@ -123,6 +123,8 @@
     },
     /// Answer to [`Message::TunnelRequest`]. Bytes to and from the target follow, unless it is a refusal.
     TunnelAnswer(Result<(), tunnel::Refusal>),
+    /// Which targets were last seen with shared beginnings of prompts; sent as a datagram between entry VMs.
+    Retained(Vec<RetainedStatement>),
 }
 
 impl Message {
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -80,6 +80,12 @@
     pub crashes: Counter<u64>,
     /// Rules on prompts that crash targets.
     pub quarantine_rules: Gauge<u64>,
+    /// Prefixes that targets are assumed to hold, each counted once for each target.
+    pub retained_prefixes: Gauge<u64>,
+    /// Prefill time that dispatched requests were expected to save, ms.
+    pub saved_prefill_ms: Counter<u64>,
+    /// Requests whose targets did not hold the beginning of the prompt as assumed.
+    pub prefix_misses: Counter<u64>,
     /// Connections to targets asked of other entry VMs, by outcome.
     pub tunnels: Counter<u64>,
     /// Datagrams that could not be sent.
@@ -107,6 +113,18 @@
             ),
             quarantine_rules: metrics
                 .gauge("quarantine_rules", "Rules on prompts that crash targets"),
+            retained_prefixes: metrics.gauge(
+                "retained_prefixes",
+                "Beginnings of prompts that targets are assumed to hold",
+            ),
+            saved_prefill_ms: metrics.counter(
+                "saved_prefill_ms",
+                "Prefill time that dispatched requests were expected to save, ms",
+            ),
+            prefix_misses: metrics.counter(
+                "prefix_misses",
+                "Requests whose targets did not hold the beginning as assumed",
+            ),
             tunnels: metrics.counter(
                 "tunnels",
                 "Connections to targets asked of other entry VMs, by outcome",
--- a/gateway/tests/message.rs
+++ b/gateway/tests/message.rs
@@ -4,8 +4,8 @@
 
 use primrosepin_core::consensus::{self, Body, Entry as LogEntry, Id, Member, Members, Payload};
 use primrosepin_core::fleet::{
-    Announcement, Entry, Grant, LimitStatement, Load, LoadReport, PartId, PlannerMessage, Query,
-    Relayed, Renewal, State, Tokens,
+    Announcement, Entry, Grant, LimitStatement, Load, LoadReport, MAX_STATEMENTS, PartId,
+    PlannerMessage, Query, Relayed, Renewal, RetainedStatement, State, Tokens,
 };
 use primrosepin_core::quarantine::{Crash, Part, Rule};
 use primrosepin_gateway::document;
@@ -280,6 +280,21 @@
     assert!(Message::decode(&[]).is_err());
 }
 
+/// Guards against a rate above 1 KB a second of what VMs tell each other of retained prefixes: two messages of the
+/// largest size go out each second.
+#[test]
+fn a_message_of_retained_prefixes_stays_under_half_a_kilobyte() {
+    let largest = RetainedStatement {
+        target: u64::MAX,
+        prefix: u64::MAX,
+        age_ms: 60_000,
+    };
+    let message = Message::Retained(vec![largest; MAX_STATEMENTS]);
+    let bytes = message.encode().unwrap();
+    assert!(bytes.len() <= 500, "{} bytes", bytes.len());
+    assert_eq!(Message::decode(&bytes).unwrap(), message);
+}
+
 /// Guards against corrupt input that panics the process.
 #[test]
 fn mutated_messages_never_panic() {
