fleet: Parts with their lengths are shared, not copied

Cause: clippy refuses the size of an event of the simulation, which holds a request; placement clones pending requests. Ruled out: a box around the event, which costs an allocation for each event. Change: SizedParts is an Arc of a slice.

--- a/bench/src/region/day.rs
+++ b/bench/src/region/day.rs
@@ -349,7 +349,7 @@
 
     /// Returns the parts of the prompt of a request with this number.
     pub fn sized_parts(&self, number: usize, arrival: &Arrival) -> SizedParts {
-        let mut parts = SizedParts::new();
+        let mut parts = Vec::new();
         let shared = self.classes[arrival.class].prefixes;
         let mut own = arrival.prompt;
         if let (Some(prefixes), Some(rank)) = (shared, arrival.prefix) {
@@ -363,7 +363,7 @@
             id: PartId::from_text(&format!("request {number}")),
             tokens: own,
         });
-        parts
+        parts.into()
     }
 
     fn draw_zone(&self, random: &mut StdRng) -> usize {
--- a/bench/src/region/world/caller.rs
+++ b/bench/src/region/world/caller.rs
@@ -67,7 +67,7 @@
             sized_parts: if self.day.engine.prefix_cache_tokens > 0 {
                 self.day.sized_parts(call, &arrival)
             } else {
-                SizedParts::new()
+                SizedParts::default()
             },
             fingerprint: Fingerprint::default(),
             timeout: Some(deadline.since(now)),
--- a/bench/tests/region.rs
+++ b/bench/tests/region.rs
@@ -113,3 +113,16 @@
         assert!(error.contains(expected), "{error}");
     }
 }
+
+/// Guards against retained prefixes that change days whose engines retain nothing, and against a comparison in which both
+/// policies are the same.
+#[test]
+fn retained_prefixes_matter_only_where_engines_retain_them() {
+    let without = |name: &str| {
+        let day = day(name);
+        let run = |policy| format!("{:?}", World::new(&day, policy, 1).run().records);
+        run(Policy::Product) == run(Policy::ProductWithoutPrefixes)
+    };
+    assert!(without("small-calm.jsonc"));
+    assert!(!without("prefixes-one-hot.jsonc"));
+}
--- a/core/src/fleet/planner.rs
+++ b/core/src/fleet/planner.rs
@@ -455,7 +455,7 @@
             tokens: Some(query.tokens),
             // The VM that took the request checks its parts and its fingerprint.
             parts: PartIds::new(),
-            sized_parts: SizedParts::new(),
+            sized_parts: SizedParts::default(),
             fingerprint: Fingerprint::default(),
             timeout: Some(left),
         };
--- a/core/src/fleet/prompt.rs
+++ b/core/src/fleet/prompt.rs
@@ -1,6 +1,7 @@
 //! Parts of a prompt.
 
 use std::fmt;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -25,7 +26,7 @@
 }
 
 /// All parts of a prompt, in order.
-pub type SizedParts = SmallVec<[SizedPart; 4]>;
+pub type SizedParts = Arc<[SizedPart]>;
 
 /// The beginning of a prompt up to the end of one of its parts. What engines compute for a part depends on all parts
 /// before it, so the same part after different ones is a different prefix.
--- a/core/src/fleet/retained.rs
+++ b/core/src/fleet/retained.rs
@@ -289,7 +289,7 @@
             holders.retain(|holder| keep(holder));
             !holders.is_empty()
         });
-        self.count = self.holders.values().map(|holders| holders.len()).sum();
+        self.count = self.holders.values().map(SmallVec::len).sum();
     }
 
     /// Returns the number of entries.
--- a/core/tests/fleet/support.rs
+++ b/core/tests/fleet/support.rs
@@ -132,7 +132,7 @@
             answer: 1_300,
         }),
         parts: PartIds::new(),
-        sized_parts: SizedParts::new(),
+        sized_parts: SizedParts::default(),
         fingerprint: Fingerprint::default(),
         timeout: Some(ms(10_000)),
     }
--- a/standin/tests/passes.rs
+++ b/standin/tests/passes.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use primrosepin_core::fleet;
+use primrosepin_core::fleet::Prefix;
 use primrosepin_core::time::Instant;
 use primrosepin_standin::passes::{Engine, Event, Request};
 
@@ -191,3 +192,49 @@
     assert!(run(&mut engine, start).is_empty());
     assert_eq!((engine.kv_tokens_used(), engine.request_count()), (0, 0));
 }
+
+/// Guards against retained prefixes that save nothing or more than their prefill, that are kept beyond their limit or in
+/// memory that requests need, and against engines that retain something although they are not configured to.
+#[test]
+fn a_retained_prefix_is_not_prefilled_again() {
+    let prefixes = |own| {
+        let document = Prefix {
+            hash: 7,
+            tokens: 20_000,
+        };
+        let whole = Prefix {
+            hash: own,
+            tokens: 21_000,
+        };
+        vec![document, whole]
+    };
+    let saved_ms = |limit, between: u64| {
+        let figures = fleet::Engine {
+            prefix_cache_tokens: limit,
+            ..figures()
+        };
+        let mut engine = Engine::new(figures);
+        let mut firsts = Vec::new();
+        for (id, tokens) in [(1, 21_000), (2, between), (3, 21_000)] {
+            let start = Instant::from_micros(id * 10_000_000);
+            let prefixes = if id == 2 {
+                Vec::new()
+            } else {
+                prefixes(100 + id)
+            };
+            engine.submit_with_prefixes(start, request(id, tokens, 1), prefixes);
+            let log = run(&mut engine, start);
+            firsts.push(time_of(&log, Event::Generated(id, 1)));
+            assert!(engine.cached_tokens() <= limit);
+        }
+        firsts[0] - firsts[2]
+    };
+    let prefill_ms = figures().prefill_ms(20_000);
+    // The rest of the prompt takes fewer steps, of 1.31 ms each.
+    let held = saved_ms(50_000, 1_000);
+    assert!((prefill_ms..prefill_ms + 15.0).contains(&held), "{held} ms");
+    assert!(saved_ms(0, 1_000).abs() < 0.1);
+    assert!(saved_ms(10_000, 1_000).abs() < 0.1);
+    // A request that needs nearly all memory evicts the prefix.
+    assert!(saved_ms(50_000, 95_000).abs() < 0.1);
+}
