--- a/bench/src/region/world/vm.rs
+++ b/bench/src/region/world/vm.rs
@@ -40,6 +40,7 @@
                 }
                 Effect::Queue(..)
                 | Effect::PlannerTimedOut(..)
+                | Effect::PrefixMissed(..)
                 | Effect::PlannerDecision(_)
                 | Effect::ReportCrashes(_)
                 | Effect::WithdrawCrashes(_)
@@ -64,6 +65,17 @@
                     };
                     self.send_to_peers(vm, &recipients, &event);
                 }
+                Effect::ShareRetained(peer, statements) => {
+                    let names = self.names.iter();
+                    let Some(peer) = names.clone().position(|name| *name == peer) else {
+                        continue;
+                    };
+                    let is_lost = self.policy == Policy::ProductWithOwnPrefixes;
+                    if !is_lost && self.vms[peer].up && !self.drops_message() {
+                        let after = self.latency(self.vms[vm].zone, self.vms[peer].zone);
+                        self.send_vm(after, peer, Event::RetainedReported(statements));
+                    }
+                }
                 Effect::ReportLoad(recipients, report) => {
                     let event = Event::LoadReported {
                         peer: Arc::clone(&self.names[vm]),
@@ -207,7 +219,7 @@
             let cancel = SimEvent::ToEngine(target, EngineInput::Cancel(attempt));
             self.push(self.now + delay, cancel);
         }
-        if self.policy != Policy::Product {
+        if !self.policy.is_product() {
             let running = &mut self.vms[ended.vm].running[ended.primary];
             *running = running.saturating_sub(1);
         }
@@ -268,7 +280,10 @@
                 let least = (0..usable.len()).min_by_key(|position| rank(*position));
                 usable[(least.unwrap_or_default() + offset) % usable.len()]
             }
-            Policy::Product | Policy::RoundRobin => usable[at.turn % usable.len()],
+            Policy::Product
+            | Policy::ProductWithoutPrefixes
+            | Policy::ProductWithOwnPrefixes
+            | Policy::RoundRobin => usable[at.turn % usable.len()],
         };
         at.running[primary] += 1;
         let class = &self.day.classes[self.arrivals[pending.call].class];
--- a/core/src/fleet/attempts.rs
+++ b/core/src/fleet/attempts.rs
@@ -53,6 +53,7 @@
             * BUDGET_FRACTION
             / self.topology.vm_count() as f64;
         let limit_fraction = BUDGET_FRACTION / self.topology.vm_count() as f64;
+        let holdings = self.holdings(now, pending);
         let mut candidates = Vec::new();
         for (target, record) in self.directory.records() {
             if !self.may_run(now, pending, target, record) {
@@ -78,12 +79,17 @@
             }
             let avoided = self.is_avoided(now, &pending.service, target, record);
             let slowdown = self.slowdown(now, &pending.service, target, record.name_hash);
+            let load = self.loads.load(record.name_hash, now);
+            let saving = holdings
+                .as_ref()
+                .map(|holdings| holdings.saving(record.name_hash, load, announcement.slots));
             candidates.push(Candidate {
                 target,
                 address: announcement.address,
                 name_hash: record.name_hash,
                 local: announcement.zone == self.settings.zone,
-                load: self.loads.load(record.name_hash, now),
+                load,
+                saving: saving.unwrap_or_default(),
                 slots: announcement.slots,
                 avoided,
                 cold,
@@ -130,6 +136,9 @@
         if self.refuse_quarantined(now, id, effects) {
             return;
         }
+        if self.dispatch_to_holder(now, id, &pending, effects) {
+            return;
+        }
         if self.query_planner(now, id, &pending, effects) {
             return;
         }
@@ -323,6 +332,8 @@
             sent_at: now,
             predicted: choice.predicted,
             probe,
+            saving: choice.saving,
+            holds_prompt: choice.helpers.iter().all(|helper| helper.held_tokens == 0),
             started_at: None,
             answered: false,
         });
@@ -356,6 +367,7 @@
                 is_trial: pending.is_trial,
                 time_left: pending.deadline.since(now),
                 predicted: choice.predicted,
+                saving: choice.saving,
                 stall_timeout: stall_timeout(&pending.route),
                 retry_policy: pending.route.retry_policy,
                 retryable: pending.route.retry_policy != RetryPolicy::AtMostOnce
@@ -367,7 +379,7 @@
         ));
     }
 
-    pub(super) fn started(&mut self, now: Instant, id: Id) {
+    pub(super) fn started(&mut self, now: Instant, id: Id, effects: &mut Vec<Effect>) {
         let Some(pending) = self.pending.get_mut(&id) else {
             return;
         };
@@ -393,6 +405,7 @@
                 // Report at once, so that peers see that the helpers are free.
                 self.reported_at = Instant::default();
             }
+            self.record_retained(now, id, effects);
         }
     }
 
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 //! - [`LoadTable`]: load of each target, from this VM and its peers.
 //! - [`PaceTable`]: how much slower than announced targets are.
 //! - [`SlidingWindow`]: request counts that bound retries and requests to targets in cold start.
+//! - [`Retained`]: beginnings of prompts that targets still hold.
 //! - [`PlannerMessage`]: messages to and from the planner, the VM that places long prompts for the
 //!   whole region from one queue.
 //! - [`Freshness`]: up to what time the configuration is known to hold every committed change, such
@@ -32,6 +33,7 @@
 mod freshness;
 mod guard;
 mod health;
+mod holder;
 mod limit;
 mod load;
 mod pace;
@@ -46,6 +48,7 @@
 mod reducer;
 mod relocation;
 mod request;
+mod retained;
 mod topology;
 mod trial;
 mod window;
@@ -65,9 +68,10 @@
 pub use placement::{Candidate, Choice, Helper, Placement};
 pub use planner_message::{Denial, Grant, PlannerMessage, Query};
 pub use policy::Policy;
-pub use prompt::{MAX_PARTS, PartId, PartIds};
+pub use prompt::{MAX_PARTS, PartId, PartIds, Prefix, SizedPart, SizedParts};
 pub use reach::{Path, Reach};
 pub use reducer::{Reducer, Settings};
 pub use request::{Id, Request, Tokens};
+pub use retained::{Holdings, MAX_STATEMENTS, Prompt, Retained, RetainedStatement, Saving};
 pub use topology::Peer;
 pub use window::SlidingWindow;
--- a/core/src/fleet/pending.rs
+++ b/core/src/fleet/pending.rs
@@ -8,7 +8,9 @@
 use super::engine::predicted_duration;
 use super::pace::Probe;
 use super::planner::{Origin, PendingQuery};
-use super::{Choice, Organisation, PartIds, Placement, Request, Route, Service, Target, Tokens};
+use super::{
+    Choice, Organisation, PartIds, Placement, Request, Route, Saving, Service, Target, Tokens,
+};
 use crate::time::Instant;
 
 /// Assumed size of a generation that does not state its size.
@@ -27,6 +29,10 @@
     pub(super) predicted: Duration,
     /// Measurements of the target's pace.
     pub(super) probe: Probe,
+    /// What the target was expected to save of the prefill.
+    pub(super) saving: Saving,
+    /// Whether it holds the KV cache of the whole prompt.
+    pub(super) holds_prompt: bool,
     /// When the first event arrived.
     pub(super) started_at: Option<Instant>,
     /// Whether its answer has been recorded as one that the target bears.
--- a/core/src/fleet/reducer.rs
+++ b/core/src/fleet/reducer.rs
@@ -13,8 +13,8 @@
 use super::topology::Topology;
 use super::{
     Announcement, Config, Directory, Effect, Entry, Event, Freshness, Health, Id, Load, LoadReport,
-    LoadTable, Notice, PaceTable, Reason, Refusal, Relayed, Renewal, Request, SlidingWindow,
-    Target,
+    LoadTable, Notice, PaceTable, Reason, Refusal, Relayed, Renewal, Request, Retained,
+    SlidingWindow, Target,
 };
 use crate::time::Instant;
 
@@ -96,6 +96,8 @@
     pub(super) guard: Guard,
     /// Limits that targets named.
     pub(super) named_limits: NamedLimits,
+    /// Prefixes that targets are assumed to hold.
+    pub(super) retained: Retained,
     /// Requests that wait for targets, slots or the end of a cold start.
     pub(super) queue: VecDeque<Id>,
     pub(super) queue_served_at: Instant,
@@ -141,6 +143,7 @@
             pending: BTreeMap::new(),
             guard: Guard::default(),
             named_limits: NamedLimits::default(),
+            retained: Retained::default(),
             queue: VecDeque::new(),
             queue_served_at: Instant::default(),
             slot_share: 0.0,
@@ -207,6 +210,7 @@
                 self.withdraw_reports(effects);
                 self.report_planner_change(now, effects);
                 self.repeat_queries(now, effects);
+                self.share_retained(now, effects);
             }
             Event::Configured {
                 revision,
@@ -243,13 +247,14 @@
             Event::PlannerMessage { peer, message } => {
                 self.receive_planner_message(now, &peer, message, effects);
             }
+            Event::RetainedReported(statements) => self.retained.merge(now, &statements),
             Event::Quarantined(rules) => self.set_quarantine(now, rules, effects),
             Event::Suspected(parts) => self.watch(now, parts, effects),
             Event::Arrived(id, request) => self.arrived(now, id, request, effects),
             Event::LimitNamed(id, rate) => self.record_named_limit(now, id, rate),
             Event::Noticed(id, notice) => self.record_notice(now, id, notice),
-            Event::Started(id) => self.started(now, id),
             Event::Continued(id, gap) => self.continued(now, id, gap),
+            Event::Started(id) => self.started(now, id, effects),
             Event::Ended(id, outcome) => self.ended(now, id, outcome, effects),
         }
         self.serve_queue(now, effects);
@@ -272,6 +277,9 @@
             self.unresponsive.retain(|_, until| now < *until);
             self.directory.expire(now);
             self.expire_limits(now);
+            let directory = &self.directory;
+            self.retained
+                .expire(now, |target| directory.by_name_hash(target).is_some());
             self.guard.expire(now);
         }
     }
@@ -291,6 +299,9 @@
             && restarted
         {
             self.health.remove(&target);
+            if let Some(record) = self.directory.record(target) {
+                self.retained.forget(record.name_hash);
+            }
         }
     }
 
--- a/core/tests/fleet/support.rs
+++ b/core/tests/fleet/support.rs
@@ -9,7 +9,7 @@
 use primrosepin_core::fleet::{
     Announcement, Config, Dispatch, Effect, Engine, Entry, Event, Id, Limits, Organisation,
     Outcome, PartIds, Peer, PlannerMessage, Policy, Reducer, Refusal, Request, RetryPolicy, Route,
-    Service, Settings, State, Tokens,
+    Service, Settings, SizedParts, State, Tokens,
 };
 use primrosepin_core::quarantine::{Crash, Part};
 use primrosepin_core::time::Instant;
@@ -38,6 +38,7 @@
         pairs_ms_per_m: 0.162,
         chunk: 2_048,
         hop_ms: 0.1,
+        prefix_cache_tokens: 0,
     }
 }
 
@@ -131,6 +132,7 @@
             answer: 1_300,
         }),
         parts: PartIds::new(),
+        sized_parts: SizedParts::default(),
         fingerprint: Fingerprint::default(),
         timeout: Some(ms(10_000)),
     }
@@ -179,6 +181,8 @@
     pub planner_messages: Vec<(usize, usize, PlannerMessage)>,
     /// Number of load reports that were sent.
     pub reports: usize,
+    /// Number of messages about retained prefixes that were sent.
+    pub retained_messages: usize,
     /// Reports to control VMs about crashes, with the VM that sent them.
     pub crash_reports: Vec<(usize, Report)>,
     messages: BTreeMap<(Instant, u64), (usize, Event)>,
@@ -196,6 +200,7 @@
             partitioned: Vec::new(),
             planner_messages: Vec::new(),
             reports: 0,
+            retained_messages: 0,
             crash_reports: Vec::new(),
             messages: BTreeMap::new(),
             next: 0,
@@ -278,6 +283,7 @@
                 Effect::Queue(..)
                 | Effect::PaceChanged(..)
                 | Effect::PlannerTimedOut(..)
+                | Effect::PrefixMissed(..)
                 | Effect::PlannerDecision(_)
                 | Effect::PlannerChanged(_) => {}
                 Effect::ReportPaces(recipients, paces) => {
@@ -321,6 +327,18 @@
                     let at = self.now + self.delay;
                     self.messages.insert((at, self.next), (peer, event));
                 }
+                Effect::ShareRetained(peer, statements) => {
+                    self.retained_messages += 1;
+                    let peer = peer.strip_prefix("entry-").unwrap();
+                    let peer: usize = peer.parse().unwrap();
+                    if self.partitioned.contains(&peer) || self.partitioned.contains(&vm) {
+                        continue;
+                    }
+                    self.next += 1;
+                    let at = self.now + self.delay;
+                    let event = Event::RetainedReported(statements);
+                    self.messages.insert((at, self.next), (peer, event));
+                }
                 Effect::ReportLoad(recipients, report) => {
                     for recipient in recipients.iter() {
                         let peer = recipient.strip_prefix("entry-").unwrap();
--- a/gateway/src/control/hub.rs
+++ b/gateway/src/control/hub.rs
@@ -330,6 +330,7 @@
             | Message::Targets(_)
             | Message::Renewals(_)
             | Message::Roster { .. }
+            | Message::Retained(_)
             | Message::LoadReport { .. }
             | Message::Paces { .. }
             | Message::TunnelRequest { .. }
--- a/gateway/src/entry/uplink.rs
+++ b/gateway/src/entry/uplink.rs
@@ -242,6 +242,7 @@
         | Message::TargetsRequest
         | Message::Consensus(_)
         | Message::RelayAck { .. }
+        | Message::Retained(_)
         | Message::LoadReport { .. }
         | Message::Paces { .. }
         | Message::Planner { .. } => {}
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -5,7 +5,9 @@
 
 use eyre::{bail, ensure};
 use primrosepin_core::consensus;
-use primrosepin_core::fleet::{Entry, LoadReport, Pace, PlannerMessage, Renewal};
+use primrosepin_core::fleet::{
+    Entry, LoadReport, Pace, PlannerMessage, Renewal, RetainedStatement,
+};
 use primrosepin_core::quarantine::{Crash, Part, Rule};
 use serde::{Deserialize, Serialize};
 
@@ -130,6 +132,8 @@
         /// What it measured since its last message.
         paces: Vec<Pace>,
     },
+    /// Which targets were last seen with shared beginnings of prompts; sent as a datagram between entry VMs.
+    Retained(Vec<RetainedStatement>),
 }
 
 impl Message {
