fleet: Shares of organisations and return of refused requests

Cause: in contended services, a slot that becomes free goes to whoever asks most, so one organisation at ten times its load takes the slots of the others. Retry times are constants (2.5 s and 1 s), so refused crowds return together, and a request that waited as told has no better place than one that repeats at once.

Ruled out: a rate limit for each organisation (not work-conserving), one queue in the region for short prompts (a message and a round trip for each), a price above one slot (slots stay free while only the heavy organisation waits).

Change: share::Ledger (engine time by organisation, half-life 5 s, own use and the statements of peers), comeback::Book (places of refused requests and retry times from what waits, returns and ends), and order.rs, which wires both into the reducer where the policy of the service is contended. Peers hear of both in Message::OrderReport, at the end of the enum, at most once a second and at most about 2.5 KB/s a VM. Counters returns, exceeded_shares and order_reports.

Conclusion: shares hold in the tests, also with a VM cut off or restarted and with peers of an earlier build. Long prompts in the planner's queue are not ordered by use, since its queries do not name the organisation.

--- a/bench/src/region/world/caller.rs
+++ b/bench/src/region/world/caller.rs
@@ -64,7 +64,7 @@
                 answer: arrival.answer,
             }),
             parts: PartIds::new(),
-            fingerprint: Fingerprint::default(),
+            fingerprint: Fingerprint::new("POST", "host", &class.name, &call.to_le_bytes()),
             timeout: Some(deadline.since(now)),
         };
         let limit = self.event_timeout(call);
--- a/bench/src/region/world/vm.rs
+++ b/bench/src/region/world/vm.rs
@@ -44,6 +44,8 @@
                 | Effect::ReportCrashes(_)
                 | Effect::WithdrawCrashes(_)
                 | Effect::ReportAnswered(_)
+                | Effect::Returned { .. }
+                | Effect::ShareChanged { .. }
                 | Effect::PlannerChanged(_) => {}
                 Effect::SendToPeer(peer, message) => {
                     let names = self.names.iter();
@@ -56,26 +58,36 @@
                         self.send_vm(after, peer, Event::PlannerMessage { peer: vm, message });
                     }
                 }
+                Effect::ReportOrder(recipients, report) => {
+                    let event = Event::OrderReported {
+                        peer: Arc::clone(&self.names[vm]),
+                        report,
+                    };
+                    self.send_to_peers(vm, &recipients, &event);
+                }
                 Effect::ReportLoad(recipients, report) => {
-                    let recipients: HashSet<&Arc<str>> = recipients.iter().collect();
-                    for peer in 0..self.vms.len() {
-                        if recipients.contains(&self.names[peer])
-                            && self.vms[peer].up
-                            && !self.drops_message()
-                        {
-                            let after = self.latency(self.vms[vm].zone, self.vms[peer].zone);
-                            let event = Event::LoadReported {
-                                peer: Arc::clone(&self.names[vm]),
-                                report: report.clone(),
-                            };
-                            self.send_vm(after, peer, event);
-                        }
-                    }
+                    let event = Event::LoadReported {
+                        peer: Arc::clone(&self.names[vm]),
+                        report,
+                    };
+                    self.send_to_peers(vm, &recipients, &event);
                 }
             }
         }
     }
 
+    /// Sends an event to the recipients that run.
+    fn send_to_peers(&mut self, vm: usize, recipients: &[Arc<str>], event: &Event) {
+        let recipients: HashSet<&Arc<str>> = recipients.iter().collect();
+        for peer in 0..self.vms.len() {
+            if recipients.contains(&self.names[peer]) && self.vms[peer].up && !self.drops_message()
+            {
+                let after = self.latency(self.vms[vm].zone, self.vms[peer].zone);
+                self.send_vm(after, peer, event.clone());
+            }
+        }
+    }
+
     /// Returns whether the next message between entry VMs is lost.
     fn drops_message(&mut self) -> bool {
         self.loss > 0.0 && self.random.random::<f64>() < self.loss
--- a/core/src/fleet/attempts.rs
+++ b/core/src/fleet/attempts.rs
@@ -293,6 +293,7 @@
             return;
         }
         self.add_load(now, id, choice, tokens);
+        self.charge(now, id, tokens);
         if cold {
             let window = self.cold_windows.entry(choice.target);
             let window = window.or_insert_with(|| SlidingWindow::new(Duration::from_secs(1)));
@@ -400,6 +401,11 @@
             return;
         };
         self.record_end(now, id, outcome, &running, effects);
+        match outcome {
+            Outcome::Served => self.record_taken(now, id, now.since(running.sent_at)),
+            Outcome::Unreachable | Outcome::Full | Outcome::WrongTarget => self.refund(now, id),
+            _ => {}
+        }
         let Some(pending) = self.pending.get_mut(&id) else {
             return;
         };
@@ -509,6 +515,7 @@
         };
         let not_run = !pending.may_have_run;
         let reason = if not_run { reason } else { Reason::Failed };
+        let retry_after = self.retry_time(now, &pending, reason, retry_after);
         effects.push(Effect::Refuse(
             id,
             Refusal {
--- a/core/src/fleet/effect.rs
+++ b/core/src/fleet/effect.rs
@@ -9,7 +9,7 @@
 
 use crate::quarantine::{Crash, Part};
 
-use super::{Helper, Id, LimitStatement, Load, PlannerMessage, RetryPolicy, Target};
+use super::{Helper, Id, LimitStatement, Load, OrderReport, PlannerMessage, RetryPolicy, Target};
 
 /// Why a request is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -167,4 +167,20 @@
     PlannerDecision(Box<PlannerDecision>),
     /// The planner changed; none if this VM now places its own long prompts.
     PlannerChanged(Option<Arc<str>>),
+    /// Reports the waiting order of contended services to these peers.
+    ReportOrder(Arc<[Arc<str>]>, OrderReport),
+    /// A request returned that was refused with a retry time.
+    Returned {
+        /// Whether it returned before its time.
+        is_early: bool,
+    },
+    /// The use of an organisation has come to exceed its share, or no longer does.
+    ShareChanged {
+        /// Name of the organisation.
+        organisation: Arc<str>,
+        /// Its use divided by the mean of all organisations.
+        ratio: f64,
+        /// Whether it uses more than its share.
+        exceeds: bool,
+    },
 }
--- a/core/src/fleet/event.rs
+++ b/core/src/fleet/event.rs
@@ -5,7 +5,7 @@
 
 use crate::quarantine::{Part, Rule};
 
-use super::{Config, Entry, Id, LoadReport, Notice, Peer, PlannerMessage, Request};
+use super::{Config, Entry, Id, LoadReport, Notice, OrderReport, Peer, PlannerMessage, Request};
 
 /// How an attempt at a target ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -87,6 +87,13 @@
         /// The message.
         message: PlannerMessage,
     },
+    /// A peer reported the waiting order of contended services.
+    OrderReported {
+        /// Name of the peer.
+        peer: Arc<str>,
+        /// The report.
+        report: OrderReport,
+    },
     /// Rules on prompts that crash targets are in force; they replace the earlier ones.
     Quarantined(Vec<Rule>),
     /// A control VM asks for answers to prompts with these parts.
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 //! - [`SlidingWindow`]: request counts that bound retries and requests to targets in cold start.
 //! - [`PlannerMessage`]: messages to and from the planner, the VM that places long prompts for the
 //!   whole region from one queue.
+//! - [`share::Ledger`] and [`comeback::Book`]: waiting order of contended services, from this VM and its peers.
 //! - [`Freshness`]: up to what time the configuration is known to hold every committed change, such
 //!   as the revocation of a key.
 //!
@@ -21,6 +22,7 @@
 //! - A request that may run at most once is dispatched again only after proof that it did not run.
 
 mod attempts;
+pub mod comeback;
 mod config;
 mod directory;
 mod effect;
@@ -32,6 +34,7 @@
 mod health;
 mod limit;
 mod load;
+mod order;
 mod pending;
 mod placement;
 mod planner;
@@ -43,6 +46,7 @@
 mod reducer;
 mod relocation;
 mod request;
+pub mod share;
 mod topology;
 mod trial;
 mod window;
@@ -57,6 +61,7 @@
 pub use health::Health;
 pub use limit::LimitStatement;
 pub use load::{Load, LoadTable};
+pub use order::OrderReport;
 pub use placement::{Candidate, Choice, Helper, Placement};
 pub use planner_message::{Denial, Grant, PlannerMessage, Query};
 pub use policy::Policy;
--- a/core/src/fleet/pending.rs
+++ b/core/src/fleet/pending.rs
@@ -54,6 +54,8 @@
     pub(super) queued: bool,
     /// Whether it shares targets with short prompts and has waited for a slot.
     pub(super) needs_slot: bool,
+    /// Whether it was refused before and returned when it was told to.
+    pub(super) claimed: bool,
     /// Time until which it can wait in the queue and still meet its objective.
     pub(super) latest_start: Option<Instant>,
     /// Time since which it could be placed but defers to a more urgent request.
@@ -94,6 +96,7 @@
             exclusive: false,
             queued: false,
             needs_slot: false,
+            claimed: false,
             latest_start: None,
             placeable_since: None,
             query: None,
--- a/core/src/fleet/queue.rs
+++ b/core/src/fleet/queue.rs
@@ -13,6 +13,7 @@
 use super::pending::{Pending, caller_gap_limit};
 use super::placement::Candidate;
 use super::planner::is_peer_request;
+use super::share::OrganisationId;
 use super::{Choice, Effect, Id, Reason, Reducer};
 use crate::time::Instant;
 
@@ -70,9 +71,10 @@
         self.slot_share_at = now;
         let share = f64::from(free) * own / total;
         self.slot_share = (self.slot_share + share * passed).min(share.max(1.0));
-        let taken = self.slot_share >= 1.0;
+        let price = self.slot_price(now, id);
+        let taken = self.slot_share >= price;
         if taken {
-            self.slot_share -= 1.0;
+            self.slot_share -= price;
         }
         taken
     }
@@ -160,12 +162,13 @@
             }
         }
         queue.sort_unstable();
-        let mut full: SmallVec<[Arc<str>; 2]> = SmallVec::new();
+        self.order_by_share(now, &mut queue);
+        let mut full: SmallVec<[(Arc<str>, OrganisationId); 2]> = SmallVec::new();
         for (_, _, id) in queue {
             let Some(pending) = self.pending.get(&id) else {
                 continue;
             };
-            let service = Arc::clone(&pending.service.name);
+            let service = (Arc::clone(&pending.service.name), Self::slot_group(pending));
             if full.contains(&service) && pending.needs_slot && now < slot_wait_end(pending) {
                 continue;
             }
@@ -197,5 +200,7 @@
 
 /// Returns when a short prompt stops waiting for a slot.
 fn slot_wait_end(pending: &Pending) -> Instant {
-    pending.arrived + caller_gap_limit(&pending.route).mul_f64(SLOT_WAIT_FRACTION)
+    let wait = caller_gap_limit(&pending.route).mul_f64(SLOT_WAIT_FRACTION);
+    // A second refusal costs a caller most, so a request that returned as told waits longer.
+    pending.arrived + if pending.claimed { wait * 2 } else { wait }
 }
--- a/core/src/fleet/reducer.rs
+++ b/core/src/fleet/reducer.rs
@@ -8,6 +8,7 @@
 use super::guard::{Guard, request_parts};
 use super::limit::NamedLimits;
 use super::load::RELAY_LEASE;
+use super::order::Order;
 use super::pending::{Pending, choose_service};
 use super::planner::{BEACON_INTERVAL, RELAY_INTERVAL, UnconfirmedGrant};
 use super::topology::Topology;
@@ -96,6 +97,8 @@
     /// Requests that wait for targets, slots or the end of a cold start.
     pub(super) queue: VecDeque<Id>,
     pub(super) queue_served_at: Instant,
+    /// Waiting order of contended services.
+    pub(super) order: Order,
     /// This VM's share of the free slots that it has not used yet.
     pub(super) slot_share: f64,
     /// When `slot_share` was last updated.
@@ -139,6 +142,7 @@
             named_limits: NamedLimits::default(),
             queue: VecDeque::new(),
             queue_served_at: Instant::default(),
+            order: Order::default(),
             slot_share: 0.0,
             slot_share_at: Instant::default(),
             reported_at: Instant::default(),
@@ -198,12 +202,13 @@
     pub fn apply(&mut self, now: Instant, event: Event, effects: &mut Vec<Effect>) {
         match event {
             Event::Tick => {
-                self.tick(now);
+                self.tick(now, effects);
                 self.record_long_answers(now, effects);
                 self.withdraw_reports(effects);
                 self.report_planner_change(now, effects);
                 self.repeat_queries(now, effects);
             }
+            Event::OrderReported { peer, report } => self.merge_order(now, &peer, &report),
             Event::Configured {
                 revision,
                 config,
@@ -248,9 +253,10 @@
         }
         self.serve_queue(now, effects);
         self.report_load(now, effects);
+        self.report_order(now, effects);
     }
 
-    fn tick(&mut self, now: Instant) {
+    fn tick(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         self.expire_peer_requests(now);
         /// Interval and factor with which the health records of targets decay.
         const DECAY_INTERVAL: Duration = Duration::from_secs(1);
@@ -265,6 +271,8 @@
             self.directory.expire(now);
             self.expire_limits(now);
             self.guard.expire(now);
+            self.report_shares(now, effects);
+            self.order.expire(now);
         }
     }
 
@@ -309,7 +317,9 @@
                 windows.requests.add(now);
                 windows.requests.count(now);
                 self.pending.insert(id, pending);
-                self.place(now, id, effects);
+                if !self.wait_for_turn(now, id, effects) {
+                    self.place(now, id, effects);
+                }
             }
             Err(refusal) => {
                 effects.push(Effect::Refuse(id, refusal));
--- a/core/tests/fleet/main.rs
+++ b/core/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Decisions of entry VMs whose targets serve the whole region.
 
+mod contention;
 mod fetch;
 mod limits;
 mod load;
--- a/core/tests/fleet/support.rs
+++ b/core/tests/fleet/support.rs
@@ -7,9 +7,9 @@
 
 use primrosepin_core::fingerprint::Fingerprint;
 use primrosepin_core::fleet::{
-    Announcement, Config, Dispatch, Effect, Engine, Entry, Event, Id, Limits, Organisation,
-    Outcome, PartIds, Peer, PlannerMessage, Policy, Reducer, Refusal, Request, RetryPolicy, Route,
-    Service, Settings, State, Tokens,
+    Announcement, Config, Dispatch, Effect, Engine, Entry, Event, Id, Limits, OrderReport,
+    Organisation, Outcome, PartIds, Peer, PlannerMessage, Policy, Reducer, Refusal, Request,
+    RetryPolicy, Route, Service, Settings, State, Tokens,
 };
 use primrosepin_core::quarantine::{Crash, Part};
 use primrosepin_core::time::Instant;
@@ -181,6 +181,14 @@
     pub reports: usize,
     /// Reports to control VMs about crashes, with the VM that sent them.
     pub crash_reports: Vec<(usize, Report)>,
+    /// Whether VMs send reports of the waiting order, unlike earlier builds.
+    pub sends_order: bool,
+    /// Reports of the waiting order, with the VM that sent them.
+    pub order_reports: Vec<(usize, OrderReport)>,
+    /// Returns of refused requests, by whether each was early.
+    pub returns: Vec<bool>,
+    /// Organisations that came to exceed their share, or no longer do, as a VM saw it.
+    pub share_changes: Vec<(usize, Arc<str>, bool)>,
     messages: BTreeMap<(Instant, u64), (usize, Event)>,
     next: u64,
 }
@@ -197,6 +205,10 @@
             planner_messages: Vec::new(),
             reports: 0,
             crash_reports: Vec::new(),
+            sends_order: true,
+            order_reports: Vec::new(),
+            returns: Vec::new(),
+            share_changes: Vec::new(),
             messages: BTreeMap::new(),
             next: 0,
         };
@@ -279,6 +291,31 @@
                 | Effect::PlannerTimedOut(..)
                 | Effect::PlannerDecision(_)
                 | Effect::PlannerChanged(_) => {}
+                Effect::Returned { is_early } => self.returns.push(is_early),
+                Effect::ShareChanged {
+                    organisation,
+                    exceeds,
+                    ..
+                } => self.share_changes.push((vm, organisation, exceeds)),
+                Effect::ReportOrder(recipients, report) => {
+                    self.order_reports.push((vm, report.clone()));
+                    for recipient in recipients.iter() {
+                        let peer = recipient.strip_prefix("entry-").unwrap();
+                        let peer: usize = peer.parse().unwrap();
+                        let cut =
+                            self.partitioned.contains(&peer) || self.partitioned.contains(&vm);
+                        if cut || !self.sends_order {
+                            continue;
+                        }
+                        self.next += 1;
+                        let event = Event::OrderReported {
+                            peer: format!("entry-{vm}").into(),
+                            report: report.clone(),
+                        };
+                        let at = self.now + self.delay;
+                        self.messages.insert((at, self.next), (peer, event));
+                    }
+                }
                 Effect::ReportCrashes(crashes) => {
                     let reports = crashes.into_iter().map(|crash| (vm, Report::Crash(crash)));
                     self.crash_reports.extend(reports);
--- a/gateway/src/control/hub.rs
+++ b/gateway/src/control/hub.rs
@@ -329,7 +329,8 @@
             | Message::LoadReport { .. }
             | Message::TunnelRequest { .. }
             | Message::TunnelAnswer(_)
-            | Message::Planner { .. } => {}
+            | Message::Planner { .. }
+            | Message::OrderReport { .. } => {}
         }
     }
 }
--- a/gateway/src/entry/node.rs
+++ b/gateway/src/entry/node.rs
@@ -7,8 +7,8 @@
 use std::sync::Arc;
 
 use primrosepin_core::fleet::{
-    Dispatch, Effect, Event, Fetch, Id, Limits, LoadReport, PartId, Peer, PlannerDecision,
-    PlannerMessage, Reach, Reducer, Refusal, Renewal,
+    Dispatch, Effect, Event, Fetch, Id, Limits, PartId, Peer, PlannerDecision, PlannerMessage,
+    Reach, Reducer, Refusal, Renewal,
 };
 use primrosepin_core::quarantine::{ANY_SERVICE, Crash, Rule};
 use primrosepin_core::time::Instant;
@@ -214,7 +214,35 @@
                 }
                 Effect::Refuse(id, refusal) => self.send_decision(id, Decision::Refuse(refusal)),
                 Effect::Queue(id, length) => self.send_decision(id, Decision::Queue(length)),
-                Effect::ReportLoad(recipients, report) => self.report_load(&recipients, report),
+                Effect::ReportLoad(recipients, report) => {
+                    let vm = Arc::clone(&self.settings.common.vm);
+                    self.send_to_peers(&recipients, &Message::LoadReport { vm, report });
+                }
+                Effect::ReportOrder(recipients, report) => {
+                    self.instruments.order_reports.add(1, &[]);
+                    let vm = Arc::clone(&self.settings.common.vm);
+                    self.send_to_peers(&recipients, &Message::OrderReport { vm, report });
+                }
+                Effect::Returned { is_early } => {
+                    let when = if is_early { "early" } else { "as_told" };
+                    let when = metrics::label("when", when);
+                    self.instruments.returns.add(1, &[when]);
+                }
+                Effect::ShareChanged {
+                    organisation,
+                    ratio,
+                    exceeds,
+                } => {
+                    let change = if exceeds {
+                        "an organisation uses more than its share of the engines"
+                    } else {
+                        "an organisation no longer uses more than its share of the engines"
+                    };
+                    log::info!(organisation = &*organisation, ratio = ratio; "{change}");
+                    if exceeds {
+                        self.instruments.exceeded_shares.add(1, &[]);
+                    }
+                }
                 Effect::ReportCrashes(crashes) => {
                     for crash in &crashes {
                         log::info!(
@@ -403,9 +431,8 @@
         }
     }
 
-    fn report_load(&self, recipients: &[Arc<str>], report: LoadReport) {
-        let vm = Arc::clone(&self.settings.common.vm);
-        let bytes = match (Message::LoadReport { vm, report }).encode() {
+    fn send_to_peers(&self, recipients: &[Arc<str>], message: &Message) {
+        let bytes = match message.encode() {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!("cannot encode a datagram: {error:#}");
@@ -450,6 +477,9 @@
                 Ok(Message::LoadReport { vm, report }) if vm != self.settings.common.vm => {
                     self.apply(Event::LoadReported { peer: vm, report });
                 }
+                Ok(Message::OrderReport { vm, report }) if vm != self.settings.common.vm => {
+                    self.apply(Event::OrderReported { peer: vm, report });
+                }
                 Ok(Message::Planner { vm, message }) if vm != self.settings.common.vm => {
                     self.apply(Event::PlannerMessage { peer: vm, message });
                 }
--- a/gateway/src/entry/uplink.rs
+++ b/gateway/src/entry/uplink.rs
@@ -239,6 +239,7 @@
         | Message::Consensus(_)
         | Message::RelayAck { .. }
         | Message::LoadReport { .. }
-        | Message::Planner { .. } => {}
+        | Message::Planner { .. }
+        | Message::OrderReport { .. } => {}
     }
 }
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -5,7 +5,7 @@
 
 use eyre::{bail, ensure};
 use primrosepin_core::consensus;
-use primrosepin_core::fleet::{Entry, LoadReport, PlannerMessage, Renewal};
+use primrosepin_core::fleet::{Entry, LoadReport, OrderReport, PlannerMessage, Renewal};
 use primrosepin_core::quarantine::{Crash, Part, Rule};
 use serde::{Deserialize, Serialize};
 
@@ -123,6 +123,14 @@
     },
     /// Answer to [`Message::TunnelRequest`]. Bytes to and from the target follow, unless it is a refusal.
     TunnelAnswer(Result<(), tunnel::Refusal>),
+    /// Waiting order of contended services; sent as a datagram, at most once a second. Entry VMs of earlier builds
+    /// ignore it.
+    OrderReport {
+        /// Name of the sending VM.
+        vm: Arc<str>,
+        /// Use by organisations, and refused requests that may return.
+        report: OrderReport,
+    },
 }
 
 impl Message {
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -82,6 +82,12 @@
     pub quarantine_rules: Gauge<u64>,
     /// Connections to targets asked of other entry VMs, by outcome.
     pub tunnels: Counter<u64>,
+    /// Requests that returned after a refusal with a retry time, by whether they returned as told.
+    pub returns: Counter<u64>,
+    /// Times that an organisation came to use more than its share of the engines.
+    pub exceeded_shares: Counter<u64>,
+    /// Reports of the waiting order of contended services, each sent to all peers.
+    pub order_reports: Counter<u64>,
     /// Datagrams that could not be sent.
     pub unsent_datagrams: Counter<u64>,
 }
@@ -111,6 +117,15 @@
                 "tunnels",
                 "Connections to targets asked of other entry VMs, by outcome",
             ),
+            returns: metrics.counter(
+                "returns",
+                "Requests that returned after a refusal, by whether they returned as told",
+            ),
+            exceeded_shares: metrics.counter(
+                "exceeded_shares",
+                "Times that an organisation came to use more than its share",
+            ),
+            order_reports: metrics.counter("order_reports", "Reports of the waiting order"),
             unsent_datagrams: metrics
                 .counter("lost_shares", "Datagrams to peers that were not sent"),
         }
