--- a/bench/src/region/day.rs
+++ b/bench/src/region/day.rs
@@ -29,6 +29,9 @@
     pub cross_zone_ms: f64,
     /// Request classes.
     pub classes: Vec<Class>,
+    /// Organisations of the callers; none if callers have no keys.
+    #[serde(default)]
+    pub organisations: Vec<Organisation>,
     /// Periods in which the arrival rate of a class differs.
     pub bursts: Vec<Burst>,
     /// Faults and planned changes.
@@ -50,6 +53,19 @@
     pub callers: f64,
 }
 
+/// An organisation of callers.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Organisation {
+    /// Name of the organisation.
+    pub name: String,
+    /// Share of the requests of every class, relative to the sum over all organisations.
+    pub load: f64,
+    /// Whether its callers ignore retry times and repeat refused requests at once until their timeout.
+    #[serde(default)]
+    pub repeats_at_once: bool,
+}
+
 /// A request class.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -202,6 +218,8 @@
     pub class: usize,
     /// Index of the caller's zone.
     pub zone: usize,
+    /// Index of the caller's organisation; zero if there are none.
+    pub organisation: usize,
     /// Prompt length, tokens.
     pub prompt: u64,
     /// Answer length, tokens.
@@ -293,6 +311,7 @@
                     at_ms: at_s * 1e3,
                     class: index,
                     zone: self.draw_zone(&mut random),
+                    organisation: 0,
                     prompt: prompt as u64,
                     answer: answer as u64,
                     worth: class.worth * size,
@@ -301,9 +320,26 @@
             }
         }
         arrivals.sort_by(|a, b| a.at_ms.total_cmp(&b.at_ms));
+        // A random source of its own keeps the other draws of a seed as they are on days without organisations.
+        let mut random = StdRng::seed_from_u64(seed ^ 0x0AC5_0F05);
+        for arrival in &mut arrivals {
+            arrival.organisation = self.draw_organisation(&mut random);
+        }
         arrivals
     }
 
+    fn draw_organisation(&self, random: &mut StdRng) -> usize {
+        let total: f64 = self.organisations.iter().map(|o| o.load).sum();
+        let mut point = random.random::<f64>() * total;
+        for (index, organisation) in self.organisations.iter().enumerate() {
+            if point < organisation.load {
+                return index;
+            }
+            point -= organisation.load;
+        }
+        0
+    }
+
     fn draw_zone(&self, random: &mut StdRng) -> usize {
         let total: f64 = self.zones.iter().map(|zone| zone.callers).sum();
         let mut point = random.random::<f64>() * total;
--- a/bench/src/region/mod.rs
+++ b/bench/src/region/mod.rs
@@ -17,7 +17,7 @@
 mod world;
 
 pub use bound::bound;
-pub use day::{Arrival, Class, Day, Disruption};
+pub use day::{Arrival, Class, Day, Disruption, Organisation};
 pub use plot::write as plot;
 pub use policy::Policy;
 pub use report::{Outcome, Record, Report};
--- a/bench/src/region/report.rs
+++ b/bench/src/region/report.rs
@@ -58,6 +58,8 @@
     pub class: usize,
     /// Index of the caller's zone.
     pub zone: usize,
+    /// Index of the caller's organisation; zero if there are none.
+    pub organisation: usize,
     /// Prompt length, tokens.
     pub prompt: u64,
     /// Score if the answer is on time.
@@ -122,6 +124,7 @@
             at_ms: arrival.at_ms,
             class: arrival.class,
             zone: arrival.zone,
+            organisation: arrival.organisation,
             prompt: arrival.prompt,
             worth: arrival.worth,
             earned,
@@ -268,6 +271,21 @@
             }
             table.push('\n');
         }
+        for (index, organisation) in day.organisations.iter().enumerate() {
+            let _ = write!(table, "  {:10}", organisation.name);
+            for (outcome, name) in Outcome::ALL.iter().enumerate() {
+                let count = mean(&|r| {
+                    let own = r
+                        .records
+                        .iter()
+                        .filter(|record| record.organisation == index);
+                    own.filter(|record| record.outcome == Outcome::ALL[outcome])
+                        .count() as f64
+                });
+                let _ = write!(table, "  {name:?} {count:.1}");
+            }
+            table.push('\n');
+        }
         let audits = reports.iter().map(|r| r.audit.violations()).sum::<u64>();
         let _ = writeln!(table, "  rules broken {audits}");
         table
--- a/bench/src/region/world/caller.rs
+++ b/bench/src/region/world/caller.rs
@@ -58,7 +58,11 @@
             request_id: format!("{call}-{number}").into(),
             host: "host".into(),
             path: format!("/{}/1", class.name).into(),
-            key: None,
+            key: self
+                .day
+                .organisations
+                .get(arrival.organisation)
+                .map(|o| o.name.as_str().into()),
             tokens: Some(Tokens {
                 prompt: arrival.prompt,
                 answer: arrival.answer,
@@ -123,7 +127,13 @@
             }
             CallerEvent::Refused(refusal) => {
                 let left = caller.deadline.since(now);
-                if refusal.not_run && caller.tries <= class.retries && !left.is_zero() {
+                let organisation = self.arrivals[call].organisation;
+                let organisation = self.day.organisations.get(organisation);
+                let repeats = organisation.is_some_and(|o| o.repeats_at_once);
+                if repeats && refusal.not_run && left > RETRY_DELAY {
+                    caller.retried = true;
+                    self.push(now + RETRY_DELAY, SimEvent::Arrive(call));
+                } else if refusal.not_run && caller.tries <= class.retries && !left.is_zero() {
                     let wait = refusal.retry_after.unwrap_or(RETRY_DELAY).min(left / 3);
                     caller.retried = true;
                     self.push(now + wait, SimEvent::Arrive(call));
--- a/bench/src/region/world/mod.rs
+++ b/bench/src/region/world/mod.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 
 use primrosepin_core::fleet::{
-    Announcement, Config, Entry, Event, Id, Limits, Peer, Reducer, Refusal, RetryPolicy, Route,
-    Service, Settings, State,
+    Announcement, Config, Entry, Event, Id, Limits, Organisation, Peer, Reducer, Refusal,
+    RetryPolicy, Route, Service, Settings, State,
 };
 use primrosepin_core::time::Instant;
 use primrosepin_standin::passes;
@@ -416,7 +416,7 @@
             priority: class.priority,
             split: smallvec![("engines".into(), 1)],
             max_attempts: 2,
-            public: true,
+            public: self.day.organisations.is_empty(),
         };
         let service = Service {
             name: "engines".into(),
@@ -428,11 +428,18 @@
             policy: primrosepin_core::fleet::Policy::default(),
         };
         let routes = self.day.classes.iter().map(route).collect();
+        let organisation = |organisation: &super::Organisation| Organisation {
+            name: organisation.name.as_str().into(),
+            keys: vec![organisation.name.as_str().into()],
+            priority: None,
+        };
+        let organisations: Vec<_> = self.day.organisations.iter().map(organisation).collect();
+        let organisations = (!organisations.is_empty()).then_some(organisations);
         let config = Config::new(
             self.revision,
             routes,
             vec![service],
-            None,
+            organisations,
             Limits::default(),
         );
         let zones = self.zones_out.iter();
@@ -488,6 +495,16 @@
         })
     }
 
+    /// Confirms the configuration, without which no request with a key runs.
+    fn confirm(&mut self, vm: usize) {
+        let confirmed = Event::Confirmed {
+            requested_at: self.now,
+            age: Duration::ZERO,
+            revision: self.vms[vm].reducer.revision(),
+        };
+        self.apply(vm, confirmed);
+    }
+
     fn latency(&self, first: usize, second: usize) -> Duration {
         ms(if first == second {
             SAME_ZONE_MS
@@ -522,6 +539,9 @@
             SimEvent::Tick => {
                 for vm in 0..self.vms.len() {
                     if self.vms[vm].up && self.policy == Policy::Product {
+                        if !self.day.organisations.is_empty() {
+                            self.confirm(vm);
+                        }
                         self.apply(vm, Event::Tick);
                     }
                 }
