--- a/bench/src/region/world/vm.rs
+++ b/bench/src/region/world/vm.rs
@@ -46,6 +46,8 @@
                 | Effect::WithdrawCrashes(_)
                 | Effect::ReportAnswered(_)
                 | Effect::PaceChanged(..)
+                | Effect::Returned { .. }
+                | Effect::ShareChanged { .. }
                 | Effect::PlannerChanged(_) => {}
                 Effect::SendToPeer(peer, message) => {
                     let names = self.names.iter();
@@ -76,6 +78,13 @@
                         self.send_vm(after, peer, Event::RetainedReported(statements));
                     }
                 }
+                Effect::ReportOrder(recipients, report) => {
+                    let event = Event::OrderReported {
+                        peer: Arc::clone(&self.names[vm]),
+                        report,
+                    };
+                    self.send_to_peers(vm, &recipients, &event);
+                }
                 Effect::ReportLoad(recipients, report) => {
                     let event = Event::LoadReported {
                         peer: Arc::clone(&self.names[vm]),
--- a/core/src/fleet/event.rs
+++ b/core/src/fleet/event.rs
@@ -6,7 +6,8 @@
 use crate::quarantine::{Part, Rule};
 
 use super::{
-    Config, Entry, Id, LoadReport, Notice, Pace, Peer, PlannerMessage, Request, RetainedStatement,
+    Config, Entry, Id, LoadReport, Notice, OrderReport, Pace, Peer, PlannerMessage, Request,
+    RetainedStatement,
 };
 
 /// How an attempt at a target ended.
@@ -98,6 +99,13 @@
     },
     /// A peer told which targets were last seen with shared prefixes.
     RetainedReported(Vec<RetainedStatement>),
+    /// A peer reported the waiting order of contended services.
+    OrderReported {
+        /// Name of the peer.
+        peer: Arc<str>,
+        /// The report.
+        report: OrderReport,
+    },
     /// Rules on prompts that crash targets are in force; they replace the earlier ones.
     Quarantined(Vec<Rule>),
     /// A control VM asks for answers to prompts with these parts.
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 //! - [`Retained`]: beginnings of prompts that targets still hold.
 //! - [`PlannerMessage`]: messages to and from the planner, the VM that places long prompts for the
 //!   whole region from one queue.
+//! - [`share::Ledger`] and [`comeback::Book`]: waiting order of contended services, from this VM and its peers.
 //! - [`Freshness`]: up to what time the configuration is known to hold every committed change, such
 //!   as the revocation of a key.
 //!
@@ -23,6 +24,7 @@
 //! - A request that may run at most once is dispatched again only after proof that it did not run.
 
 mod attempts;
+pub mod comeback;
 mod config;
 mod directory;
 mod division;
@@ -36,6 +38,7 @@
 mod holder;
 mod limit;
 mod load;
+mod order;
 mod pace;
 mod pending;
 mod placement;
@@ -49,6 +52,7 @@
 mod relocation;
 mod request;
 mod retained;
+pub mod share;
 mod topology;
 mod trial;
 mod window;
@@ -64,6 +68,7 @@
 pub use health::Health;
 pub use limit::LimitStatement;
 pub use load::{Load, LoadTable};
+pub use order::OrderReport;
 pub use pace::{Pace, Table as PaceTable};
 pub use placement::{Candidate, Choice, Helper, Placement};
 pub use planner_message::{Denial, Grant, PlannerMessage, Query};
--- a/core/src/fleet/reducer.rs
+++ b/core/src/fleet/reducer.rs
@@ -8,6 +8,7 @@
 use super::guard::{Guard, request_parts};
 use super::limit::NamedLimits;
 use super::load::RELAY_LEASE;
+use super::order::Order;
 use super::pending::{Pending, choose_service};
 use super::planner::{BEACON_INTERVAL, RELAY_INTERVAL, UnconfirmedGrant};
 use super::topology::Topology;
@@ -101,6 +102,8 @@
     /// Requests that wait for targets, slots or the end of a cold start.
     pub(super) queue: VecDeque<Id>,
     pub(super) queue_served_at: Instant,
+    /// Waiting order of contended services.
+    pub(super) order: Order,
     /// This VM's share of the free slots that it has not used yet.
     pub(super) slot_share: f64,
     /// When `slot_share` was last updated.
@@ -146,6 +149,7 @@
             retained: Retained::default(),
             queue: VecDeque::new(),
             queue_served_at: Instant::default(),
+            order: Order::default(),
             slot_share: 0.0,
             slot_share_at: Instant::default(),
             reported_at: Instant::default(),
@@ -212,6 +216,7 @@
                 self.repeat_queries(now, effects);
                 self.share_retained(now, effects);
             }
+            Event::OrderReported { peer, report } => self.merge_order(now, &peer, &report),
             Event::Configured {
                 revision,
                 config,
@@ -260,6 +265,7 @@
         self.serve_queue(now, effects);
         self.report_load(now, effects);
         self.report_paces(now, effects);
+        self.report_order(now, effects);
     }
 
     fn tick(&mut self, now: Instant, effects: &mut Vec<Effect>) {
@@ -281,6 +287,8 @@
             self.retained
                 .expire(now, |target| directory.by_name_hash(target).is_some());
             self.guard.expire(now);
+            self.report_shares(now, effects);
+            self.order.expire(now);
         }
     }
 
@@ -328,7 +336,9 @@
                 windows.requests.add(now);
                 windows.requests.count(now);
                 self.pending.insert(id, pending);
-                self.place(now, id, effects);
+                if !self.wait_for_turn(now, id, effects) {
+                    self.place(now, id, effects);
+                }
             }
             Err(refusal) => {
                 effects.push(Effect::Refuse(id, refusal));
--- a/gateway/src/control/hub.rs
+++ b/gateway/src/control/hub.rs
@@ -335,7 +335,8 @@
             | Message::Paces { .. }
             | Message::TunnelRequest { .. }
             | Message::TunnelAnswer(_)
-            | Message::Planner { .. } => {}
+            | Message::Planner { .. }
+            | Message::OrderReport { .. } => {}
         }
     }
 }
--- a/gateway/src/entry/node.rs
+++ b/gateway/src/entry/node.rs
@@ -230,6 +230,31 @@
                 Effect::PaceChanged(target, None) => {
                     log::info!(target_name = &*target; "target is back to its pace");
                 }
+                Effect::ReportOrder(recipients, report) => {
+                    self.instruments.order_reports.add(1, &[]);
+                    let vm = Arc::clone(&self.settings.common.vm);
+                    self.send_to_peers(&recipients, &Message::OrderReport { vm, report });
+                }
+                Effect::Returned { is_early } => {
+                    let when = if is_early { "early" } else { "as_told" };
+                    let when = metrics::label("when", when);
+                    self.instruments.returns.add(1, &[when]);
+                }
+                Effect::ShareChanged {
+                    organisation,
+                    ratio,
+                    exceeds,
+                } => {
+                    let change = if exceeds {
+                        "an organisation uses more than its share of the engines"
+                    } else {
+                        "an organisation no longer uses more than its share of the engines"
+                    };
+                    log::info!(organisation = &*organisation, ratio = ratio; "{change}");
+                    if exceeds {
+                        self.instruments.exceeded_shares.add(1, &[]);
+                    }
+                }
                 Effect::ReportCrashes(crashes) => {
                     for crash in &crashes {
                         log::info!(
@@ -480,6 +505,9 @@
                     self.instruments.received_paces.add(paces.len() as u64, &[]);
                     self.apply(Event::PacesReported { peer: vm, paces });
                 }
+                Ok(Message::OrderReport { vm, report }) if vm != self.settings.common.vm => {
+                    self.apply(Event::OrderReported { peer: vm, report });
+                }
                 Ok(Message::Planner { vm, message }) if vm != self.settings.common.vm => {
                     self.apply(Event::PlannerMessage { peer: vm, message });
                 }
--- a/gateway/src/entry/uplink.rs
+++ b/gateway/src/entry/uplink.rs
@@ -245,6 +245,7 @@
         | Message::Retained(_)
         | Message::LoadReport { .. }
         | Message::Paces { .. }
+        | Message::OrderReport { .. }
         | Message::Planner { .. } => {}
     }
 }
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -6,7 +6,7 @@
 use eyre::{bail, ensure};
 use primrosepin_core::consensus;
 use primrosepin_core::fleet::{
-    Entry, LoadReport, Pace, PlannerMessage, Renewal, RetainedStatement,
+    Entry, LoadReport, OrderReport, Pace, PlannerMessage, Renewal, RetainedStatement,
 };
 use primrosepin_core::quarantine::{Crash, Part, Rule};
 use serde::{Deserialize, Serialize};
@@ -134,6 +134,14 @@
     },
     /// Which targets were last seen with shared beginnings of prompts; sent as a datagram between entry VMs.
     Retained(Vec<RetainedStatement>),
+    /// Waiting order of contended services; sent as a datagram, at most once a second. Entry VMs of earlier builds
+    /// ignore it.
+    OrderReport {
+        /// Name of the sending VM.
+        vm: Arc<str>,
+        /// Use by organisations, and refused requests that may return.
+        report: OrderReport,
+    },
 }
 
 impl Message {
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -96,6 +96,12 @@
     pub sent_paces: Counter<u64>,
     /// Measurements of deviating targets that peers told.
     pub received_paces: Counter<u64>,
+    /// Requests that returned after a refusal with a retry time, by whether they returned as told.
+    pub returns: Counter<u64>,
+    /// Times that an organisation came to use more than its share of the engines.
+    pub exceeded_shares: Counter<u64>,
+    /// Reports of the waiting order of contended services, each sent to all peers.
+    pub order_reports: Counter<u64>,
     /// Datagrams that could not be sent.
     pub unsent_datagrams: Counter<u64>,
 }
@@ -143,6 +149,15 @@
             ),
             sent_paces: metrics.counter("sent_paces", "Paces of targets that peers were told of"),
             received_paces: metrics.counter("received_paces", "Paces of targets that peers told"),
+            returns: metrics.counter(
+                "returns",
+                "Requests that returned after a refusal, by whether they returned as told",
+            ),
+            exceeded_shares: metrics.counter(
+                "exceeded_shares",
+                "Times that an organisation came to use more than its share",
+            ),
+            order_reports: metrics.counter("order_reports", "Reports of the waiting order"),
             unsent_datagrams: metrics
                 .counter("lost_shares", "Datagrams to peers that were not sent"),
         }
