--- a/core/src/fleet/attempts.rs
+++ b/core/src/fleet/attempts.rs
@@ -94,7 +94,7 @@
                 avoided,
                 cold,
                 slowdown,
-                pace: if pending.service.policy.is_contended() {
+                pace: if pending.service.policy.has_far_zones {
                     slowdown
                 } else {
                     1.0
@@ -396,7 +396,7 @@
             let taken = now.since(running.sent_at);
             let health = self.health.entry(running.target).or_default();
             health.record_first_event(taken, running.predicted);
-            if pending.service.policy.is_contended() {
+            if pending.service.policy.has_far_zones {
                 let running = running.clone();
                 self.record_first_event_pace(now, &running);
             }
--- a/core/src/fleet/pace.rs
+++ b/core/src/fleet/pace.rs
@@ -344,7 +344,7 @@
             return;
         };
         let probe = &mut running.probe;
-        if !pending.service.policy.is_contended() || probe.gaps >= MEASURED_GAPS {
+        if !pending.service.policy.has_far_zones || probe.gaps >= MEASURED_GAPS {
             return;
         }
         let load = self.loads.load(record.name_hash, now);
@@ -372,7 +372,7 @@
         target: Target,
         name_hash: u64,
     ) -> f64 {
-        if service.policy.is_contended() {
+        if service.policy.has_far_zones {
             return self.paces.pace(now, name_hash);
         }
         let health = self.health.get(&target);
@@ -388,7 +388,7 @@
         record: &super::directory::Record,
     ) -> bool {
         let health = self.health.get(&target);
-        if !service.policy.is_contended() {
+        if !service.policy.has_far_zones {
             return health.is_some_and(|health| health.avoided(now, record.heard));
         }
         health.is_some_and(|health| health.is_failing(now, record.heard))
