--- a/core/src/fleet/effect.rs
+++ b/core/src/fleet/effect.rs
@@ -181,7 +181,7 @@
     PlannerDecision(Box<PlannerDecision>),
     /// The planner changed; none if this VM now places its own long prompts.
     PlannerChanged(Option<Arc<str>>),
-    /// Reports the waiting order of contended services to these peers.
+    /// Reports the waiting order of services with priorities to these peers.
     ReportOrder(Arc<[Arc<str>]>, OrderReport),
     /// A request returned that was refused with a retry time.
     Returned {
--- a/core/src/fleet/event.rs
+++ b/core/src/fleet/event.rs
@@ -99,7 +99,7 @@
     },
     /// A peer told which targets were last seen with shared prefixes.
     RetainedReported(Vec<RetainedStatement>),
-    /// A peer reported the waiting order of contended services.
+    /// A peer reported the waiting order of services with priorities.
     OrderReported {
         /// Name of the peer.
         peer: Arc<str>,
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -13,7 +13,7 @@
 //! - [`Retained`]: beginnings of prompts that targets still hold.
 //! - [`PlannerMessage`]: messages to and from the planner, the VM that places long prompts for the
 //!   whole region from one queue.
-//! - [`share::Ledger`] and [`comeback::Book`]: waiting order of contended services, from this VM and its peers.
+//! - [`share::Ledger`] and [`comeback::Book`]: waiting order of services with priorities, from this VM and its peers.
 //! - [`Freshness`]: up to what time the configuration is known to hold every committed change, such
 //!   as the revocation of a key.
 //!
--- a/core/src/fleet/order.rs
+++ b/core/src/fleet/order.rs
@@ -1,6 +1,6 @@
-//! Waiting order of contended services: who goes first, and when a refused request returns.
+//! Waiting order of services with priorities: who goes first, and when a refused request returns.
 //!
-//! The reducer asks this module where requests of a contended service wait, start, end or are refused; for other
+//! The reducer asks this module where requests of a service with priorities wait, start, end or are refused; for other
 //! services it changes nothing. The decisions are those of the [`Ledger`] and of the [`Book`]; see there for the loads
 //! that they address. Peers get both in one [`OrderReport`].
 
@@ -41,7 +41,7 @@
 /// Most organisations whose names are kept for logs.
 const MAX_NAMES: usize = 256;
 
-/// What VMs tell each other about the waiting order of contended services.
+/// What VMs tell each other about the waiting order of services with priorities.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OrderReport {
     /// Largest users of the engines at the reporting VM. They replace those of its last report.
--- a/core/src/fleet/placement.rs
+++ b/core/src/fleet/placement.rs
@@ -105,7 +105,7 @@
     pub cold: bool,
     /// Ratio of the actual to the predicted time to the first event.
     pub slowdown: f64,
-    /// Factor by which its passes and prefills exceed the announced times; 1 where the service is not contended.
+    /// Factor by which its passes and prefills exceed the announced times; 1 where its zones are close.
     pub pace: f64,
     /// Order among equal targets. It differs between VMs, so that VMs that decide at the same time
     /// choose different targets.
--- a/core/src/fleet/policy.rs
+++ b/core/src/fleet/policy.rs
@@ -1,12 +1,13 @@
 //! Which of the decisions for contended services a configuration calls for.
 //!
 //! Services whose callers do not compete, and whose zones are close to each other, are scheduled as one pool without
-//! classes. The decisions for contended services take effect only where the configuration of a service shows one of
-//! two needs:
+//! classes. Two needs that the configuration of a service may show switch further decisions on, each its own:
 //!
-//! - Its routes have different priorities, so their requests compete and the more urgent come first.
+//! - Its routes have different priorities, so their requests compete: the waiting order and the return of refused
+//!   requests ([`super::share`], [`super::comeback`]), and, where shorter prompts are the more urgent ones, a larger
+//!   reserve for medium prompts ([`super::Division`]).
 //! - Its zones are far apart compared with its shortest objective, so that targets of another zone do not make up for
-//!   missing ones, and each zone must follow its own demand.
+//!   slow ones: the pace of each target ([`super::PaceTable`]).
 
 use std::time::Duration;
 
--- a/core/src/fleet/reducer.rs
+++ b/core/src/fleet/reducer.rs
@@ -102,7 +102,7 @@
     /// Requests that wait for targets, slots or the end of a cold start.
     pub(super) queue: VecDeque<Id>,
     pub(super) queue_served_at: Instant,
-    /// Waiting order of contended services.
+    /// Waiting order of services with priorities.
     pub(super) order: Order,
     /// This VM's share of the free slots that it has not used yet.
     pub(super) slot_share: f64,
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -134,7 +134,7 @@
     },
     /// Which targets were last seen with shared beginnings of prompts; sent as a datagram between entry VMs.
     Retained(Vec<RetainedStatement>),
-    /// Waiting order of contended services; sent as a datagram, at most once a second. Entry VMs of earlier builds
+    /// Waiting order of services with priorities; sent as a datagram, at most once a second. Entry VMs of earlier builds
     /// ignore it.
     OrderReport {
         /// Name of the sending VM.
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -100,7 +100,7 @@
     pub returns: Counter<u64>,
     /// Times that an organisation came to use more than its share of the engines.
     pub exceeded_shares: Counter<u64>,
-    /// Reports of the waiting order of contended services, each sent to all peers.
+    /// Reports of the waiting order of services with priorities, each sent to all peers.
     pub order_reports: Counter<u64>,
     /// Datagrams that could not be sent.
     pub unsent_datagrams: Counter<u64>,
