review: One function for desired states, networks apart from the tests

Change: scripts take networks 20 to 119, which no test uses; machines start 25 ms apart; documents of five cases come from one function.

--- a/review/src-2/cold.rs
+++ b/review/src-2/cold.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use crate::Verdict;
-use crate::deployment::{Deployment, wait_until};
+use crate::deployment::{Deployment, desired_state, wait_until};
 use crate::record;
 use crate::worker::Worker;
 
@@ -30,19 +30,18 @@
 /// Work of the worker for one request.
 const WORK: Duration = Duration::from_millis(30);
 
-const SIGKILL_PAUSE: Duration = Duration::from_millis(500);
+/// Time from the kill of the control processes to their next start.
+const DOWN_TIME: Duration = Duration::from_millis(500);
 
 fn document() -> String {
-    format!(
-        "{{\"version\":1,\"routes\":[{{\"name\":\"stock-read\",\"host\":\"desk.example\",\
-         \"path_prefix\":\"/stock/\",\"route_type\":\"safe\",\"timeout_ms\":4000,\"goal_ms\":1000,\
-         \"priority\":1,\"service\":\"orders\",\"max_attempts\":2,\"public\":true}}],\
-         \"services\":[{{\"name\":\"orders\",\"health_path\":\"/health\",\"max_conns\":434,\
-         \"protocol\":\"h1\",\"tls\":false,\"cold_s\":{},\"cold_per_s\":{COLD_PER_S}}}],\
-         \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
-         \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}",
+    let route = "\"name\":\"stock-read\",\"path_prefix\":\"/stock/\",\"route_type\":\"safe\",\
+                 \"timeout_ms\":4000,\"goal_ms\":1000,\"service\":\"orders\",\"max_attempts\":2,\
+                 \"public\":true";
+    let service = format!(
+        "\"name\":\"orders\",\"max_conns\":434,\"cold_s\":{},\"cold_per_s\":{COLD_PER_S}",
         COLD_TIME.as_secs()
-    )
+    );
+    desired_state(1, route, &service, "")
 }
 
 /// Sends requests one after the other until told to stop; counts answers by status.
@@ -129,7 +128,7 @@
             .control
             .iter_mut()
             .for_each(|process| process.kill());
-        thread::sleep(SIGKILL_PAUSE);
+        thread::sleep(DOWN_TIME);
         deployment
             .control
             .iter_mut()
--- a/review/src-2/deployment.rs
+++ b/review/src-2/deployment.rs
@@ -15,6 +15,9 @@
 const METRICS_PORT: u16 = 9464;
 const INTERNAL_PORT: u16 = 7340;
 
+/// Time between the starts of two machines.
+const START_GAP: Duration = Duration::from_millis(25);
+
 /// Time limit for an expected state before the disruption.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -144,8 +147,11 @@
             let process = deployment.prepare("front", number, *zone);
             deployment.entry.push(process);
         }
-        let processes = deployment.control.iter_mut().chain(&mut deployment.entry);
-        processes.for_each(Process::start);
+        // Machines start within 0.3 s of each other.
+        for process in deployment.control.iter_mut().chain(&mut deployment.entry) {
+            process.start();
+            thread::sleep(START_GAP);
+        }
         deployment
     }
 
@@ -312,6 +318,28 @@
     let _ = fs::remove_dir_all(folder());
 }
 
+/// Returns a desired state with one route to one service, each given by its own fields. `more` follows the limits.
+pub fn desired_state(version: u32, route: &str, service: &str, more: &str) -> String {
+    format!(
+        "{{\"version\":{version},\"routes\":[{{\"host\":\"desk.example\",\"priority\":1,{route}}}],\
+         \"services\":[{{\"health_path\":\"/health\",\"protocol\":\"h1\",\"tls\":false,{service}}}],\
+         \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
+         \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}{more}}}"
+    )
+}
+
+/// Returns the fields of a route for orders that run at most once, to the service `orders`.
+pub fn order_route(timeout_ms: u64) -> String {
+    format!(
+        "\"name\":\"place-order\",\"path_prefix\":\"/order/\",\"route_type\":\"unsafe\",\
+         \"timeout_ms\":{timeout_ms},\"goal_ms\":5000,\"service\":\"orders\",\"max_attempts\":1,\
+         \"public\":true"
+    )
+}
+
+/// Fields of the service `orders`.
+pub const ORDERS: &str = "\"name\":\"orders\",\"max_conns\":110,\"cold_s\":0.0,\"cold_per_s\":0.0";
+
 /// Waits for a state that the case needs.
 pub fn wait_until<F: FnMut() -> bool>(what: &str, mut holds: F) {
     let started = Instant::now();
@@ -344,11 +372,14 @@
     None
 }
 
-/// Returns the second number of a loopback network in which nobody listens on the ports of the deployment.
+/// Returns the second number of a loopback network in which nobody listens on the ports of the deployment. The numbers are
+/// below those that the project's own tests use.
 fn free_network() -> u8 {
-    let first = 20 + (std::process::id() % 200) as u8;
-    for step in 0..200_u8 {
-        let network = 20 + (first - 20 + step) % 200;
+    const FIRST: u8 = 20;
+    const COUNT: u8 = 100;
+    let start = (std::process::id() % u32::from(COUNT)) as u8;
+    for step in 0..COUNT {
+        let network = FIRST + (start + step) % COUNT;
         let is_free = |third: u8, port: u16| -> io::Result<()> {
             TcpListener::bind((Ipv4Addr::new(127, network, third, 1), port)).map(drop)
         };
--- a/review/src-2/evac.rs
+++ b/review/src-2/evac.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::deployment::Deployment;
+use crate::deployment::{Deployment, desired_state};
 use crate::worker::Worker;
 use crate::{Verdict, http, record};
 
@@ -20,16 +20,13 @@
 const TIMEOUT_MS: u64 = 15_000;
 
 fn document() -> String {
-    format!(
-        "{{\"version\":1,\"routes\":[{{\"name\":\"catalogue-ruling\",\"host\":\"desk.example\",\
-         \"path_prefix\":\"/catalogue/\",\"route_type\":\"stream\",\"timeout_ms\":{TIMEOUT_MS},\"goal_ms\":3000,\
-         \"priority\":1,\"service\":\"rulings\",\"max_attempts\":2,\"public\":true,\"sticky\":true,\
-         \"resumable\":true,\"gap_target_ms\":1000}}],\
-         \"services\":[{{\"name\":\"rulings\",\"health_path\":\"/health\",\"max_conns\":434,\
-         \"protocol\":\"h1\",\"tls\":false,\"cold_s\":0.0,\"cold_per_s\":0.0}}],\
-         \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
-         \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}"
-    )
+    let route = format!(
+        "\"name\":\"catalogue-ruling\",\"path_prefix\":\"/catalogue/\",\"route_type\":\"stream\",\
+         \"timeout_ms\":{TIMEOUT_MS},\"goal_ms\":3000,\"service\":\"rulings\",\"max_attempts\":2,\
+         \"public\":true,\"sticky\":true,\"resumable\":true,\"gap_target_ms\":1000"
+    );
+    let service = "\"name\":\"rulings\",\"max_conns\":434,\"cold_s\":0.0,\"cold_per_s\":0.0";
+    desired_state(1, &route, service, "")
 }
 
 /// Sends one request and returns the status of its answer.
--- a/review/src-2/quorum.rs
+++ b/review/src-2/quorum.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::deployment::Deployment;
+use crate::deployment::{Deployment, ORDERS, desired_state};
 use crate::worker::Worker;
 use crate::{Verdict, http, record};
 
@@ -32,16 +32,12 @@
 const SIGTERM: i32 = 15;
 
 fn document(version: u32) -> String {
-    format!(
-        "{{\"version\":{version},\"routes\":[{{\"name\":\"stock-read\",\"host\":\"desk.example\",\
-         \"path_prefix\":\"/stock/\",\"route_type\":\"safe\",\"timeout_ms\":1000,\"goal_ms\":150,\
-         \"priority\":1,\"service\":\"orders\",\"max_attempts\":2,\"public\":false}}],\
-         \"services\":[{{\"name\":\"orders\",\"health_path\":\"/health\",\"max_conns\":110,\
-         \"protocol\":\"h1\",\"tls\":false,\"cold_s\":0.0,\"cold_per_s\":0.0}}],\
-         \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
-         \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
-         \"tenants\":[{{\"name\":\"club\",\"api_keys\":[\"{KEY}\"],\"priority\":1}}]}}"
-    )
+    let route = "\"name\":\"stock-read\",\"path_prefix\":\"/stock/\",\"route_type\":\"safe\",\
+                 \"timeout_ms\":1000,\"goal_ms\":150,\"service\":\"orders\",\"max_attempts\":2,\
+                 \"public\":false";
+    let tenants =
+        format!(",\"tenants\":[{{\"name\":\"club\",\"api_keys\":[\"{KEY}\"],\"priority\":1}}]");
+    desired_state(version, route, ORDERS, &tenants)
 }
 
 /// Sends one request to each entry process; returns how many were served.
--- a/review/src-2/slow.rs
+++ b/review/src-2/slow.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::deployment::Deployment;
+use crate::deployment::{Deployment, ORDERS, desired_state, order_route};
 use crate::worker::Worker;
 use crate::{Verdict, http, record};
 
@@ -27,18 +27,6 @@
 
 const SIGHUP: i32 = 1;
 
-fn document() -> String {
-    format!(
-        "{{\"version\":1,\"routes\":[{{\"name\":\"place-order\",\"host\":\"desk.example\",\
-         \"path_prefix\":\"/order/\",\"route_type\":\"unsafe\",\"timeout_ms\":{TIMEOUT_MS},\"goal_ms\":5000,\
-         \"priority\":1,\"service\":\"orders\",\"max_attempts\":1,\"public\":true}}],\
-         \"services\":[{{\"name\":\"orders\",\"health_path\":\"/health\",\"max_conns\":110,\
-         \"protocol\":\"h1\",\"tls\":false,\"cold_s\":0.0,\"cold_per_s\":0.0}}],\
-         \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
-         \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}"
-    )
-}
-
 fn request(id: &str, path: &str) -> Vec<u8> {
     format!(
         "POST {path} HTTP/1.1\r\nHost: desk.example\r\nPrimrosepin-Request-Id: {id}\r\n\
@@ -100,7 +88,7 @@
 pub fn run(trouble: bool) -> Verdict {
     let zones = ["trnava-a", "nitra-b", "senec-c"];
     let deployment = Deployment::start(&zones, &[0, 1, 2]);
-    deployment.publish(&document());
+    deployment.publish(&desired_state(1, &order_route(TIMEOUT_MS), ORDERS, ""));
     let worker = Worker::start(
         "i-order",
         "orders",
--- a/review/src-2/stop.rs
+++ b/review/src-2/stop.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::deployment::Deployment;
+use crate::deployment::{Deployment, ORDERS, desired_state, order_route};
 use crate::worker::Worker;
 use crate::{Verdict, http, record};
 
@@ -30,18 +30,6 @@
 
 const SIGTERM: i32 = 15;
 
-fn document() -> String {
-    format!(
-        "{{\"version\":1,\"routes\":[{{\"name\":\"place-order\",\"host\":\"desk.example\",\
-         \"path_prefix\":\"/order/\",\"route_type\":\"unsafe\",\"timeout_ms\":{TIMEOUT_MS},\"goal_ms\":5000,\
-         \"priority\":1,\"service\":\"orders\",\"max_attempts\":1,\"public\":true}}],\
-         \"services\":[{{\"name\":\"orders\",\"health_path\":\"/health\",\"max_conns\":110,\
-         \"protocol\":\"h1\",\"tls\":false,\"cold_s\":0.0,\"cold_per_s\":0.0}}],\
-         \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
-         \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}"
-    )
-}
-
 /// The provider's choice of entry processes in one zone.
 struct Provider {
     entries: Vec<SocketAddr>,
@@ -111,7 +99,7 @@
 pub fn run(trouble: bool) -> Verdict {
     let zones = ["trnava-a", "nitra-b", "senec-c"];
     let deployment = Deployment::start(&zones, &[0, 0, 0, 1, 1, 1, 2, 2, 2]);
-    deployment.publish(&document());
+    deployment.publish(&desired_state(1, &order_route(TIMEOUT_MS), ORDERS, ""));
     let control = deployment.control_addresses();
     let workers: Vec<Arc<Worker>> = (1..=3_u8)
         .map(|number| {
