review: One piece of code for verdicts, requests and addresses

Cause: the cases of the second review each built the same request head, verdict and list of addresses. Change: `Verdict::new`, `http::post`, `Deployment::caller_addresses` and `forbid_bootstrap` serve all of them; fewer items are public. Traffic, checks and bounds are the same.

--- a/review/src-2/deployment.rs
+++ b/review/src-2/deployment.rs
@@ -54,10 +54,10 @@
         }
     }
 
-    /// Sets whether the process may bootstrap a deployment at its next start.
-    fn set_bootstrap(&self, bootstrap: bool) {
+    /// Keeps the process from bootstrapping a deployment at its next start.
+    fn forbid_bootstrap(&self) {
         let text = fs::read_to_string(&self.settings).unwrap();
-        let text = text.replace("bootstrap = true", &format!("bootstrap = {bootstrap}"));
+        let text = text.replace("bootstrap = true", "bootstrap = false");
         fs::write(&self.settings, text).unwrap();
     }
 
@@ -121,7 +121,7 @@
 pub struct Deployment {
     pub entry: Vec<Process>,
     pub control: Vec<Process>,
-    pub zones: Vec<String>,
+    zones: Vec<String>,
     network: u8,
     folder: PathBuf,
 }
@@ -159,7 +159,7 @@
     pub fn add_control(&mut self, zone: usize) {
         let number = self.control.len();
         let mut process = self.prepare("core", number, zone);
-        process.set_bootstrap(false);
+        process.forbid_bootstrap();
         process.start();
         record::write(&format!("{} is added", process.name));
         self.control.push(process);
@@ -172,7 +172,7 @@
         let data = self.folder.join(format!("{}-data", process.name));
         fs::remove_dir_all(&data).unwrap();
         fs::create_dir_all(&data).unwrap();
-        process.set_bootstrap(false);
+        process.forbid_bootstrap();
     }
 
     fn prepare(&self, role: &str, number: usize, zone: usize) -> Process {
@@ -266,6 +266,11 @@
         None
     }
 
+    /// Returns the addresses at which the entry processes take consumers.
+    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
+        self.entry.iter().map(Process::caller_address).collect()
+    }
+
     /// Returns the address of a worker.
     pub fn worker_ip(&self, number: u8) -> Ipv4Addr {
         Ipv4Addr::new(127, self.network, 3, number)
--- a/review/src-2/evac.rs
+++ b/review/src-2/evac.rs
@@ -33,11 +33,8 @@
 fn consume(to: SocketAddr, id: &str) -> io::Result<u16> {
     let mut stream = TcpStream::connect(to)?;
     stream.set_read_timeout(Some(Duration::from_millis(TIMEOUT_MS + 1_000)))?;
-    let request = format!(
-        "POST /catalogue/rule HTTP/1.1\r\nHost: desk.example\r\nPrimrosepin-Request-Id: {id}\r\n\
-         Primrosepin-Deadline-Ms: {TIMEOUT_MS}\r\nContent-Length: 4\r\n\r\nrule"
-    );
-    io::Write::write_all(&mut stream, request.as_bytes())?;
+    let request = http::post("/catalogue/rule", id, TIMEOUT_MS, "rule");
+    io::Write::write_all(&mut stream, &request)?;
     let answer = http::read_head(&mut stream)?.ok_or(io::ErrorKind::UnexpectedEof)?;
     Ok(answer.status())
 }
@@ -94,11 +91,7 @@
     deployment.wait_until_ready();
     // Until the machines are in touch.
     thread::sleep(Duration::from_secs(4));
-    let entries: Vec<SocketAddr> = deployment
-        .entry
-        .iter()
-        .map(|p| p.caller_address())
-        .collect();
+    let entries = deployment.caller_addresses();
     // Leaves kept channels to all workers at the entry processes.
     let warm_up: Vec<_> = (0..12)
         .flat_map(|round| entries.iter().map(move |to| (round, *to)))
@@ -157,9 +150,5 @@
         EVACUATE.as_millis()
     ));
     deployment.stop();
-    if late > 0 {
-        Verdict::Broken
-    } else {
-        Verdict::Held
-    }
+    Verdict::new(late > 0)
 }
--- a/review/src-2/http.rs
+++ b/review/src-2/http.rs
@@ -85,6 +85,16 @@
     Ok(())
 }
 
+/// Returns a consumer's `POST` request.
+pub fn post(path: &str, request_id: &str, timeout_ms: u64, body: &str) -> Vec<u8> {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: desk.example\r\nPrimrosepin-Request-Id: {request_id}\r\n\
+         Primrosepin-Deadline-Ms: {timeout_ms}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
+
 /// Sends a request on a connection and reads the answer, whose head states its length.
 pub fn exchange<S: Read + Write>(stream: &mut S, request: &[u8]) -> io::Result<Message> {
     stream.write_all(request)?;
--- a/review/src-2/main.rs
+++ b/review/src-2/main.rs
@@ -23,6 +23,12 @@
     Broken,
 }
 
+impl Verdict {
+    pub fn new(is_broken: bool) -> Self {
+        if is_broken { Self::Broken } else { Self::Held }
+    }
+}
+
 /// Ends the case, since it cannot run.
 pub fn give_up(cause: &str) -> ! {
     record::write(&format!("the case could not run: {cause}"));
--- a/review/src-2/quorum.rs
+++ b/review/src-2/quorum.rs
@@ -101,11 +101,7 @@
         Box::new(|worker, request, stream| worker.answer(request, stream, "200 OK", &[b'x'; 800])),
     );
     deployment.wait_until_ready();
-    let entries: Vec<SocketAddr> = deployment
-        .entry
-        .iter()
-        .map(|p| p.caller_address())
-        .collect();
+    let entries = deployment.caller_addresses();
     let mut number = 0;
     let (served, sent) = serve_for(&entries, Duration::from_secs(4), &mut number);
     record::write(&format!("before: {served} of {sent} requests served"));
@@ -122,7 +118,7 @@
     let lost_at = Instant::now();
     if trouble {
         deployment.lose_disk(0);
-        record::write(&format!("{} loses its disk", deployment.control[0].name,));
+        record::write(&format!("{} loses its disk", deployment.control[0].name));
         thread::sleep(Duration::from_millis(700));
         deployment.control[0].start();
         record::write("it starts again with an empty disk");
@@ -160,9 +156,5 @@
         }
     }
     deployment.stop();
-    if served * 4 < sent || !is_read_back {
-        Verdict::Broken
-    } else {
-        Verdict::Held
-    }
+    Verdict::new(served * 4 < sent || !is_read_back)
 }
--- a/review/src-2/record.rs
+++ b/review/src-2/record.rs
@@ -24,7 +24,7 @@
 }
 
 /// Returns the time since the start.
-pub fn elapsed() -> Duration {
+fn elapsed() -> Duration {
     RECORD
         .get()
         .map_or(Duration::ZERO, |record| record.started.elapsed())
--- a/review/src-2/slow.rs
+++ b/review/src-2/slow.rs
@@ -28,11 +28,7 @@
 const SIGHUP: i32 = 1;
 
 fn request(id: &str, path: &str) -> Vec<u8> {
-    format!(
-        "POST {path} HTTP/1.1\r\nHost: desk.example\r\nPrimrosepin-Request-Id: {id}\r\n\
-         Primrosepin-Deadline-Ms: {TIMEOUT_MS}\r\nContent-Length: 5\r\n\r\norder"
-    )
-    .into_bytes()
+    http::post(path, id, TIMEOUT_MS, "order")
 }
 
 /// What a consumer saw of one answer.
@@ -151,9 +147,5 @@
     }
     deployment.stop();
     // Beside a SIGHUP one such request breaks the rule; at any time more than three do.
-    if lost > 3 {
-        Verdict::Broken
-    } else {
-        Verdict::Held
-    }
+    Verdict::new(lost > 3)
 }
--- a/review/src-2/stop.rs
+++ b/review/src-2/stop.rs
@@ -81,12 +81,9 @@
     let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
     let timeout = Duration::from_millis(TIMEOUT_MS + 1_000);
     stream.set_read_timeout(Some(timeout)).ok()?;
-    let request = format!(
-        "POST /order/book HTTP/1.1\r\nHost: desk.example\r\nPrimrosepin-Request-Id: {id}\r\n\
-         Primrosepin-Deadline-Ms: {TIMEOUT_MS}\r\nContent-Length: 5\r\n\r\norder"
-    );
+    let request = http::post("/order/book", &id, TIMEOUT_MS, "order");
     let sent = Instant::now();
-    let answer = http::exchange(&mut stream, request.as_bytes());
+    let answer = http::exchange(&mut stream, &request);
     Some(Attempt {
         id,
         to,
@@ -119,10 +116,7 @@
         .collect();
     deployment.wait_until_ready();
     let provider = Arc::new(Provider {
-        entries: deployment.entry[..3]
-            .iter()
-            .map(|p| p.caller_address())
-            .collect(),
+        entries: deployment.caller_addresses()[..3].to_vec(),
         ready: deployment.entry[..3]
             .iter()
             .map(|p| p.ready_address())
@@ -205,9 +199,5 @@
         attempts.len()
     ));
     deployment.stop();
-    if lost > 0 {
-        Verdict::Broken
-    } else {
-        Verdict::Held
-    }
+    Verdict::new(lost > 0)
 }
--- a/review/src-2/worker.rs
+++ b/review/src-2/worker.rs
@@ -34,7 +34,7 @@
     pub address: SocketAddr,
     control: Vec<SocketAddr>,
     /// Requests that arrived and were not rejected with 421.
-    pub arrivals: Mutex<Vec<Arrival>>,
+    arrivals: Mutex<Vec<Arrival>>,
     /// End of the cold start.
     cold_until: Mutex<Instant>,
     born_ms: u64,
