Add review case 11: control is lost when a disk is lost soon after a replacement

A planned replacement of a control machine leaves four voters until the old one has been silent for 6 s. The loss of one more disk in that time, which the tolerance allows, leaves two voters of four, for good.

--- /dev/null
+++ b/review/src-3/deployment.rs
@@ -0,0 +1,285 @@
+//! Entry and control processes of the deploy file on loopback addresses, and the operator.
+
+use std::fs::{self, File};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use crate::Failure;
+use crate::http::{Answer, call};
+use crate::record::Record;
+
+pub const CALLER_PORT: u16 = 8227;
+pub const READY_PORT: u16 = 8220;
+pub const CONTROL_PORT: u16 = 8229;
+pub const INTERNAL_PORT: u16 = 7340;
+
+/// Program of the deploy file.
+const PROGRAM: &str = "target/release/primrosepin-platform";
+
+/// A process. It is killed on drop.
+pub struct Process {
+    pub name: String,
+    pub ip: IpAddr,
+    pub data: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Process {
+    pub fn start(&mut self) -> Result<(), Failure> {
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let child = Command::new(PROGRAM)
+            .env("PRIMROSEPIN_SETTINGS", &self.settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::from(log.try_clone()?))
+            .stderr(Stdio::from(log))
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // Fails only if the process has ended.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Sends a signal by name.
+    pub fn signal(&self, name: &str) {
+        if let Some(child) = &self.child {
+            let _ = Command::new("kill").args([&format!("-{name}"), &child.id().to_string()]).status();
+        }
+    }
+
+    /// Waits until the process has ended by itself; returns whether it did within `limit`.
+    pub fn wait_for_exit(&mut self, limit: Duration) -> bool {
+        let end = Instant::now() + limit;
+        while Instant::now() < end {
+            match self.child.as_mut().map(Child::try_wait) {
+                Some(Ok(None)) => std::thread::sleep(Duration::from_millis(10)),
+                _ => {
+                    self.child = None;
+                    return true;
+                }
+            }
+        }
+        false
+    }
+
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.as_mut().map(Child::try_wait), Some(Ok(None)))
+    }
+
+    pub fn log_text(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A small deployment.
+pub struct Deployment {
+    pub cores: Vec<Process>,
+    pub fronts: Vec<Process>,
+    pub network: u8,
+    folder: PathBuf,
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        self.cores.clear();
+        self.fronts.clear();
+        if std::env::var_os("KEEP").is_none() {
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// Returns a loopback network in which nothing listens, from 127.`first`.0.0 on.
+fn free_network(first: u8) -> Result<u8, Failure> {
+    let is_free = |network: &u8| {
+        let sample = [(1, CONTROL_PORT), (1, INTERNAL_PORT), (2, CALLER_PORT), (2, READY_PORT), (2, INTERNAL_PORT)];
+        (1..=9).all(|number| {
+            sample.iter().all(|(third, port)| {
+                TcpListener::bind((Ipv4Addr::new(127, *network, *third, number), *port)).is_ok()
+            })
+        })
+    };
+    (first..first + 9).find(is_free).ok_or_else(|| Failure("no free loopback network".into()))
+}
+
+impl Deployment {
+    /// Starts processes with empty disks, in zones by turns.
+    pub fn start(network: u8, fronts: usize, cores: usize) -> Result<Self, Failure> {
+        if !std::path::Path::new(PROGRAM).exists() {
+            return Err(Failure(format!("{PROGRAM} is not built")));
+        }
+        let network = free_network(network)?;
+        let folder = std::env::temp_dir().join(format!("review-{}-{network}", std::process::id()));
+        fs::create_dir_all(&folder)?;
+        let mut deployment = Self { cores: Vec::new(), fronts: Vec::new(), network, folder };
+        for number in 0..cores {
+            let process = deployment.prepare("core", number, true)?;
+            deployment.cores.push(process);
+        }
+        for number in 0..fronts {
+            let process = deployment.prepare("front", number, true)?;
+            deployment.fronts.push(process);
+        }
+        for process in deployment.cores.iter_mut().chain(&mut deployment.fronts) {
+            process.start()?;
+        }
+        Ok(deployment)
+    }
+
+    fn ip(&self, kind: &str, number: usize) -> Ipv4Addr {
+        let third = if kind == "core" { 1 } else { 2 };
+        Ipv4Addr::new(127, self.network, third, number as u8 + 1)
+    }
+
+    /// Returns the address of a worker.
+    pub fn worker_ip(&self, number: usize) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.network, 3, number as u8 + 1)
+    }
+
+    /// Writes the settings of a process, with the fields and bounds of the first installation's sheet.
+    fn prepare(&self, kind: &str, number: usize, bootstrap: bool) -> Result<Process, Failure> {
+        let ip = self.ip(kind, number);
+        let name = format!("{kind}-{number}");
+        let seeds: Vec<String> =
+            (0..3).map(|seed| format!("\"{}:{CONTROL_PORT}\"", self.ip("core", seed))).collect();
+        let (serves, listen, counts, memory) = if kind == "core" {
+            ("control", format!("control = \"{ip}:{CONTROL_PORT}\""), true, 256)
+        } else {
+            let listen = format!("front = \"{ip}:{CALLER_PORT}\"\nready = \"{ip}:{READY_PORT}\"");
+            ("front", listen, false, 260)
+        };
+        let data = self.folder.join(format!("{name}-data"));
+        let data_dir = if kind == "core" {
+            fs::create_dir_all(&data)?;
+            format!("data_dir = \"{}\"\n", data.display())
+        } else {
+            String::new()
+        };
+        let settings = self.folder.join(format!("{name}.toml"));
+        let text = format!(
+            "node_name = \"{name}\"\nrole = \"{serves}\"\nmachine_class = \"{kind}\"\nserves = [\"{serves}\"]\n\
+             ip = \"{ip}\"\nzone = \"zone-{zone}\"\nregion = \"r\"\n\
+             internal_ports = [{INTERNAL_PORT},{last}]\nseeds = [{seeds}]\nbootstrap = {bootstrap}\n\
+             counts_as_loss = {counts}\ndiscovery = \"registry\"\nentry = \"vip\"\nheartbeat_ms = 1200\n\
+             config_mode = \"highest\"\n{data_dir}\
+             [zones]\nzone-0 = \"r\"\nzone-1 = \"r\"\nzone-2 = \"r\"\n[listen]\n{listen}\n\
+             [limits]\ncpu_share = 0.25\ncores = 1\nmemory_mb = {memory}\nmax_fds = 4096\nlink_mbps = 1000.0\n\
+             disk_mb = 128\n[fault_tolerance]\nmachines = 1\nzones = 1\nregions = 0\n\
+             [bounds]\nseed_lag_s = 3\nreuse_after_s = 2\ncontact_ms = 3000\nack_ms = 4000\ncatch_up_s = 4\n\
+             drain_ms = 2000\ngrace_s = 8\nloss_slack_ms = 200\nconfig_ms = 2000\nstale_bound_ms = 250\n\
+             max_stretch_ms = 5000\nstrict_revocation = true\nrevoke_ms = 5000\nretry_ratio = 0.2\n\
+             retry_window_s = 10\nretry_slack = 106\ncold_factor = 1.5\ncold_slack = 5\nevacuate_ms = 5000\n\
+             recover_s = 12\npass_ms = 120\nretry_after_s = 0\nstall_ms = 1500\nhold_max_ms = 20000\n\
+             free_ms = 4000\nmax_idle_ms = 9000\n",
+            zone = number % 3,
+            last = INTERNAL_PORT + 15,
+            seeds = seeds.join(","),
+        );
+        fs::write(&settings, text)?;
+        Ok(Process {
+            name: name.clone(),
+            ip: ip.into(),
+            data,
+            settings,
+            log: self.folder.join(format!("{name}.log")),
+            child: None,
+        })
+    }
+
+    /// Starts a further control machine with an empty disk at a new address; returns its number.
+    pub fn add_core(&mut self) -> Result<usize, Failure> {
+        let mut process = self.prepare("core", self.cores.len(), false)?;
+        process.start()?;
+        self.cores.push(process);
+        Ok(self.cores.len() - 1)
+    }
+
+    /// Replaces the disk of a stopped control machine by an empty one. It does not bootstrap when it starts again.
+    pub fn wipe_core(&mut self, number: usize) -> Result<(), Failure> {
+        fs::remove_dir_all(&self.cores[number].data)?;
+        self.cores[number] = self.prepare("core", number, false)?;
+        Ok(())
+    }
+
+    /// Starts a front again, as after a kill.
+    pub fn front_address(&self, number: usize) -> SocketAddr {
+        SocketAddr::new(self.fronts[number].ip, CALLER_PORT)
+    }
+
+    pub fn control_address(&self, number: usize) -> SocketAddr {
+        SocketAddr::new(self.cores[number].ip, CONTROL_PORT)
+    }
+
+    /// Makes one call of the operator: at most two redirects are followed, and each answer may take a second.
+    /// Returns the answer with the address that gave it.
+    pub fn call_once(&self, first: usize, method: &str, path: &str, body: &[u8]) -> Option<(Answer, SocketAddr)> {
+        let mut to = self.control_address(first);
+        for _ in 0..3 {
+            let answer = call(to, method, path, &[("Content-Type", "application/json")], body, Duration::from_secs(1)).ok()?;
+            if answer.status != 307 {
+                return Some((answer, to));
+            }
+            let location = answer.header("location")?.strip_prefix("http://")?.to_owned();
+            to = location.split('/').next()?.parse().ok()?;
+        }
+        None
+    }
+
+    /// Repeats a call of the operator at the running control machines in turn until it gets a 2xx or a final 4xx.
+    pub fn call_until_answered(
+        &mut self,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        limit: Duration,
+        record: &Record,
+    ) -> Option<(Answer, SocketAddr)> {
+        let end = Instant::now() + limit;
+        let mut turn = 0;
+        while Instant::now() < end {
+            let number = turn % self.cores.len();
+            turn += 1;
+            if !self.cores[number].is_running() {
+                continue;
+            }
+            if let Some((answer, by)) = self.call_once(number, method, path, body) {
+                if answer.status < 500 && answer.status != 408 && answer.status != 429 {
+                    record.line(&format!("operator: {method} {path}: {} from {by}", answer.status));
+                    return Some((answer, by));
+                }
+            }
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        record.line(&format!("operator: {method} {path}: no clear answer within {} s", limit.as_secs()));
+        None
+    }
+
+    /// Waits until a front answers the balancer's question with 200.
+    pub fn wait_until_ready(&self, front: usize, limit: Duration) -> Result<(), Failure> {
+        let to = SocketAddr::new(self.fronts[front].ip, READY_PORT);
+        let end = Instant::now() + limit;
+        while Instant::now() < end {
+            let answer = call(to, "GET", "/ready", &[], b"", Duration::from_secs(1));
+            if answer.is_ok_and(|answer| answer.status == 200) {
+                return Ok(());
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        Err(Failure(format!("front-{front} does not become ready")))
+    }
+}
--- /dev/null
+++ b/review/src-3/main.rs
@@ -0,0 +1,45 @@
+//! Scripts of the review cases 11 and later. Usage: `review3 CASE FOLDER`; exits with 1 if the rule of the case was
+//! broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` the disruption is left out.
+
+mod case11;
+mod deployment;
+mod http;
+mod record;
+
+use std::path::Path;
+use std::process::ExitCode;
+
+/// Why a case could not run.
+#[derive(Debug)]
+pub struct Failure(pub String);
+
+impl From<std::io::Error> for Failure {
+    fn from(error: std::io::Error) -> Self {
+        Self(error.to_string())
+    }
+}
+
+fn main() -> ExitCode {
+    let mut arguments = std::env::args().skip(1);
+    let (Some(case), Some(folder)) = (arguments.next(), arguments.next()) else {
+        eprintln!("usage: review3 CASE FOLDER");
+        return ExitCode::from(2);
+    };
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let result = record::Record::new(Path::new(&folder)).and_then(|record| {
+        record.line(&format!("case {case}, disruption: {trouble}"));
+        let broken = match case.as_str() {
+            "11" => case11::run(&record, trouble),
+            _ => Err(Failure("no such case".into())),
+        }?;
+        record.line(if broken { "the rule was broken" } else { "the rule held" });
+        Ok(broken)
+    });
+    match result {
+        Ok(broken) => ExitCode::from(u8::from(broken)),
+        Err(Failure(reason)) => {
+            eprintln!("could not run: {reason}");
+            ExitCode::from(2)
+        }
+    }
+}
