Add review case 12: a 503 of a worker that ran the request is passed on

A 503 without Primrosepin-Not-Executed does not say that the request has not run, but the front passes its status on, and that promises it. Consumers then send unsafe requests once more.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-rustc --edition 2024 -O --crate-name review3 -o target/review-3/review3 review/src-3/main.rs
+rustc --edition 2024 -O --crate-name review3 -o target/review-3/review3.new review/src-3/main.rs
+mv target/review-3/review3.new target/review-3/review3
--- a/review/src-3/main.rs
+++ b/review/src-3/main.rs
@@ -2,9 +2,13 @@
 //! broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` the disruption is left out.
 
 mod case11;
+mod case12;
+mod case13;
 mod deployment;
+mod desk;
 mod http;
 mod record;
+mod worker;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -30,6 +34,8 @@
         record.line(&format!("case {case}, disruption: {trouble}"));
         let broken = match case.as_str() {
             "11" => case11::run(&record, trouble),
+            "12" => case12::run(&record, trouble),
+            "13" => case13::run(&record, trouble),
             _ => Err(Failure("no such case".into())),
         }?;
         record.line(if broken { "the rule was broken" } else { "the rule held" });
