--- a/review/src-3/case11.rs
+++ b/review/src-3/case11.rs
@@ -6,7 +6,9 @@
 
 use crate::Failure;
 use crate::deployment::Deployment;
+use crate::desk::{self, desired_state};
 use crate::record::Record;
+use crate::worker::{Reply, Worker};
 
 /// `catch_up_s`: the time after which a new machine does not count as lost, nor the one that it replaces.
 const CATCH_UP: Duration = Duration::from_secs(4);
@@ -15,24 +17,26 @@
 const RECOVER: Duration = Duration::from_secs(12);
 
 /// Time for which the operator then asks for the desired state.
-const READ_BACK: Duration = Duration::from_secs(50);
-
-fn desired_state(version: u64) -> String {
-    format!(
-        "{{\"version\":{version},\"routes\":[{{\"name\":\"r-order\",\"host\":\"desk.example\",\
-         \"path_prefix\":\"/order/\",\"route_type\":\"unsafe\",\"timeout_ms\":1000,\"goal_ms\":150,\"priority\":2,\
-         \"service\":\"orders\",\"max_attempts\":1,\"public\":true}}],\
-         \"services\":[{{\"name\":\"orders\",\"health_path\":\"/health\",\"max_conns\":110,\"protocol\":\"h1\",\
-         \"tls\":false,\"cold_s\":0.0,\"cold_per_s\":0.0}}],\
-         \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\
-         \"idle_timeout_ms\":15000}}}}"
-    )
-}
+const READ_BACK: Duration = Duration::from_secs(40);
 
 fn number_of(deployment: &Deployment, address: SocketAddr) -> Option<usize> {
     (0..deployment.cores.len()).find(|number| deployment.control_address(*number) == address)
 }
 
+/// Sends orders to the front, one after the other; returns how many were served.
+fn send_orders(deployment: &Deployment, name: &str, count: usize, record: &Record) -> usize {
+    let to = deployment.front_address(0);
+    let mut statuses = std::collections::BTreeMap::<Option<u16>, usize>::new();
+    for number in 0..count {
+        let id = format!("{name}-{number}");
+        let answer = desk::send(to, "/order/saddle", &id, Duration::from_secs(1));
+        *statuses.entry(answer.ok().map(|answer| answer.status)).or_default() += 1;
+        sleep(Duration::from_millis(50));
+    }
+    record.line(&format!("consumers: {count} orders {name}: answers by status {statuses:?}"));
+    statuses.get(&Some(200)).copied().unwrap_or(0)
+}
+
 /// Publishes a version; returns the number of the machine that confirmed it.
 fn publish(deployment: &mut Deployment, version: u64, record: &Record) -> Result<usize, Failure> {
     let body = desired_state(version);
@@ -50,6 +54,17 @@
     let mut deployment = Deployment::start(61, 1, 3)?;
     let leader = publish(&mut deployment, 7, record)?;
 
+    let control = (0..3).map(|number| deployment.control_address(number)).collect();
+    let reply = || Reply { status: 200, run: Some(Duration::from_millis(30)), headers: Vec::new() };
+    let ip = deployment.worker_ip(0).into();
+    let _worker = Worker::start("i-0", "orders", "zone-0", ip, control, Box::new(move |_, _| reply()), record)?;
+    deployment.wait_until_ready(0, Duration::from_secs(20))?;
+    sleep(Duration::from_secs(1));
+    let before = send_orders(&deployment, "before", 20, record);
+    if before == 0 {
+        return Err(Failure("no order is served before the disruption".into()));
+    }
+
     // Planned replacement: the new machine first, then SIGTERM for the old one.
     let old = (leader + 1) % 3;
     let new = deployment.add_core()?;
@@ -104,6 +119,7 @@
     record.line(&format!(
         "{reads} reads: {current} gave version 9, {older} another one, {unanswered} no answer; by status {statuses:?}"
     ));
+    let after = send_orders(&deployment, "after", 40, record);
     let change = deployment.call_until_answered(
         "PUT",
         "/config",
@@ -112,5 +128,6 @@
         record,
     );
     record.line(&format!("a further change: {:?}", change.map(|(answer, _)| answer.status)));
-    Ok(current == 0 || older > 0)
+    // RECOVER: less than a quarter is served.
+    Ok(current == 0 || older > 0 || after * 4 < 40)
 }
