--- a/review/src-3/case12.rs
+++ b/review/src-3/case12.rs
@@ -34,21 +34,10 @@
 }
 
 pub fn run(record: &Record, trouble: bool) -> Result<bool, Failure> {
-    let mut deployment = Deployment::start(71, FRONTS, 3)?;
+    let deployment = Deployment::start(71, FRONTS, 3)?;
     let state = desk::desired_state(7);
-    let answer = deployment.call_until_answered(
-        "PUT",
-        "/config",
-        state.as_bytes(),
-        Duration::from_secs(20),
-        record,
-    );
-    if answer.is_none_or(|(answer, _)| answer.status != 200) {
-        return Err(Failure("the desired state is not confirmed".into()));
-    }
-    let control: Vec<_> = (0..3)
-        .map(|number| deployment.control_address(number))
-        .collect();
+    deployment.publish(&state, record)?;
+    let control = deployment.control_addresses();
     let workers: Result<Vec<Worker>, Failure> = (0..WORKERS)
         .map(|number| {
             let ip = deployment.worker_ip(number).into();
--- a/review/src-3/case13.rs
+++ b/review/src-3/case13.rs
@@ -68,19 +68,8 @@
         "\"cold_s\":0.0,\"cold_per_s\":0.0",
         "\"cold_s\":3.0,\"cold_per_s\":36.0",
     );
-    let answer = deployment.call_until_answered(
-        "PUT",
-        "/config",
-        state.as_bytes(),
-        Duration::from_secs(20),
-        record,
-    );
-    if answer.is_none_or(|(answer, _)| answer.status != 200) {
-        return Err(Failure("the desired state is not confirmed".into()));
-    }
-    let control: Vec<_> = (0..3)
-        .map(|number| deployment.control_address(number))
-        .collect();
+    deployment.publish(&state, record)?;
+    let control = deployment.control_addresses();
     let ip = deployment.worker_ip(0).into();
     let worker = Worker::start("i-0", "orders", "zone-0", ip, control, behaviour(), record)?;
     for front in 0..FRONTS {
--- a/review/src-3/case14.rs
+++ b/review/src-3/case14.rs
@@ -40,21 +40,10 @@
 }
 
 pub fn run(record: &Record, trouble: bool) -> Result<bool, Failure> {
-    let mut deployment = Deployment::start(81, 1, 3)?;
+    let deployment = Deployment::start(81, 1, 3)?;
     let state = desk::desired_state_with(7, LIMIT.as_millis() as u64);
-    let answer = deployment.call_until_answered(
-        "PUT",
-        "/config",
-        state.as_bytes(),
-        Duration::from_secs(20),
-        record,
-    );
-    if answer.is_none_or(|(answer, _)| answer.status != 200) {
-        return Err(Failure("the desired state is not confirmed".into()));
-    }
-    let control: Vec<_> = (0..3)
-        .map(|number| deployment.control_address(number))
-        .collect();
+    deployment.publish(&state, record)?;
+    let control = deployment.control_addresses();
     let ip = deployment.worker_ip(0).into();
     let worker = Worker::start("i-0", "orders", "zone-0", ip, control, behaviour(), record)?;
     deployment.wait_until_ready(0, Duration::from_secs(20))?;
--- a/review/src-3/deployment.rs
+++ b/review/src-3/deployment.rs
@@ -65,10 +65,6 @@
             let _ = child.wait();
         }
     }
-
-    pub fn is_running(&mut self) -> bool {
-        matches!(self.child.as_mut().map(Child::try_wait), Some(Ok(None)))
-    }
 }
 
 impl Drop for Process {
@@ -77,6 +73,16 @@
     }
 }
 
+/// Time within which the first desired state must be confirmed.
+const PUBLISH_LIMIT: Duration = Duration::from_secs(20);
+
+/// Returns the address that a redirect names; none if it is no redirect.
+fn redirect(answer: &Answer) -> Option<SocketAddr> {
+    let location = answer.header("location").filter(|_| answer.status == 307)?;
+    let rest = location.strip_prefix("http://")?;
+    rest.split('/').next()?.parse().ok()
+}
+
 /// A small deployment.
 pub struct Deployment {
     pub cores: Vec<Process>,
@@ -214,75 +220,39 @@
         SocketAddr::new(self.fronts[number].ip, CALLER_PORT)
     }
 
-    pub fn control_address(&self, number: usize) -> SocketAddr {
-        SocketAddr::new(self.cores[number].ip, CONTROL_PORT)
-    }
-
-    /// Makes one call of the operator: at most two redirects are followed, and each answer may take a second.
-    /// Returns the answer with the address that gave it.
-    pub fn call_once(
-        &self,
-        first: usize,
-        method: &str,
-        path: &str,
-        body: &[u8],
-    ) -> Option<(Answer, SocketAddr)> {
-        let mut to = self.control_address(first);
-        for _ in 0..3 {
-            let answer = call(
-                to,
-                method,
-                path,
-                &[("Content-Type", "application/json")],
-                body,
-                Duration::from_secs(1),
-            )
-            .ok()?;
-            if answer.status != 307 {
-                return Some((answer, to));
-            }
-            let location = answer
-                .header("location")?
-                .strip_prefix("http://")?
-                .to_owned();
-            to = location.split('/').next()?.parse().ok()?;
-        }
-        None
+    /// Returns the addresses for workers and the operator.
+    pub fn control_addresses(&self) -> Vec<SocketAddr> {
+        let addresses = self
+            .cores
+            .iter()
+            .map(|core| SocketAddr::new(core.ip, CONTROL_PORT));
+        addresses.collect()
     }
 
-    /// Repeats a call of the operator at the running control machines in turn until it gets a 2xx or a final 4xx.
-    pub fn call_until_answered(
-        &mut self,
-        method: &str,
-        path: &str,
-        body: &[u8],
-        limit: Duration,
-        record: &Record,
-    ) -> Option<(Answer, SocketAddr)> {
-        let end = Instant::now() + limit;
-        let mut turn = 0;
-        while Instant::now() < end {
-            let number = turn % self.cores.len();
-            turn += 1;
-            if !self.cores[number].is_running() {
-                continue;
+    /// Publishes a desired state as the operator does: at the control machines in turn, following two redirects, until
+    /// it is confirmed.
+    pub fn publish(&self, state: &str, record: &Record) -> Result<(), Failure> {
+        let end = Instant::now() + PUBLISH_LIMIT;
+        let addresses = self.control_addresses();
+        for mut to in addresses.iter().copied().cycle() {
+            if Instant::now() > end {
+                break;
             }
-            if let Some((answer, by)) = self.call_once(number, method, path, body) {
-                if answer.status < 500 && answer.status != 408 && answer.status != 429 {
-                    record.line(&format!(
-                        "operator: {method} {path}: {} from {by}",
-                        answer.status
-                    ));
-                    return Some((answer, by));
+            for _ in 0..3 {
+                let headers = [("Content-Type", "application/json")];
+                let second = Duration::from_secs(1);
+                let answer = call(to, "PUT", "/config", &headers, state.as_bytes(), second);
+                let Ok(answer) = answer else { break };
+                if answer.status == 200 {
+                    record.line(&format!("operator: the desired state is confirmed by {to}"));
+                    return Ok(());
                 }
+                let Some(next) = redirect(&answer) else { break };
+                to = next;
             }
             std::thread::sleep(Duration::from_millis(100));
         }
-        record.line(&format!(
-            "operator: {method} {path}: no clear answer within {} s",
-            limit.as_secs()
-        ));
-        None
+        Err(Failure("the desired state is not confirmed".into()))
     }
 
     /// Waits until a front answers the balancer's question with 200.
