--- a/review/src-3/main.rs
+++ b/review/src-3/main.rs
@@ -1,5 +1,5 @@
-//! Scripts of the review cases 11 and later. Usage: `review3 CASE FOLDER`; exits with 1 if the rule of the case was
-//! broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` the disruption is left out.
+//! Scripts of the review cases 11 and later, started by their `run.sh`. Exits with 1 if the rule of the case was broken, 0
+//! if it held, and 2 if the case could not run.
 
 mod case11;
 mod case12;
@@ -24,14 +24,22 @@
     }
 }
 
+fn usage() -> ExitCode {
+    eprintln!("usage: review3 CASE FOLDER with-disruption|without-disruption");
+    ExitCode::from(2)
+}
+
 fn main() -> ExitCode {
-    let mut arguments = std::env::args().skip(1);
-    let (Some(case), Some(folder)) = (arguments.next(), arguments.next()) else {
-        eprintln!("usage: review3 CASE FOLDER");
-        return ExitCode::from(2);
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let [case, folder, disruption] = &arguments[..] else {
+        return usage();
+    };
+    let trouble = match disruption.as_str() {
+        "with-disruption" => true,
+        "without-disruption" => false,
+        _ => return usage(),
     };
-    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let result = record::Record::new(Path::new(&folder)).and_then(|record| {
+    let result = record::Record::new(Path::new(folder)).and_then(|record| {
         record.line(&format!("case {case}, disruption: {trouble}"));
         let broken = match case.as_str() {
             "11" => case11::run(&record, trouble),
