Choose the voters of control in a module of their own

Callers and operators saw: two of three control VMs were replaced as planned, the new one first; 20 s later one disk was lost.

Cause: every replica that had caught up became a voter, so a planned replacement had four voters. The vote of the VM that left was taken out only at an even number of voters and after 6 s of silence. A second replacement within that time made five voters, two of them lost for good; the next loss took the quorum, and without one nobody changes the members. Ruled out: replicas that cannot join (all were members and connected), and lost data (both new VMs held the last version).

Change: core::consensus::voters chooses the voters. Their number is odd; lost voters count only up to twice the tolerated losses plus one; other replicas are learners with all data. A successor in the same zone takes over the vote before its predecessor ends; a VM that gets SIGTERM says so (Body::Status, which earlier builds skip) and exits when a learner votes in its place. A lost voter becomes a learner, and returns with its data.

--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -13,7 +13,7 @@
 };
 use primrosepin_core::message::Message as Outgoing;
 use primrosepin_core::registry::{Command, Outcome};
-use primrosepin_core::{time, vm};
+use primrosepin_core::{time, vm, zone};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::Clock;
@@ -36,6 +36,10 @@
 /// Time that a stopping replica waits for the commands in its log to commit.
 const STOP_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time that a stopping replica then waits for a learner to vote in its place. That takes two changes of the members,
+/// and an election first if it led and its last messages were lost.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Result of a proposed command.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Decision {
@@ -72,6 +76,10 @@
     pub(crate) bootstrap: bool,
     /// Whether replicas that are not listed may join.
     pub(crate) open_membership: bool,
+    /// Availability zone of the VM, if known.
+    pub(crate) zone: Option<zone::Name>,
+    /// Number of replicas that may lose their data at the same time.
+    pub(crate) tolerance: usize,
     /// Seed of the random election timeouts.
     pub(crate) seed: u64,
     pub(crate) shared: Arc<Shared>,
@@ -199,6 +207,8 @@
         let started = Instant::now();
         let settings = Settings {
             open_membership: setup.open_membership,
+            zone: setup.zone.clone(),
+            tolerance: setup.tolerance,
             listed: kept.listed.clone(),
             contacts: kept.contacts.clone(),
             ..Settings::new(
@@ -243,6 +253,7 @@
     fn run(mut self, inputs: &Receiver<Input>) -> eyre::Result<()> {
         let mut batch = Vec::new();
         let mut stop_at = None;
+        let mut end_at = None;
         loop {
             self.step(Event::Tick)?;
             self.compact()?;
@@ -259,8 +270,13 @@
                 stop_at = Some(Instant::now() + STOP_TIMEOUT);
             }
             self.process_batch(&mut batch)?;
-            if stop_at.is_some_and(|at| self.pending.is_empty() || at <= Instant::now()) {
-                self.step(Event::TransferLeadership)?;
+            if end_at.is_none()
+                && stop_at.is_some_and(|at| self.pending.is_empty() || at <= Instant::now())
+            {
+                end_at = Some(Instant::now() + LEAVE_TIMEOUT);
+                self.step(Event::Leave)?;
+            }
+            if end_at.is_some_and(|at| self.reducer.may_end() || at <= Instant::now()) {
                 for (_, pending) in std::mem::take(&mut self.pending) {
                     // Fails only if the caller no longer waits.
                     let _ = pending.reply.send(Decision::Unknown);
--- a/control/src/replica.rs
+++ b/control/src/replica.rs
@@ -12,7 +12,7 @@
 use primrosepin_core::quarantine::Rule;
 use primrosepin_core::registry::{Command, Published};
 use primrosepin_core::time::Instant;
-use primrosepin_core::vm;
+use primrosepin_core::{vm, zone};
 use primrosepin_telemetry::metrics::Metrics;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
@@ -38,6 +38,10 @@
     pub replicas: Vec<(vm::Name, SocketAddr)>,
     /// Whether a replica without data may bootstrap a deployment.
     pub bootstrap: bool,
+    /// Availability zone of the VM.
+    pub zone: zone::Name,
+    /// Number of replicas that may lose their data at the same time.
+    pub tolerance: usize,
 }
 
 /// A running replica. It sends messages through a channel; the embedding process passes received messages
@@ -79,6 +83,8 @@
             replicas: settings.replicas,
             bootstrap: settings.bootstrap,
             open_membership: true,
+            zone: Some(settings.zone),
+            tolerance: settings.tolerance,
             seed: rand::random(),
             shared: Arc::clone(&shared),
             meters: Meters::new(metrics),
--- a/control/src/server.rs
+++ b/control/src/server.rs
@@ -162,6 +162,8 @@
             .collect(),
         bootstrap: settings.bootstrap,
         open_membership: false,
+        zone: None,
+        tolerance: 1,
         seed: options.seed.unwrap_or_else(rand::random),
         shared: Arc::clone(&shared),
         meters: meters.clone(),
--- a/core/src/consensus/event.rs
+++ b/core/src/consensus/event.rs
@@ -31,6 +31,6 @@
     /// The settings list these addresses of replicas from now on. Bootstrapping still needs the replicas that
     /// they listed at the start.
     Listed(Vec<SocketAddr>),
-    /// The replica shuts down; a leader transfers leadership to another voter.
-    TransferLeadership,
+    /// The replica shuts down. It tells the other members, and a leader transfers leadership to another voter.
+    Leave,
 }
--- a/core/src/consensus/leader.rs
+++ b/core/src/consensus/leader.rs
@@ -46,6 +46,8 @@
 pub(super) struct Leader {
     /// When this replica became leader.
     pub(super) elected_at: Instant,
+    /// The leader that this one followed before.
+    pub(super) predecessor: Option<Id>,
     /// Index of the first entry of the leader's term.
     pub(super) start_index: u64,
     /// When the next heartbeat is due.
@@ -59,9 +61,10 @@
 }
 
 impl Leader {
-    pub(super) fn new(now: Instant, start_index: u64) -> Self {
+    pub(super) fn new(now: Instant, start_index: u64, predecessor: Option<Id>) -> Self {
         Self {
             elected_at: now,
+            predecessor,
             start_index,
             next_heartbeat_at: now,
             progress: BTreeMap::new(),
--- a/core/src/consensus/member.rs
+++ b/core/src/consensus/member.rs
@@ -56,6 +56,13 @@
         self.removed.drain(..excess);
     }
 
+    /// Makes a member a voter or a learner.
+    pub(super) fn set_voter(&mut self, id: Id, voter: bool) {
+        if let Some(member) = self.list.iter_mut().find(|member| member.id == id) {
+            member.voter = voter;
+        }
+    }
+
     /// Returns the voters.
     pub fn voters(&self) -> impl Iterator<Item = &Member> {
         self.list.iter().filter(|member| member.voter)
--- a/core/src/consensus/message.rs
+++ b/core/src/consensus/message.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Id, Members};
-use crate::vm;
+use crate::{vm, zone};
 
 /// An entry of the replicated log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -165,6 +165,14 @@
         /// Member to remove.
         member: Id,
     },
+    /// What the leader takes into account when it chooses the voters. Sent only in deployments with open
+    /// membership; earlier builds ignore it.
+    Status {
+        /// Availability zone of the sender, if known.
+        zone: Option<zone::Name>,
+        /// Whether the sender shuts down.
+        leaving: bool,
+    },
 }
 
 /// The latest contact with an entry VM.
--- a/core/src/consensus/mod.rs
+++ b/core/src/consensus/mod.rs
@@ -48,6 +48,7 @@
 mod reducer;
 mod snapshot;
 pub mod verify;
+mod voters;
 
 pub use effect::{Effect, HardState};
 pub use event::Event;
--- a/core/src/consensus/reducer.rs
+++ b/core/src/consensus/reducer.rs
@@ -12,11 +12,12 @@
 use super::contacts::Contacts;
 use super::leader::Leader;
 use super::log::Log;
+use super::voters::{Health, Voters};
 use super::{
     Body, Effect, Entry, Event, HardState, Id, Member, Members, Message, Payload, Snapshot,
 };
 use crate::time::Instant;
-use crate::vm;
+use crate::{vm, zone};
 
 /// Interval of a leader's heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
@@ -54,17 +55,19 @@
 /// Time after which unacknowledged entries and snapshot chunks are sent again.
 const RESEND_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Maximum number of voters in a deployment with open membership. Five voters tolerate the loss of two;
-/// additional replicas are learners that replace lost voters.
-const MAX_VOTERS: usize = 5;
+/// Interval at which a member tells the others its availability zone.
+const STATUS_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time without contact after which a voter is replaced by a learner that has caught up, in a deployment
-/// with open membership.
-const REPLACE_SILENT_AFTER: Duration = Duration::from_millis(1_500);
+/// The same while it shuts down, since a message may be lost.
+const LEAVING_STATUS_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Time without contact after which a replica is removed without a replacement, in a deployment with
-/// open membership. Applies to learners, and to voters whose removal lowers the quorum.
-const REMOVE_SILENT_AFTER: Duration = Duration::from_secs(6);
+/// Longest silence of a leader before the election of its successor that counts. It leaves two heartbeat intervals
+/// in which it can respond before it counts as lost.
+const MAX_PREDECESSOR_SILENCE: Duration = Duration::from_millis(800);
+
+/// Time for which a replica that announced its shutdown counts as leaving. Longer than the time after which
+/// a silent voter is replaced, so that it does not count as live again before its silence shows.
+const LEAVING_PERIOD: Duration = Duration::from_secs(2);
 
 /// Longest time that a message waits for its link to open, with a margin. Links are opened within 500 ms
 /// or their queued messages are dropped.
@@ -86,8 +89,13 @@
     /// Whether a replica without data may bootstrap a deployment.
     pub bootstrap: bool,
     /// Whether replicas that are not listed in `replicas` may join. The platform replaces VMs at new
-    /// addresses, so the leader then also removes voters that are out of contact.
+    /// addresses, so the leader then also chooses which replicas vote.
     pub open_membership: bool,
+    /// Availability zone of the VM, if known; see [`Body::Status`].
+    pub zone: Option<zone::Name>,
+    /// Number of replicas that may lose their data at the same time. With open membership, a lost voter that
+    /// no learner can replace is kept if fewer than `2 * tolerance + 1` voters would remain.
+    pub tolerance: usize,
     /// Seed of the random number generator for election timeouts.
     pub seed: u64,
     /// Number of entries kept in memory that a snapshot already covers, so that a replica that was
@@ -114,6 +122,8 @@
             contacts: Vec::new(),
             bootstrap,
             open_membership: false,
+            zone: None,
+            tolerance: 1,
             seed,
             retained_entries: 1_000,
             snapshot_chunk_bytes: 512 * 1024,
@@ -153,6 +163,14 @@
     state: Vec<u8>,
 }
 
+/// What a member last said about itself; see [`Body::Status`].
+#[derive(Debug, Clone)]
+struct Status {
+    zone: Option<zone::Name>,
+    /// When it announced its shutdown.
+    leaving_since: Option<Instant>,
+}
+
 /// The latest join request of a replica.
 #[derive(Debug, Clone)]
 struct JoinRequest {
@@ -206,6 +224,13 @@
     contacts: Contacts,
     next_join_at: Instant,
     next_advertise_at: Instant,
+    next_status_at: Instant,
+    /// Whether this replica shuts down.
+    is_leaving: bool,
+    /// Latest status of each other member.
+    statuses: BTreeMap<Id, Status>,
+    /// The replica that this one followed last, unless it has led since.
+    last_leader: Option<Id>,
     /// Members whose removal was requested from this leader.
     pending_removals: BTreeSet<Id>,
     // Changes collected while one event is processed, emitted by `flush`.
@@ -271,6 +296,10 @@
             contacts,
             next_join_at: now,
             next_advertise_at: now,
+            next_status_at: now,
+            is_leaving: false,
+            statuses: BTreeMap::new(),
+            last_leader: None,
             pending_removals: BTreeSet::new(),
             hard_state_changed: false,
             unsaved_entries: Vec::new(),
@@ -400,6 +429,18 @@
         (at > leader_state.elected_at || members.voters().count() == 1).then_some(at)
     }
 
+    /// Returns whether the process may end after [`Event::Leave`]: no learner is about to vote in its place.
+    pub fn may_end(&self) -> bool {
+        let (true, Some(members)) = (self.settings.open_membership, self.committed_members())
+        else {
+            return true;
+        };
+        let voters = members.voters().count();
+        let has_learner = voters < members.list.len();
+        // The number of voters is even between the two changes of a replacement.
+        !has_learner || !members.is_voter(self.own_id()) && !voters.is_multiple_of(2)
+    }
+
     /// Processes an event and appends its effects.
     pub fn apply(&mut self, now: Instant, event: Event, effects: &mut Vec<Effect>) {
         self.now = self.now.max(now);
@@ -413,7 +454,7 @@
             Event::Compact { index, state } => self.compact_log(index, state, effects),
             Event::RemoveMember(member) => self.request_removal(member),
             Event::Listed(listed) => self.settings.listed = listed,
-            Event::TransferLeadership => self.transfer_leadership(),
+            Event::Leave => self.leave(),
         }
         self.flush(effects);
     }
@@ -557,13 +598,14 @@
                         self.send_append(id, address, true);
                     }
                     self.advertise();
+                    self.report_status();
                 }
             }
             Role::Follower | Role::PreCandidate | Role::Candidate => {
                 if self.now >= self.election_deadline {
                     self.leader_id = None;
                     self.reset_election();
-                    if self.is_voter() {
+                    if self.is_voter() && !self.is_leaving {
                         self.campaign(true);
                     }
                 }
@@ -575,6 +617,7 @@
                     } else {
                         self.next_join_at = self.now + JOIN_INTERVAL;
                         self.advertise();
+                        self.report_status();
                     }
                 }
             }
@@ -637,6 +680,51 @@
         }
     }
 
+    /// Tells the other members this replica's zone, if it is time to: any of them may lead next.
+    fn report_status(&mut self) {
+        if !self.settings.open_membership || self.now < self.next_status_at {
+            return;
+        }
+        self.next_status_at = if self.is_leaving {
+            self.now + LEAVING_STATUS_INTERVAL
+        } else {
+            self.now + STATUS_INTERVAL
+        };
+        for (id, address) in self.other_members() {
+            let body = Body::Status {
+                zone: self.settings.zone.clone(),
+                leaving: self.is_leaving,
+            };
+            self.send(id, address, body);
+        }
+    }
+
+    fn on_status(&mut self, from: Id, zone: Option<zone::Name>, leaving: bool) {
+        let earlier = self.statuses.get(&from);
+        let leaving_since = if leaving {
+            Some(self.now)
+        } else {
+            earlier.and_then(|status| status.leaving_since)
+        };
+        let status = Status {
+            zone,
+            leaving_since,
+        };
+        self.statuses.insert(from, status);
+        if let Some(members) = self.log.members() {
+            self.statuses.retain(|id, _| members.get(*id).is_some());
+        }
+    }
+
+    /// Tells the other members that this replica shuts down, so that a learner can take its place before its
+    /// silence shows, and transfers leadership.
+    fn leave(&mut self) {
+        self.is_leaving = self.settings.open_membership;
+        self.next_status_at = self.now;
+        self.report_status();
+        self.transfer_leadership();
+    }
+
     /// Bootstraps a deployment if this replica has the lowest VM name and all listed replicas have no data
     /// and may bootstrap.
     fn try_bootstrap(&mut self, effects: &mut Vec<Effect>) {
@@ -768,7 +856,7 @@
         self.role = Role::Leader;
         self.leader_id = Some(self.own_id());
         let next = self.log.last_index() + 1;
-        let mut leader_state = Leader::new(self.now, next);
+        let mut leader_state = Leader::new(self.now, next, self.last_leader.take());
         if let Some(members) = self.log.members() {
             leader_state.update(self.now, self.own_id(), members, next);
         }
@@ -912,6 +1000,7 @@
         }
         match body {
             Body::Join { .. } | Body::EntryContacts(_) => {}
+            Body::Status { zone, leaving } => self.on_status(from, zone, leaving),
             Body::VoteRequest {
                 term,
                 pre_vote,
@@ -1178,6 +1267,7 @@
             return false;
         }
         self.become_follower(term, Some(from));
+        self.last_leader = Some(from);
         self.last_leader_contact = self.now;
         self.reset_election();
         true
@@ -1563,31 +1653,30 @@
                 return Some(next);
             }
         }
+        if self.settings.open_membership {
+            let health = |member: &Member| self.health(leader_state, member.id);
+            return Voters::new(members, 2 * self.settings.tolerance + 1, health).next();
+        }
+        self.promote_learner(leader_state, members, is_alive)
+    }
+
+    /// Returns the members after the next step towards a learner that votes, in a deployment with closed
+    /// membership; none if there is nothing to do.
+    fn promote_learner<F>(
+        &self,
+        leader_state: &Leader,
+        members: &Members,
+        is_alive: F,
+    ) -> Option<Members>
+    where
+        F: Fn(Id) -> bool,
+    {
         for learner in members.list.iter().filter(|member| !member.voter) {
-            let progress = leader_state.progress.get(&learner.id);
-            let caught_up =
-                progress.is_some_and(|progress| progress.match_index >= self.commit_index);
-            if !caught_up || !is_alive(learner.id) {
+            if !self.has_replicated(leader_state, learner.id) || !is_alive(learner.id) {
                 continue;
             }
             let mut next = members.clone();
             let replaced = members.voters().find(|voter| voter.vm == learner.vm);
-            if replaced.is_none() && self.settings.open_membership {
-                let lost = members.voters().find(|voter| {
-                    self.time_since_contact(leader_state, voter.id) >= REPLACE_SILENT_AFTER
-                });
-                if let Some(lost) = lost {
-                    next.remove(|member| member.id == lost.id);
-                    let live_voters = next.voters().filter(|voter| is_alive(voter.id)).count();
-                    if live_voters >= next.quorum() {
-                        return Some(next);
-                    }
-                    continue;
-                }
-                if members.voters().count() >= MAX_VOTERS {
-                    continue;
-                }
-            }
             if let Some(replaced) = replaced {
                 // The lost voter is removed first. This never raises the number of live replicas that a
                 // quorum needs, since the lost one cannot respond any more. Removing it and promoting the
@@ -1599,49 +1688,48 @@
                 }
                 next.remove(|member| member.id == replaced.id);
             } else {
-                let member = next.list.iter_mut().find(|member| member.id == learner.id);
-                member?.voter = true;
+                next.set_voter(learner.id, true);
             }
             return Some(next);
         }
-        if self.settings.open_membership {
-            return self.members_without_lost(leader_state, members, is_alive);
-        }
         None
     }
 
-    /// Returns the time since a member last responded to this leader.
-    fn time_since_contact(&self, leader_state: &Leader, id: Id) -> Duration {
-        if id == self.own_id() {
-            return Duration::ZERO;
-        }
+    /// Returns whether a member has synced everything that is committed.
+    fn has_replicated(&self, leader_state: &Leader, id: Id) -> bool {
         let progress = leader_state.progress.get(&id);
-        let last_contact =
-            progress.map(|progress| progress.last_contact.unwrap_or(progress.added_at));
-        self.now
-            .since(last_contact.unwrap_or(leader_state.elected_at))
+        progress.is_some_and(|progress| progress.match_index >= self.commit_index)
     }
 
-    /// Returns the members without a learner or surplus voter that has been out of contact for
-    /// [`REMOVE_SILENT_AFTER`]; none if there is no such member. A voter is surplus if the number of voters is
-    /// even, since one fewer tolerates as many losses.
-    fn members_without_lost<F>(
-        &self,
-        leader_state: &Leader,
-        members: &Members,
-        is_alive: F,
-    ) -> Option<Members>
-    where
-        F: Fn(Id) -> bool,
-    {
-        let surplus = members.voters().count().is_multiple_of(2);
-        let lost = members.list.iter().find(|member| {
-            (surplus || !member.voter)
-                && self.time_since_contact(leader_state, member.id) >= REMOVE_SILENT_AFTER
-        })?;
-        let mut next = members.clone();
-        next.remove(|member| member.id == lost.id);
-        let live_voters = next.voters().filter(|voter| is_alive(voter.id)).count();
-        (live_voters > 0 && live_voters >= next.quorum()).then_some(next)
+    /// Returns what this leader knows of a member.
+    fn health(&self, leader_state: &Leader, id: Id) -> Health {
+        if id == self.own_id() {
+            return Health {
+                silent_for: Duration::ZERO,
+                is_leaving: self.is_leaving,
+                has_caught_up: true,
+                zone: self.settings.zone.clone(),
+            };
+        }
+        let progress = leader_state.progress.get(&id);
+        let known_since = progress.map_or(leader_state.elected_at, |progress| progress.added_at);
+        let silent_since = if leader_state.predecessor == Some(id) {
+            // Its silence led to this election, unless it handed over.
+            let elected_at = leader_state.elected_at;
+            self.last_leader_contact
+                .max(elected_at - MAX_PREDECESSOR_SILENCE)
+                .min(known_since)
+        } else {
+            known_since
+        };
+        let last_contact = progress.and_then(|progress| progress.last_contact);
+        let status = self.statuses.get(&id);
+        let leaving_since = status.and_then(|status| status.leaving_since);
+        Health {
+            silent_for: self.now.since(last_contact.unwrap_or(silent_since)),
+            is_leaving: leaving_since.is_some_and(|at| self.now.since(at) < LEAVING_PERIOD),
+            has_caught_up: self.has_replicated(leader_state, id),
+            zone: status.and_then(|status| status.zone.clone()),
+        }
     }
 }
--- a/gateway/src/control/server.rs
+++ b/gateway/src/control/server.rs
@@ -31,8 +31,8 @@
 /// to send them before the process exits.
 const DRAIN_TIME: Duration = Duration::from_millis(150);
 
-/// Time limit for the replica to hand over leadership and stop.
-const STOP_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time limit for the replica to commit its last commands, hand over its leadership and its vote, and stop.
+const STOP_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Runs a control process until a termination signal arrives. `hangup` signals that `source` may have
 /// changed. Fails if it cannot bind its addresses or open its data.
@@ -68,6 +68,8 @@
             address: link_address,
             replicas: seeds.map(|address| (name(address), address)).collect(),
             bootstrap: settings.bootstrap,
+            zone: Arc::clone(&common.zone),
+            tolerance: settings.tolerance,
         },
         &registry,
         outgoing,
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -71,6 +71,8 @@
     pub data: PathBuf,
     /// Whether this VM, if it has no data, may bootstrap a new deployment.
     pub bootstrap: bool,
+    /// Number of control VMs that may lose their disks at the same time.
+    pub tolerance: usize,
     /// Time limit for deciding a change that an operator proposes. Operators try another control VM after it.
     pub call_timeout: Duration,
 }
--- a/gateway/tests/message.rs
+++ b/gateway/tests/message.rs
@@ -123,6 +123,16 @@
             vm: "entry-1".into(),
             paces: vec![Pace::new(77, 4.0, Duration::from_millis(320))],
         },
+        Message::Consensus(consensus::Message {
+            deployment: 77,
+            from: Id(5),
+            to: Id(6),
+            address: "10.0.0.3:7340".parse().unwrap(),
+            body: Body::Status {
+                zone: Some("zone-0".into()),
+                leaving: true,
+            },
+        }),
     ]
 }
 
