Take a request in a planned stop only if its time limit fits

Cause: the VM took a request if a prediction of its duration fitted into the time left. Answers take longer than predicted, and for plain services the prediction is a constant of 400 ms.

Change: once it closes its connections, a stopping VM takes a request only if the request's whole time limit fits into the rest of the stop. Others are refused on arrival, before their body is read, as not run. This holds because the limit ends every request that is taken; requests that arrived before are judged by the prediction as they were.

--- a/core/src/fleet/attempts.rs
+++ b/core/src/fleet/attempts.rs
@@ -43,7 +43,7 @@
 
 /// Retry hint while this VM shuts down. It is short because another VM can take the request at
 /// once.
-const SHUTDOWN_RETRY: Duration = Duration::from_millis(50);
+pub(super) const SHUTDOWN_RETRY: Duration = Duration::from_millis(50);
 
 impl Reducer {
     /// Returns the targets that may run a request now.
--- a/core/src/fleet/reducer.rs
+++ b/core/src/fleet/reducer.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::attempts::NO_TARGET_RETRY;
+use super::attempts::{NO_TARGET_RETRY, SHUTDOWN_RETRY};
 use super::guard::{Guard, request_parts};
 use super::limit::NamedLimits;
 use super::load::RELAY_LEASE;
@@ -389,6 +389,11 @@
             .and_then(|name| config.service(name))
             .ok_or(no_target)?;
         let timeout = request.timeout.unwrap_or(route.timeout).min(route.timeout);
+        // A prediction of the duration is not enough here: answers take longer than predicted, plain services
+        // have none, and the caller can still go to another VM.
+        if self.shutdown_at.is_some_and(|until| now + timeout > until) {
+            return Err(refuse(Reason::ShuttingDown, Some(SHUTDOWN_RETRY)));
+        }
         Ok(Pending {
             whole_request: request_parts(&request, organisation.as_deref()),
             organisation,
--- a/core/tests/fleet/rules.rs
+++ b/core/tests/fleet/rules.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use primrosepin_core::fleet::{
-    Config, ConfigError, Event, Limits, Outcome, Reason, RetryPolicy, Route,
+    Config, ConfigError, Event, Limits, Outcome, Reason, Request, RetryPolicy, Route,
 };
 use smallvec::smallvec;
 
@@ -361,6 +361,38 @@
     }
 }
 
+/// Guards against a VM that takes a request in a planned stop and closes it without an answer as it exits, since the
+/// answer took longer than predicted: only a request whose time limit fits into the rest of the stop is taken.
+#[test]
+fn a_vm_that_shuts_down_takes_no_request_that_may_outlast_it() {
+    let mut fleet = Fleet::new(1, 4);
+    let mut routes = routes();
+    for route in &mut routes {
+        route.timeout = ms(10_000);
+    }
+    fleet.apply_to_all(&Event::Configured {
+        revision: 2,
+        config: Arc::new(build(routes).unwrap()),
+        zones_out: Vec::new(),
+    });
+    fleet.confirm(2);
+    let until = fleet.now + ms(4_750);
+    fleet.apply(0, Event::ShuttingDown { until });
+    for (route, prompt) in [("order", 0), ("read", 0), ("short", 2_000)] {
+        let id = fleet.arrive(0, request(route, prompt));
+        let refusal = fleet.refusal(id);
+        let refusal = refusal.unwrap_or_else(|| panic!("{route} is taken"));
+        assert_eq!(refusal.reason, Reason::ShuttingDown);
+        assert!(refusal.not_run && refusal.retry_after.is_some());
+        let brief = Request {
+            timeout: Some(ms(4_700)),
+            ..request(route, prompt)
+        };
+        let id = fleet.arrive(0, brief);
+        assert!(fleet.dispatch(id).is_some(), "{route} could end in time");
+    }
+}
+
 /// Guards against a VM that accepts a request shortly before it stops and then cuts it off.
 #[test]
 fn a_vm_that_shuts_down_refuses_requests_that_cannot_end_in_time() {
