Decide the second send of a request whose pooled connection closed

Cause: an attempt repeats a request on a new connection if a pooled one closes without a byte. Nobody decided that send; a check for targets that drain had been added at that place, and it knew no zones. The same send ignored the retry budget, the limits of cold targets and of targets that name one, and rules on crashing requests. Ruled out: a VM that does not know of the evacuation; it placed nothing else in the zone.

Change: Reducer::take_resend decides it by what holds for a first send, and counts it. The limits of a target are checked by one piece of code for both (attempts::Shares). Otherwise the attempt ends as broken off and the request is placed anew.

Tests: a_request_whose_connection_closes_late_does_not_return_to_a_zone_that_is_out failed before (2 arrivals instead of 1); core/tests/fleet/resend.rs covers zones, leaving targets, budget and cold limits.

--- a/core/src/fleet/attempts.rs
+++ b/core/src/fleet/attempts.rs
@@ -1,10 +1,12 @@
 //! Attempts of requests: dispatches each request to targets, and decides what follows when an
 //! attempt ends.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::directory::{ANNOUNCEMENT_LEASE, Record};
+use super::limit::NamedLimits;
 use super::load::Work;
 use super::pending::{Pending, Running, gap, max_duration, stall_timeout};
 use super::placement::Candidate;
@@ -45,14 +47,42 @@
 /// once.
 pub(super) const SHUTDOWN_RETRY: Duration = Duration::from_millis(50);
 
+/// This VM's shares of the limits on a target.
+struct Shares {
+    /// Requests a second during its cold start.
+    cold_per_s: f64,
+    /// Fraction of the limit that it names itself.
+    named_fraction: f64,
+    vm_hash: u64,
+}
+
+impl Shares {
+    /// Returns whether one more request to a target fits.
+    fn have_room(
+        &self,
+        now: Instant,
+        target: Target,
+        (name_hash, cold): (u64, bool),
+        named_limits: &mut NamedLimits,
+        cold_windows: &mut HashMap<Target, SlidingWindow>,
+    ) -> bool {
+        let offset = self.vm_hash ^ name_hash;
+        if !named_limits.has_room(now, name_hash, self.named_fraction, offset) {
+            return false;
+        }
+        let sent = |windows: &mut HashMap<Target, SlidingWindow>| {
+            windows
+                .get_mut(&target)
+                .map_or(0, |window| window.count(now))
+        };
+        !cold || within_share(self.cold_per_s, sent(cold_windows), now, offset)
+    }
+}
+
 impl Reducer {
     /// Returns the targets that may run a request now.
     pub(super) fn candidates(&mut self, now: Instant, pending: &Pending) -> Vec<Candidate> {
-        let cold_limit = (pending.service.cold_per_s * self.settings.cold_factor
-            + self.settings.cold_slack)
-            * BUDGET_FRACTION
-            / self.topology.vm_count() as f64;
-        let limit_fraction = BUDGET_FRACTION / self.topology.vm_count() as f64;
+        let shares = self.shares(pending.service.cold_per_s);
         let holdings = self.holdings(now, pending);
         let mut candidates = Vec::new();
         for (target, record) in self.directory.records() {
@@ -63,19 +93,12 @@
             if pending.origin.is_some() && self.named_limits.rate(record.name_hash).is_some() {
                 continue;
             }
-            let offset = self.vm_hash ^ record.name_hash;
-            let limits = &mut self.named_limits;
-            if !limits.has_room(now, record.name_hash, limit_fraction, offset) {
-                continue;
-            }
             let announcement = &record.announcement;
             let cold = now < record.cold_until;
-            if cold {
-                let window = self.cold_windows.get_mut(&target);
-                let sent = window.map_or(0, |window| window.count(now));
-                if !within_share(cold_limit, sent, now, self.vm_hash ^ record.name_hash) {
-                    continue;
-                }
+            let state = (record.name_hash, cold);
+            let (named, windows) = (&mut self.named_limits, &mut self.cold_windows);
+            if !shares.have_room(now, target, state, named, windows) {
+                continue;
             }
             let avoided = self.is_avoided(now, &pending.service, target, record);
             let slowdown = self.slowdown(now, &pending.service, target, record.name_hash);
@@ -116,11 +139,50 @@
         target: Target,
         record: &Record,
     ) -> bool {
+        self.takes_work(now, pending, record) && !pending.tried.contains(&target)
+    }
+
+    /// Returns whether a target takes work for a request, whether or not it had the request before.
+    pub(super) fn takes_work(&self, now: Instant, pending: &Pending, record: &Record) -> bool {
         let announcement = &record.announcement;
         record.usable(now)
             && announcement.service == pending.service.name
             && !self.zones_out.contains(&announcement.zone)
-            && !pending.tried.contains(&target)
+    }
+
+    /// Returns this VM's shares of the limits on targets of a service.
+    fn shares(&self, cold_per_s: f64) -> Shares {
+        let fraction = BUDGET_FRACTION / self.topology.vm_count() as f64;
+        Shares {
+            cold_per_s: (cold_per_s * self.settings.cold_factor + self.settings.cold_slack)
+                * fraction,
+            named_fraction: fraction,
+            vm_hash: self.vm_hash,
+        }
+    }
+
+    /// Returns whether one more request to a target stays within this VM's shares of its limits.
+    pub(super) fn has_room_at(
+        &mut self,
+        now: Instant,
+        target: Target,
+        name_hash: u64,
+        cold: bool,
+        cold_per_s: f64,
+    ) -> bool {
+        let shares = self.shares(cold_per_s);
+        let (named, windows) = (&mut self.named_limits, &mut self.cold_windows);
+        shares.have_room(now, target, (name_hash, cold), named, windows)
+    }
+
+    /// Counts a request that is sent to a target.
+    pub(super) fn record_sent(&mut self, now: Instant, target: Target, name_hash: u64, cold: bool) {
+        if cold {
+            let window = self.cold_windows.entry(target);
+            let window = window.or_insert_with(|| SlidingWindow::new(Duration::from_secs(1)));
+            window.add(now);
+        }
+        self.named_limits.record_sent(now, name_hash);
     }
 
     /// Dispatches a request to a target, queues it, or refuses it.
@@ -315,12 +377,7 @@
         let probe = self.probe(now, engine, name_hash, choice);
         self.add_load(now, id, choice, tokens);
         self.charge(now, id, tokens);
-        if cold {
-            let window = self.cold_windows.entry(choice.target);
-            let window = window.or_insert_with(|| SlidingWindow::new(Duration::from_secs(1)));
-            window.add(now);
-        }
-        self.named_limits.record_sent(now, name_hash);
+        self.record_sent(now, choice.target, name_hash, cold);
         let Some(pending) = self.pending.get_mut(&id) else {
             return;
         };
--- a/core/src/fleet/guard.rs
+++ b/core/src/fleet/guard.rs
@@ -178,6 +178,11 @@
         !is_trial
     }
 
+    /// Returns whether a rule matches a request that is not a trial.
+    pub(super) fn is_refused_by_rule(&self, pending: &Pending) -> bool {
+        !pending.is_trial && matching(&self.guard.rules, pending).next().is_some()
+    }
+
     /// Refuses a request that a rule matches, unless it is a trial; returns whether it did.
     pub(super) fn refuse_quarantined(
         &mut self,
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -51,6 +51,7 @@
 mod reducer;
 mod relocation;
 mod request;
+mod resend;
 mod retained;
 pub mod share;
 mod topology;
--- a/core/tests/fleet/main.rs
+++ b/core/tests/fleet/main.rs
@@ -10,6 +10,7 @@
 mod policy;
 mod quarantine;
 mod reach;
+mod resend;
 mod retained;
 mod rules;
 mod scale;
--- a/gateway/src/entry/attempt.rs
+++ b/gateway/src/entry/attempt.rs
@@ -187,9 +187,9 @@
         };
         let mut was_closed = false;
         loop {
-            if was_closed && !self.node.is_usable(&self.dispatch.name) {
-                // The connection may have closed long after the decision for this target.
-                self.log_broken("the target takes no new work any more");
+            // The connection may have closed long after the decision for this target.
+            if was_closed && !self.node.take_resend(self.id) {
+                self.log_broken("the target may not get the request again");
                 return broken(delivery, false);
             }
             let reused = pooled.is_some();
--- a/gateway/src/entry/node.rs
+++ b/gateway/src/entry/node.rs
@@ -360,6 +360,12 @@
         self.reducer.borrow_mut().can_relocate(now, id)
     }
 
+    /// Returns whether a request may be sent to its target once more, after its pooled connection closed.
+    pub(super) fn take_resend(&self, id: Id) -> bool {
+        let now = primrosepin_process::now();
+        self.reducer.borrow_mut().take_resend(now, id)
+    }
+
     /// Returns whether a target takes new work from this VM.
     pub(super) fn is_usable(&self, target: &str) -> bool {
         let now = primrosepin_process::now();
