Grow the buffer of a body to its limit and no further

Cause: the buffer doubles, and a body at the limit of 8 MiB had it doubled once more before the limit was checked: 16 MiB, 24 MiB while it is copied, for each body without end.

Change: the capacity is capped at the limit; one read may exceed it, and the body then fails as too long.

--- a/gateway/src/http.rs
+++ b/gateway/src/http.rs
@@ -656,7 +656,9 @@
         loop {
             let needed = output.len() + self.input.len().min(max_bytes);
             if needed > output.capacity() {
-                let grown = needed.max(output.capacity() * 2).max(MIN_BODY_BUFFER_BYTES);
+                // A body of the largest size needs no more. One that exceeds it fails below.
+                let doubled = (output.capacity() * 2).min(max_bytes);
+                let grown = needed.max(doubled).max(MIN_BODY_BUFFER_BYTES);
                 let capacity = match body {
                     Body::Done => output.capacity(),
                     Body::Length(left) => grown.min(output.len() + left as usize),
--- a/gateway/tests/http.rs
+++ b/gateway/tests/http.rs
@@ -255,3 +255,37 @@
     }
     assert!(refused, "a thousand trailers were accepted");
 }
+
+/// Guards against a buffer of twice the limit for a body that reaches the limit: many bodies without end at the same time
+/// then took more memory than the VM has to spare.
+#[actix_rt::test]
+async fn a_body_without_end_takes_no_more_than_its_limit() {
+    const LIMIT: usize = 1024 * 1024;
+    /// What arrives with one read beyond the limit.
+    const EXCESS: usize = 64 * 1024;
+    let limits = Clients::default();
+    let account = Account::new(Book::entry(Process::default(), limits), limits, None);
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let peer = std::thread::spawn(move || {
+        let mut peer = std::net::TcpStream::connect(address).unwrap();
+        let chunk = format!("4000\r\n{}\r\n", "x".repeat(0x4000));
+        // Fails once the reader has given up.
+        while peer.write_all(chunk.as_bytes()).is_ok() {}
+    });
+    let (stream, _) = listener.accept().await.unwrap();
+    let mut connection = Connection::new(stream);
+    let client = account.open(Kind::Caller);
+    let mut share = client.share();
+    let body = Body::Chunks(primrosepin_gateway::http::ChunkState::Size);
+    let time = Duration::from_mins(1);
+    let read = connection.read_body(body, LIMIT, time, &mut share).await;
+    assert!(matches!(read, Err(Error::BodyTooLong)), "{read:?}");
+    assert!(
+        share.bytes() <= LIMIT + EXCESS,
+        "{} bytes for a body of at most {LIMIT}",
+        share.bytes()
+    );
+    drop(connection);
+    peer.join().unwrap();
+}
