Reject responses whose status code does not exist

One with status 000 was skipped like an interim response.

Cause: parse_response took any three digits; every status from 400 on passes for a failure of the target, and every one under 200 for an interim response.

Change: codes outside 100 to 599, and 101, make the head malformed, so the attempt ends as broken off.

--- a/gateway/src/http.rs
+++ b/gateway/src/http.rs
@@ -5,6 +5,7 @@
 
 use std::cell::RefCell;
 use std::io::{self, IoSlice};
+use std::ops::RangeInclusive;
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -27,6 +28,12 @@
 /// Maximum length of a chunk-size line with extensions, or of a trailer line, bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
 
+/// Status codes of HTTP.
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
+
+/// Status code of a response after which another protocol is spoken.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// Most bytes that are read at once.
 const READ_BYTES: usize = 32 * 1024;
 
@@ -852,6 +859,10 @@
     };
     let headers = Headers::parse(&input[..length], parsed.headers);
     let status = parsed.code.unwrap_or_default();
+    // No request of ours asks for another protocol, and what follows such a head is not HTTP.
+    if !STATUS_CODES.contains(&status) || status == SWITCHING_PROTOCOLS {
+        return Err(Malformed("status code"));
+    }
     let (chunked, body_length) = (headers.is_chunked()?, headers.content_length()?);
     if chunked && body_length.is_some() {
         return Err(Malformed("two ends of a body"));
--- a/gateway/tests/http.rs
+++ b/gateway/tests/http.rs
@@ -289,3 +289,16 @@
     drop(connection);
     peer.join().unwrap();
 }
+
+/// Guards against a response whose status code does not exist and that is passed on, or skipped as an interim one.
+#[test]
+fn impossible_status_codes_are_malformed() {
+    for status in ["000", "001", "099", "101", "600", "999"] {
+        let mut input = BytesMut::from(format!("HTTP/1.1 {status} X\r\n\r\n").as_bytes());
+        assert!(parse_response(&mut input, "GET").is_err(), "{status}");
+    }
+    for status in ["100", "103", "200", "421", "503", "599"] {
+        let mut input = BytesMut::from(format!("HTTP/1.1 {status} X\r\n\r\n").as_bytes());
+        assert!(parse_response(&mut input, "GET").unwrap().is_some());
+    }
+}
