Keep the trial of a refused request open for its VM

Change: trials become possible after 10, 30 and 50 s, and each stays open for its VM until a copy of the request reaches it. Three VMs have had theirs within the minute after which a refused caller is told to return.

Test: a_request_that_reaches_one_vm_alone_is_tried failed before ("VM 0 refuses the request for a minute"). The tests of trials and of fatal requests pass unchanged.

--- a/core/src/fleet/trial.rs
+++ b/core/src/fleet/trial.rs
@@ -6,8 +6,9 @@
 //!
 //! # Invariants
 //!
-//! - Each rule allows [`TRIAL_TIMES`] trials in all, since each may end a target.
-//! - One VM in the region, which all agree on by name, takes the next trial.
+//! - Each rule allows as many trials as [`TRIAL_TIMES`] has times, since each may end a target.
+//! - Each trial belongs to one VM in the region, which all agree on by name. It stays open until that VM gets a copy of
+//!   the request: callers may ask one VM alone.
 //! - A trial is sent to one target: if it breaks off, the rule applies again.
 
 use std::collections::HashMap;
@@ -17,11 +18,12 @@
 use crate::quarantine::{ANY_SERVICE, Rule};
 use crate::time::Instant;
 
-/// Times from the arrival of a rule at which the next trial becomes possible.
+/// Times from the arrival of a rule at which the next trial becomes possible. After the last one, three VMs have had
+/// theirs, in less than the minute after which a refused caller is told to return.
 const TRIAL_TIMES: [Duration; 3] = [
     Duration::from_secs(10),
-    Duration::from_secs(40),
-    Duration::from_secs(160),
+    Duration::from_secs(30),
+    Duration::from_secs(50),
 ];
 
 #[derive(Debug, Clone, Copy)]
@@ -79,13 +81,15 @@
         let Some(record) = self.rules.get(rule) else {
             return false;
         };
-        let number = elapsed_trials(now, record.since);
-        if number <= record.taken || candidates.is_empty() {
+        if candidates.is_empty() {
             return false;
         }
         let first = rule.parts.iter().fold(0, |hash, part| hash ^ part.0);
-        let turn = first.wrapping_add(number as u64) % candidates.len() as u64;
-        candidates[turn as usize] == *own
+        let mut open = record.taken + 1..=elapsed_trials(now, record.since);
+        open.any(|number| {
+            let turn = first.wrapping_add(number as u64) % candidates.len() as u64;
+            candidates[turn as usize] == *own
+        })
     }
 }
 
--- a/core/tests/fleet/quarantine.rs
+++ b/core/tests/fleet/quarantine.rs
@@ -784,6 +784,39 @@
     check_troubles(&Plan::new(6, 18, 3_000).with_fatal(2));
 }
 
+/// Guards against a sound request that is refused although it could be tried, because its callers ask one VM alone and
+/// the turn of that VM had passed: each of three VMs tries it within the minute after which they are told to return.
+#[test]
+fn a_request_that_reaches_one_vm_alone_is_tried() {
+    for vm in 0..3 {
+        let mut fleet = Fleet::new(3, 4);
+        let refused = request("short", 2_000);
+        let part = PartId(refused.fingerprint.with_caller(&format!("key {KEY}")));
+        let rule = Rule {
+            service: ANY_SERVICE,
+            parts: [part].into_iter().collect(),
+        };
+        fleet.apply_to_all(&Event::Quarantined(vec![rule]));
+        // Copies come now and then, not just as the turn of a VM begins.
+        let times = [9, 15, 35, 59].map(Duration::from_secs);
+        let began = fleet.now;
+        let tried = times.iter().any(|time| {
+            while fleet.now.since(began) < *time {
+                fleet.run(ms(500));
+                fleet.confirm(1);
+                for number in 0..4 {
+                    let mut heard = announcement("engine", number, number % 3);
+                    heard.sequence = fleet.now.as_micros();
+                    fleet.announce(heard);
+                }
+            }
+            let id = fleet.arrive(vm, refused.clone());
+            fleet.dispatch(id).is_some()
+        });
+        assert!(tried, "VM {vm} refuses the request for a minute");
+    }
+}
+
 /// Guards against a sound request that is refused until its rule ends, since nothing is left that refutes the rule:
 /// one copy is tried, at one target, and an answer is reported. A fatal request gets few trials.
 #[test]
