Remove the old id of a replica once its VM has joined again

Cause: a voter whose VM has returned without data loses its vote to a spare replica if the VM has not caught up within a second. Its old id then stayed as a silent learner for 3 s, although it can never respond, and a process that shuts down waits for learners.

Change: any replica whose VM is listed again after it goes as soon as it is silent; a voter only when its successor can vote. Shares::have_room takes its target's state as plain arguments.

--- a/core/src/consensus/voters.rs
+++ b/core/src/consensus/voters.rs
@@ -120,14 +120,24 @@
         odd.min(MAX_VOTERS).max(self.min_voters)
     }
 
-    /// Removes a voter whose VM has joined again without data. It cannot respond any more, so this never raises
-    /// the number of live replicas that a quorum needs.
+    /// Removes a replica whose VM has joined again without data. It cannot respond any more, so this never raises the
+    /// number of live replicas that a quorum needs. A voter stays until its successor can vote.
     fn without_lost_disk(&self) -> Option<Members> {
-        let lost = self.voters().find(|(voter, health)| {
-            !health.responds() && self.candidates().any(|(learner, _)| learner.vm == voter.vm)
-        })?;
+        let has_successor = |lost: &Member| {
+            // Members are listed in the order in which they joined.
+            let later = self.replicas.iter().rev();
+            later
+                .take_while(|(member, _)| member.id != lost.id)
+                .any(|(member, health)| {
+                    member.vm == lost.vm && (!lost.voter || health.has_caught_up)
+                })
+        };
+        let (lost, _) = self
+            .replicas
+            .iter()
+            .find(|(member, health)| !health.responds() && has_successor(member))?;
         let mut next = self.members.clone();
-        next.remove(|member| member.id == lost.0.id);
+        next.remove(|member| member.id == lost.id);
         Some(next)
     }
 
@@ -218,12 +228,12 @@
     }
 
     fn without_lost_learner(&self) -> Option<Members> {
-        let lost = self
+        let (lost, _) = self
             .replicas
             .iter()
             .find(|(member, health)| !member.voter && health.silent_for >= REMOVE_AFTER)?;
         let mut next = self.members.clone();
-        next.remove(|member| member.id == lost.0.id);
+        next.remove(|member| member.id == lost.id);
         Some(next)
     }
 }
--- a/core/src/fleet/attempts.rs
+++ b/core/src/fleet/attempts.rs
@@ -62,7 +62,8 @@
         &self,
         now: Instant,
         target: Target,
-        (name_hash, cold): (u64, bool),
+        name_hash: u64,
+        cold: bool,
         named_limits: &mut NamedLimits,
         cold_windows: &mut HashMap<Target, SlidingWindow>,
     ) -> bool {
@@ -95,9 +96,8 @@
             }
             let announcement = &record.announcement;
             let cold = now < record.cold_until;
-            let state = (record.name_hash, cold);
             let (named, windows) = (&mut self.named_limits, &mut self.cold_windows);
-            if !shares.have_room(now, target, state, named, windows) {
+            if !shares.have_room(now, target, record.name_hash, cold, named, windows) {
                 continue;
             }
             let avoided = self.is_avoided(now, &pending.service, target, record);
@@ -172,7 +172,7 @@
     ) -> bool {
         let shares = self.shares(cold_per_s);
         let (named, windows) = (&mut self.named_limits, &mut self.cold_windows);
-        shares.have_room(now, target, (name_hash, cold), named, windows)
+        shares.have_room(now, target, name_hash, cold, named, windows)
     }
 
     /// Counts a request that is sent to a target.
--- a/core/tests/consensus.rs
+++ b/core/tests/consensus.rs
@@ -246,6 +246,30 @@
     }
 }
 
+/// Guards against the old id of a replica that lost its data staying among the members as a silent learner, after
+/// another replica has taken its vote.
+#[test]
+fn old_id_of_a_replica_without_data_goes_when_it_joins_again() {
+    for seed in 0..10 {
+        let mut cluster = Cluster::with_open_membership(3, seed);
+        cluster.bootstrap = false;
+        cluster.join();
+        cluster.run_until("joined", Cluster::running_are_members);
+        cluster.run(SECOND * 4);
+        let lost = others(&cluster, cluster.leader().unwrap())[2];
+        cluster.crash(lost);
+        cluster.lose_disk(lost);
+        // It is admitted again at once, but gets no data before the silence of its old id has cost it its vote.
+        cluster.block(lost, false, true);
+        cluster.start(lost);
+        cluster.run(SECOND + SECOND / 4);
+        cluster.isolate(lost, false);
+        cluster.run(SECOND);
+        assert!(cluster.running_are_members(), "{}", cluster.describe());
+        cluster.verify();
+    }
+}
+
 /// Guards against a replica that was replaced while it was partitioned and then never joins again, or counts
 /// under its old id.
 #[test]
