--- a/review/src-4/fleet.rs
+++ b/review/src-4/fleet.rs
@@ -46,18 +46,6 @@
     retry_slack: 236,
 };
 
-pub const SOLANO: Site = Site {
-    zones: ["zona-sanjose", "zona-liberia", "zona-limon"],
-    region: "centroamerica",
-    model: "asistente-boletos",
-    plain: "taquilla",
-    short: "consulta-tarifa",
-    long: "repaso-manuales",
-    order: "reserva-asiento",
-    read: "consulta-reserva",
-    retry_slack: 226,
-};
-
 pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
 pub const HOST: &str = "ficu95.example";
 
@@ -120,22 +108,6 @@
         Ok(())
     }
 
-    /// Sends a signal to the process.
-    pub fn signal(&self, signal: &str) -> io::Result<()> {
-        let id = self.child.as_ref().map_or(0, Child::id);
-        if id == 0 {
-            return Err(io::ErrorKind::NotFound.into());
-        }
-        let sent = Command::new("kill")
-            .args([format!("-{signal}"), id.to_string()])
-            .status()?;
-        if sent.success() {
-            Ok(())
-        } else {
-            Err(io::ErrorKind::NotFound.into())
-        }
-    }
-
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let id = child.id();
@@ -145,16 +117,6 @@
             let _ = child.wait();
         }
     }
-
-    /// Returns the exit status if the process has ended.
-    pub fn ended(&mut self) -> Option<std::process::ExitStatus> {
-        self.child.as_mut()?.try_wait().ok().flatten()
-    }
-
-    /// Returns what the process has logged.
-    pub fn log(&self) -> String {
-        fs::read_to_string(&self.log).unwrap_or_default()
-    }
 }
 
 impl Drop for Process {
@@ -262,10 +224,6 @@
         })
     }
 
-    pub fn program(&self) -> PathBuf {
-        self.program.clone()
-    }
-
     /// Returns a loopback address for a stand-in.
     pub fn ip(&self, third: u8, number: u8) -> String {
         format!("127.{}.{third}.{number}", self.network)
--- a/review/src-4/main.rs
+++ b/review/src-4/main.rs
@@ -2,9 +2,6 @@
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod fleet;
-mod slow_caller;
-mod slow_worker;
-mod socket;
 mod unused_memory;
 mod worker;
 
@@ -22,8 +19,6 @@
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let mut record = format!("case {case}, TROUBLE={}\n", u8::from(trouble));
     let result = match case.as_str() {
-        "slow-caller" => slow_caller::run(trouble, &mut record),
-        "slow-worker" => slow_worker::run(trouble, &mut record),
         "unused-memory" => unused_memory::run(trouble, &mut record),
         _ => Err("no such case".into()),
     };
--- a/review/src-4/worker.rs
+++ b/review/src-4/worker.rs
@@ -13,13 +13,8 @@
 #[derive(Debug, Clone)]
 pub struct Run {
     pub id: String,
-    pub worker: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
-    /// When its first bytes were read.
-    pub head_at: Instant,
-    /// When it was complete and began to run.
-    pub at: Instant,
 }
 
 impl Run {
@@ -157,14 +152,6 @@
         });
         Ok(worker)
     }
-
-    pub fn runs(&self) -> Vec<Run> {
-        self.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
-    }
-
-    pub fn set_manner(&self, manner: Manner) {
-        *self.manner.lock().unwrap_or_else(PoisonError::into_inner) = manner;
-    }
 }
 
 fn serve(
@@ -175,7 +162,7 @@
     shared: &Mutex<Shared>,
 ) {
     let mut bytes = Vec::new();
-    while let Some(run) = read(&mut stream, own, &mut bytes, manner) {
+    while let Some(run) = read(&mut stream, &mut bytes, manner) {
         let manner = manner.lock().unwrap_or_else(PoisonError::into_inner).clone();
         if !answer(&mut stream, own, runs, run, &manner, shared) {
             return;
@@ -184,18 +171,14 @@
 }
 
 /// Reads the next request, as slowly as the worker reads.
-fn read(stream: &mut TcpStream, own: &str, bytes: &mut Vec<u8>, manner: &Mutex<Manner>) -> Option<Run> {
-    let mut head_at = None;
+fn read(stream: &mut TcpStream, bytes: &mut Vec<u8>, manner: &Mutex<Manner>) -> Option<Run> {
     loop {
         if let Some(end) = find(bytes, b"\r\n\r\n") {
             let (first, headers) = parse_head(&String::from_utf8_lossy(&bytes[..end]));
             let mut run = Run {
                 id: String::new(),
-                worker: own.to_owned(),
                 headers,
                 body: Vec::new(),
-                head_at: head_at.unwrap_or_else(Instant::now),
-                at: Instant::now(),
             };
             run.id = run.header("primrosepin-request-id").unwrap_or_default().to_owned();
             run.headers.push((":line".into(), first));
@@ -204,7 +187,6 @@
             if bytes.len() >= end + 4 + length {
                 run.body = bytes[end + 4..end + 4 + length].to_vec();
                 bytes.drain(..end + 4 + length);
-                run.at = Instant::now();
                 return Some(run);
             }
         }
@@ -214,7 +196,6 @@
             Ok(count) if count > 0 => bytes.extend_from_slice(&buffer[..count]),
             _ => return None,
         }
-        head_at.get_or_insert_with(Instant::now);
         if !manner.read_pause.is_zero() {
             thread::sleep(manner.read_pause);
         }
